Add the design, schemas and domain types

Starts the repository with the design page, the protobuf schemas of the log records and of the platform, peer and operator interfaces, and the root package with domain types, typed errors and interfaces. The linter and the generators are pinned in two tools modules, because the linter's dependency graph does not resolve together with the generators'. make test passes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+GO ?= go
+LINT = $(GO) tool -modfile=tools/lint/go.mod golangci-lint
+BUF = $(GO) tool -modfile=tools/go.mod buf
+
+.PHONY: build test check unit lint fmt generate generate-check demo bench
+
+## build: builds every command into bin/
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+## test: formatter, linter, generated code and all tests
+test: lint generate-check unit
+
+## unit: all tests with the race detector
+unit:
+	$(GO) test -race -timeout 20m ./...
+
+## lint: checks format and lint rules
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+## fmt: formats the code
+fmt:
+	$(LINT) fmt
+
+## generate: writes generated code again
+generate:
+	$(BUF) generate
+	$(GO) generate ./...
+
+## generate-check: fails if the committed generated code is out of date
+generate-check: generate
+	git diff --exit-code -- gen '*_enumer.go'
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,6 @@
+// Package flamingodoor holds the domain types, typed failures and interfaces
+// of a serving system for language models that span several hosts.
+// Implementations are in the packages below internal.
+package flamingodoor
+
+//go:generate go tool -modfile=tools/go.mod enumer -type=EndpointKind,EndpointState,RunState,Code,Acceptance -transform=snake -trimprefix=EndpointKind,EndpointState,RunState,Code,Acceptance -text -output=enums_enumer.go
