Add settings, a fault-injecting proxy and a process harness

The settings report all mistakes at once. The proxy cuts, delays and silences connections by source address, so that tests can partition single entry hosts. The harness starts the programs and reads their listener addresses.

--- a/internal/anchor/anchor.go
+++ b/internal/anchor/anchor.go
@@ -18,6 +18,7 @@
 	_ "go.opentelemetry.io/otel/exporters/prometheus"
 	_ "go.opentelemetry.io/otel/metric"
 	_ "go.opentelemetry.io/otel/sdk/metric"
+	_ "golang.org/x/net/netutil"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
 	_ "pgregory.net/rapid"
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,192 @@
+// Package config holds the daemon's settings, their defaults and checks.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+// Settings are the flags and environment variables of flamingodoord.
+type Settings struct {
+	HostID     string `long:"host-id" env:"FLAMINGODOOR_HOST_ID" description:"identifier of this entry host, unique for each start"`
+	DataCentre string `long:"data-centre" env:"FLAMINGODOOR_DATA_CENTRE" description:"data centre of this entry host"`
+	Region     string `long:"region" env:"FLAMINGODOOR_REGION" default:"default" description:"region of this entry host"`
+
+	Listen         string `long:"listen" env:"FLAMINGODOOR_LISTEN" default:"127.0.0.1:8080" description:"IP address and port for callers"`
+	PeerListen     string `long:"peer-listen" env:"FLAMINGODOOR_PEER_LISTEN" default:"127.0.0.1:8081" description:"IP address and port for other entry hosts"`
+	PeerAdvertise  string `long:"peer-advertise" env:"FLAMINGODOOR_PEER_ADVERTISE" description:"IP address and port that other entry hosts connect to (default: the peer listener)"`
+	OperatorListen string `long:"operator-listen" env:"FLAMINGODOOR_OPERATOR_LISTEN" default:"127.0.0.1:8082" description:"IP address and port for operators"`
+	MetricsListen  string `long:"metrics-listen" env:"FLAMINGODOOR_METRICS_LISTEN" default:"127.0.0.1:8083" description:"IP address and port for metrics, health and readiness"`
+	Platform       string `long:"platform" env:"FLAMINGODOOR_PLATFORM" description:"IP address and port of the platform's services"`
+
+	OperatorToken string `long:"operator-token" env:"FLAMINGODOOR_OPERATOR_TOKEN" default-mask:"-" description:"bearer token that operators must present"`
+
+	CallerCertificate   string `long:"caller-cert" env:"FLAMINGODOOR_CALLER_CERT" description:"PEM certificate for callers; enables TLS"`
+	CallerKey           string `long:"caller-key" env:"FLAMINGODOOR_CALLER_KEY" description:"PEM key for callers"`
+	OperatorCertificate string `long:"operator-cert" env:"FLAMINGODOOR_OPERATOR_CERT" description:"PEM certificate for operators; enables TLS"`
+	OperatorKey         string `long:"operator-key" env:"FLAMINGODOOR_OPERATOR_KEY" description:"PEM key for operators"`
+	PeerCertificate     string `long:"peer-cert" env:"FLAMINGODOOR_PEER_CERT" description:"PEM certificate between entry hosts; enables mutual TLS"`
+	PeerKey             string `long:"peer-key" env:"FLAMINGODOOR_PEER_KEY" description:"PEM key between entry hosts"`
+	PeerCA              string `long:"peer-ca" env:"FLAMINGODOOR_PEER_CA" description:"PEM certificates that sign the entry hosts' certificates"`
+
+	MaxBodyBytes   int64         `long:"max-body-bytes" env:"FLAMINGODOOR_MAX_BODY_BYTES" default:"1048576" description:"largest request body of a caller"`
+	MaxHeaderBytes int           `long:"max-header-bytes" env:"FLAMINGODOOR_MAX_HEADER_BYTES" default:"16384" description:"largest request header of a caller"`
+	MaxConnections int           `long:"max-connections" env:"FLAMINGODOOR_MAX_CONNECTIONS" default:"4096" description:"open connections of callers"`
+	StopTimeout    time.Duration `long:"stop-timeout" env:"FLAMINGODOOR_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop"`
+	LogLevel       string        `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+
+	Version bool `long:"version" description:"print the version and exit"`
+
+	Addresses Addresses `no-flag:"true"`
+}
+
+// Addresses are the parsed addresses of the settings.
+type Addresses struct {
+	Listen         netip.AddrPort
+	PeerListen     netip.AddrPort
+	PeerAdvertise  netip.AddrPort // invalid: the peer listener's own address
+	OperatorListen netip.AddrPort
+	MetricsListen  netip.AddrPort
+	Platform       netip.AddrPort
+}
+
+// Bounds of the settings.
+const (
+	minBodyBytes   = 1 << 10
+	maxBodyBytes   = 64 << 20
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	maxStopTimeout = 24 * time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
+
+// Parse reads flags and environment variables. The error lists every mistake
+// by the name of its flag. A request for help returns a *flags.Error.
+func Parse(arguments []string) (*Settings, error) {
+	settings := &Settings{}
+	parser := flags.NewParser(settings, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "flamingodoord"
+	parser.LongDescription = "The entry host daemon of flamingodoor: it serves callers and operators, " +
+		"exchanges state with the other entry hosts and plans replica groups."
+	rest, err := parser.ParseArgs(arguments)
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInvalidConfiguration, flamingodoor.RunStateNotRun, err)
+	}
+	if len(rest) > 0 {
+		return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "unexpected arguments: %s", strings.Join(rest, " "))
+	}
+	if settings.Version {
+		return settings, nil
+	}
+	return settings, settings.check()
+}
+
+// IsHelp reports whether the error carries the help text.
+func IsHelp(err error) bool {
+	var flagsError *flags.Error
+	return errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp
+}
+
+func (s *Settings) check() error {
+	mistakes := &mistakes{}
+	mistakes.name("host-id", s.HostID)
+	mistakes.name("data-centre", s.DataCentre)
+	mistakes.name("region", s.Region)
+	s.Addresses.Listen = mistakes.address("listen", s.Listen)
+	s.Addresses.PeerListen = mistakes.address("peer-listen", s.PeerListen)
+	s.Addresses.OperatorListen = mistakes.address("operator-listen", s.OperatorListen)
+	s.Addresses.MetricsListen = mistakes.address("metrics-listen", s.MetricsListen)
+	s.Addresses.Platform = mistakes.address("platform", s.Platform)
+	if s.PeerAdvertise != "" {
+		s.Addresses.PeerAdvertise = mistakes.address("peer-advertise", s.PeerAdvertise)
+	}
+	mistakes.pair("caller", s.CallerCertificate, s.CallerKey)
+	mistakes.pair("operator", s.OperatorCertificate, s.OperatorKey)
+	mistakes.pair("peer", s.PeerCertificate, s.PeerKey)
+	if (s.PeerCertificate == "") != (s.PeerCA == "") {
+		mistakes.add("peer-ca", "must be set together with peer-cert")
+	}
+	for _, file := range []struct{ flag, path string }{
+		{"caller-cert", s.CallerCertificate},
+		{"caller-key", s.CallerKey},
+		{"operator-cert", s.OperatorCertificate},
+		{"operator-key", s.OperatorKey},
+		{"peer-cert", s.PeerCertificate},
+		{"peer-key", s.PeerKey},
+		{"peer-ca", s.PeerCA},
+	} {
+		mistakes.readable(file.flag, file.path)
+	}
+	mistakes.between("max-body-bytes", s.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	mistakes.between("max-header-bytes", int64(s.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes)
+	mistakes.between("max-connections", int64(s.MaxConnections), 1, 1<<20)
+	if s.StopTimeout < 0 || s.StopTimeout > maxStopTimeout {
+		mistakes.add("stop-timeout", fmt.Sprintf("must be between 0s and %s", maxStopTimeout))
+	}
+	if s.OperatorToken == "" && s.Addresses.OperatorListen.IsValid() && !s.Addresses.OperatorListen.Addr().IsLoopback() {
+		mistakes.add("operator-token", "must be set unless operator-listen is a loopback address")
+	}
+	return mistakes.err()
+}
+
+// mistakes collects every wrong setting, so that one run shows them all.
+type mistakes struct {
+	texts []string
+}
+
+func (m *mistakes) add(flag, text string) {
+	m.texts = append(m.texts, "--"+flag+": "+text)
+}
+
+func (m *mistakes) name(flag, value string) {
+	if !namePattern.MatchString(value) {
+		m.add(flag, fmt.Sprintf("%q is not a name of 1 to 64 characters from a-z, 0-9, '.', '_' and '-'", value))
+	}
+}
+
+func (m *mistakes) address(flag, value string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		m.add(flag, fmt.Sprintf("%q is not an IP address and port", value))
+	}
+	return address
+}
+
+func (m *mistakes) pair(prefix, certificate, key string) {
+	if (certificate == "") != (key == "") {
+		m.add(prefix+"-cert", fmt.Sprintf("must be set together with %s-key", prefix))
+	}
+}
+
+func (m *mistakes) readable(flag, path string) {
+	if path == "" {
+		return
+	}
+	if _, err := os.Stat(path); err != nil {
+		m.add(flag, fmt.Sprintf("cannot read %q", path))
+	}
+}
+
+func (m *mistakes) between(flag string, value, low, high int64) {
+	if value < low || value > high {
+		m.add(flag, fmt.Sprintf("must be between %d and %d", low, high))
+	}
+}
+
+func (m *mistakes) err() error {
+	if len(m.texts) == 0 {
+		return nil
+	}
+	return flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "%d wrong settings:\n  %s",
+		len(m.texts), strings.Join(m.texts, "\n  "))
+}
--- /dev/null
+++ b/internal/harness/deployment.go
@@ -0,0 +1,196 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"sync"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/faultproxy"
+)
+
+// OperatorToken is the token that the entry hosts of a deployment expect.
+const OperatorToken = "harness-operator-token"
+
+const listenAnyPort = "--listen=127.0.0.1:0"
+
+// loopback is the address of everything but the peer listeners.
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// Deployment is a set of running processes.
+type Deployment struct {
+	Programs string // directory of the built programs
+	Log      io.Writer
+
+	Platform      *Process
+	PlatformProxy *faultproxy.Proxy // of the commands that tests send themselves
+	Entries       []*Entry
+	Endpoints     []*Endpoint
+
+	mutex     sync.Mutex
+	processes []*Process
+	proxies   []*faultproxy.Proxy
+	platform  netip.AddrPort
+	nextEntry byte
+}
+
+// Entry is an entry host. Its connections to the platform and those of its
+// peers to it pass through proxies.
+type Entry struct {
+	*Process
+	DataCentre string
+	Source     netip.Addr // address from which it connects to its peers
+	Caller     netip.AddrPort
+	Operator   netip.AddrPort
+	Metrics    netip.AddrPort
+
+	PlatformProxy *faultproxy.Proxy
+	PeerProxy     *faultproxy.Proxy
+}
+
+// Endpoint is a model engine or a plain service behind a proxy.
+type Endpoint struct {
+	*Process
+	DataCentre   string
+	FabricDomain string
+	Service      string // empty for engines
+	Direct       netip.AddrPort
+	Proxy        *faultproxy.Proxy
+}
+
+// StartPlatform starts the platform stand-in.
+func (d *Deployment) StartPlatform(ctx context.Context, arguments ...string) error {
+	process, err := d.start(ctx, "platform", "standin-platform", append([]string{listenAnyPort}, arguments...)...)
+	if err != nil {
+		return err
+	}
+	d.Platform = process
+	d.platform, err = process.Address("")
+	return err
+}
+
+// PlatformAddress is the address of the platform stand-in.
+func (d *Deployment) PlatformAddress() netip.AddrPort {
+	return d.platform
+}
+
+// StartEntry starts an entry host.
+func (d *Deployment) StartEntry(ctx context.Context, name, dataCentre string, arguments ...string) (*Entry, error) {
+	d.mutex.Lock()
+	d.nextEntry++
+	source := netip.AddrFrom4([4]byte{127, 0, 1, d.nextEntry})
+	d.mutex.Unlock()
+
+	platformProxy, err := d.proxy(ctx, loopback, d.platform)
+	if err != nil {
+		return nil, err
+	}
+	// The peer address must be known before the process starts, so the proxy
+	// gets its target afterwards.
+	peerProxy, err := d.proxy(ctx, loopback, netip.AddrPort{})
+	if err != nil {
+		return nil, err
+	}
+	process, err := d.start(ctx, name, "flamingodoord", append([]string{
+		"--host-id=" + name,
+		"--data-centre=" + dataCentre,
+		listenAnyPort,
+		"--operator-listen=127.0.0.1:0",
+		"--metrics-listen=127.0.0.1:0",
+		"--peer-listen=" + netip.AddrPortFrom(source, 0).String(),
+		"--peer-advertise=" + peerProxy.Address().String(),
+		"--platform=" + platformProxy.Address().String(),
+		"--operator-token=" + OperatorToken,
+	}, arguments...)...)
+	if err != nil {
+		return nil, err
+	}
+	entry := &Entry{Process: process, DataCentre: dataCentre, Source: source, PlatformProxy: platformProxy, PeerProxy: peerProxy}
+	if err := entry.readAddresses(); err != nil {
+		return nil, err
+	}
+	d.mutex.Lock()
+	d.Entries = append(d.Entries, entry)
+	d.mutex.Unlock()
+	return entry, nil
+}
+
+func (e *Entry) readAddresses() error {
+	peer, err := e.Address("peer")
+	if err != nil {
+		return err
+	}
+	e.PeerProxy.SetTarget(peer)
+	for role, address := range map[string]*netip.AddrPort{"caller": &e.Caller, "operator": &e.Operator, "metrics": &e.Metrics} {
+		if *address, err = e.Address(role); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEngine starts a model engine.
+func (d *Deployment) StartEngine(ctx context.Context, name, dataCentre, fabricDomain string, arguments ...string) (*Endpoint, error) {
+	return d.startEndpoint(ctx, &Endpoint{DataCentre: dataCentre, FabricDomain: fabricDomain}, name, arguments)
+}
+
+// StartService starts a plain service.
+func (d *Deployment) StartService(ctx context.Context, name, dataCentre, service string, arguments ...string) (*Endpoint, error) {
+	return d.startEndpoint(ctx, &Endpoint{DataCentre: dataCentre, Service: service}, name, append(arguments, "--kind=service"))
+}
+
+func (d *Deployment) startEndpoint(ctx context.Context, endpoint *Endpoint, name string, arguments []string) (*Endpoint, error) {
+	process, err := d.start(ctx, name, "standin-endpoint", append([]string{listenAnyPort}, arguments...)...)
+	if err != nil {
+		return nil, err
+	}
+	endpoint.Process = process
+	if endpoint.Direct, err = process.Address(""); err != nil {
+		return nil, err
+	}
+	if endpoint.Proxy, err = d.proxy(ctx, loopback, endpoint.Direct); err != nil {
+		return nil, err
+	}
+	d.mutex.Lock()
+	d.Endpoints = append(d.Endpoints, endpoint)
+	d.mutex.Unlock()
+	return endpoint, nil
+}
+
+// Close ends every process of the deployment.
+func (d *Deployment) Close() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, process := range d.processes {
+		process.Kill()
+	}
+	for _, proxy := range d.proxies {
+		proxy.Close()
+	}
+}
+
+func (d *Deployment) start(ctx context.Context, name, program string, arguments ...string) (*Process, error) {
+	log := &prefixWriter{prefix: fmt.Sprintf("%-10s ", name), target: d.Log}
+	process, err := Start(ctx, name, filepath.Join(d.Programs, program), log, arguments...)
+	if err != nil {
+		return nil, err
+	}
+	d.mutex.Lock()
+	d.processes = append(d.processes, process)
+	d.mutex.Unlock()
+	return process, nil
+}
+
+func (d *Deployment) proxy(ctx context.Context, listen netip.Addr, target netip.AddrPort) (*faultproxy.Proxy, error) {
+	proxy, err := faultproxy.New(ctx, listen, target)
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+	}
+	d.mutex.Lock()
+	d.proxies = append(d.proxies, proxy)
+	d.mutex.Unlock()
+	return proxy, nil
+}
