Add the registry state machine and its store

Applies the records of the config stream: revisions, rules, batches, group claims, entry host members, checkpoints and verdicts. Every host that applies the same records holds the same bytes, so checkpoints compare by hash. Verdicts on checkpoints are not part of the state, because a host that started from a checkpoint cannot compare the ones before it.

--- /dev/null
+++ b/internal/registry/checkpoint.go
@@ -0,0 +1,200 @@
+package registry
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodoor.example/flamingodoor"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+)
+
+// checkpoints is what this host knows of checkpoints. It is not part of the
+// encoded state, because a host that started from a checkpoint cannot compare
+// the ones before it.
+type checkpoints struct {
+	marks    []mark // oldest first
+	encoded  []byte // state at the newest mark, if its checkpoint was refused
+	verdicts []*recordv1.Verdict
+	accepted *recordv1.Verdict // of the newest accepted checkpoint
+}
+
+// mark is the hash of the state at one offset.
+type mark struct {
+	offset uint64
+	hash   [sha256.Size]byte
+}
+
+// Encode returns the canonical encoding of the state, which is a
+// recordv1.State.
+func (s *State) Encode() ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(&recordv1.State{
+		Offset:          s.applied,
+		Objects:         s.Objects("", ""),
+		Verdicts:        s.verdicts,
+		MembersRevision: s.membersRevision,
+		Revision:        s.revision,
+	})
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+	}
+	return encoded, nil
+}
+
+// Decode restores a state. The error has CodeUnreadableRecord when the data
+// is not the canonical encoding of a state that this build understands.
+func Decode(data []byte) (*State, error) {
+	message := &recordv1.State{}
+	if err := (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, message); err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeUnreadableRecord, flamingodoor.RunStateNotRun, err)
+	}
+	state := New()
+	state.applied = message.GetOffset()
+	state.revision = message.GetRevision()
+	state.membersRevision = message.GetMembersRevision()
+	for _, object := range message.GetObjects() {
+		k, id, ok := identify(object)
+		if !ok {
+			return nil, flamingodoor.Errorf(flamingodoor.CodeUnreadableRecord, "state has an object of an unknown kind")
+		}
+		state.tables[k][id] = object
+	}
+	for _, verdict := range message.GetVerdicts() {
+		state.remember(verdict)
+	}
+	if err := state.checkGroups(); err != nil {
+		return nil, err
+	}
+	encoded, err := state.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(encoded, data) {
+		return nil, flamingodoor.Errorf(flamingodoor.CodeUnreadableRecord, "state is not in its canonical encoding")
+	}
+	state.checkpoints.add(state.applied, encoded)
+	state.checkpoints.encoded = nil
+	return state, nil
+}
+
+func (s *State) checkGroups() error {
+	hosts := map[string]bool{}
+	for _, object := range s.tables[kindGroup] {
+		for _, member := range object.GetGroup().GetEndpointIds() {
+			host := s.endpoint(member).GetHostId()
+			if host == "" || hosts[host] {
+				return flamingodoor.Errorf(flamingodoor.CodeUnreadableRecord, "state has a group with a missing or shared host")
+			}
+			hosts[host] = true
+		}
+	}
+	return nil
+}
+
+// applyCheckpoint compares a checkpoint with the own state at its offset. It
+// can compare the state just before the record and the states at earlier
+// checkpoint records. A checkpoint that came late is therefore refused once,
+// and its record marks the offset that the next one can use.
+func (s *State) applyCheckpoint(offset uint64, checkpoint *recordv1.Checkpoint, verdict *recordv1.Verdict) {
+	verdict.Code = recordv1.VerdictCode_VERDICT_CODE_INVALID
+	verdict.Object = "checkpoint"
+	known, ok := s.hashAt(checkpoint.GetOffset())
+	hash := sha256.Sum256(checkpoint.GetState())
+	switch {
+	case !bytes.Equal(hash[:], checkpoint.GetHash()):
+		verdict.Reason = "the hash is not that of the checkpoint's state"
+	case !ok:
+		verdict.Reason = "the state at the checkpoint's offset is not known"
+	case known != hash:
+		verdict.Reason = "the state differs from the state machine's"
+	default:
+		verdict.Code = recordv1.VerdictCode_VERDICT_CODE_ACCEPTED
+	}
+	s.applied = offset
+	if encoded, err := s.Encode(); err == nil {
+		s.checkpoints.add(offset, encoded)
+	}
+	s.checkpoints.remember(verdict)
+}
+
+func (s *State) hashAt(offset uint64) ([sha256.Size]byte, bool) {
+	for _, mark := range s.checkpoints.marks {
+		if mark.offset == offset {
+			return mark.hash, true
+		}
+	}
+	if offset != s.applied {
+		return [sha256.Size]byte{}, false
+	}
+	encoded, err := s.Encode()
+	return sha256.Sum256(encoded), err == nil
+}
+
+func (c *checkpoints) add(offset uint64, encoded []byte) {
+	c.marks = append(c.marks, mark{offset: offset, hash: sha256.Sum256(encoded)})
+	if len(c.marks) > checkpointsKept {
+		c.marks = c.marks[1:]
+	}
+	c.encoded = encoded
+}
+
+func (c *checkpoints) remember(verdict *recordv1.Verdict) {
+	c.verdicts = append(c.verdicts, verdict)
+	if len(c.verdicts) > checkpointVerdicts {
+		c.verdicts = c.verdicts[1:]
+	}
+	if verdict.GetCode() == recordv1.VerdictCode_VERDICT_CODE_ACCEPTED {
+		c.accepted = verdict
+		c.encoded = nil
+	}
+}
+
+func (c *checkpoints) verdict(commandID string) (*recordv1.Verdict, bool) {
+	for _, verdict := range c.verdicts {
+		if verdict.GetCommandId() == commandID {
+			return verdict, true
+		}
+	}
+	return nil, false
+}
+
+// CheckpointStatus tells what is known of the checkpoints of the stream.
+type CheckpointStatus struct {
+	// Accepted is the verdict on the newest accepted checkpoint, or nil.
+	Accepted *recordv1.Verdict
+	// Refused is the verdict on the newest checkpoint record when it was
+	// refused, else nil.
+	Refused *recordv1.Verdict
+	// Oldest is the oldest kept verdict on a change, or nil.
+	Oldest *recordv1.Verdict
+}
+
+// CheckpointStatus returns what this host knows of checkpoints.
+func (s *State) CheckpointStatus() CheckpointStatus {
+	status := CheckpointStatus{Accepted: s.checkpoints.accepted}
+	if count := len(s.checkpoints.verdicts); count > 0 && s.checkpoints.verdicts[count-1] != status.Accepted {
+		status.Refused = s.checkpoints.verdicts[count-1]
+	}
+	if len(s.verdicts) > 0 {
+		status.Oldest = s.verdicts[0]
+	}
+	return status
+}
+
+// Checkpoint returns a checkpoint for a record to append. After a checkpoint
+// was refused it is of the state at that record, which every host has marked;
+// otherwise it is of the present state.
+func (s *State) Checkpoint() (*recordv1.Checkpoint, error) {
+	offset, encoded := s.applied, s.checkpoints.encoded
+	if s.CheckpointStatus().Refused != nil {
+		offset = s.checkpoints.marks[len(s.checkpoints.marks)-1].offset
+	} else {
+		var err error
+		if encoded, err = s.Encode(); err != nil {
+			return nil, err
+		}
+	}
+	hash := sha256.Sum256(encoded)
+	return &recordv1.Checkpoint{Offset: offset, State: encoded, Hash: hash[:]}, nil
+}
--- /dev/null
+++ b/internal/registry/transaction.go
@@ -0,0 +1,157 @@
+package registry
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+)
+
+// refusal is the reason why a change is not accepted. Its text is part of the
+// encoded state and must not depend on the order of a map.
+type refusal struct {
+	code   recordv1.VerdictCode
+	reason string
+}
+
+func invalid(format string, args ...any) *refusal {
+	return &refusal{code: recordv1.VerdictCode_VERDICT_CODE_INVALID, reason: fmt.Sprintf(format, args...)}
+}
+
+func conflict(format string, args ...any) *refusal {
+	return &refusal{code: recordv1.VerdictCode_VERDICT_CODE_CONFLICT, reason: fmt.Sprintf(format, args...)}
+}
+
+type replacement struct {
+	kind   kind
+	id     string
+	before *recordv1.Versioned
+}
+
+// transaction holds the changes of one record until it is accepted.
+type transaction struct {
+	state           *State
+	offset          uint64
+	author          string
+	authorTime      *timestamppb.Timestamp
+	membersRevision uint64 // before the record
+	replaced        []replacement
+	inBatch         bool
+}
+
+func (t *transaction) applyBatch(batch *recordv1.Batch) *refusal {
+	if len(batch.GetRecords()) == 0 {
+		return invalid("the batch is empty")
+	}
+	if len(batch.GetRecords()) > maxBatchRecords {
+		return invalid("the batch has more than %d records", maxBatchRecords)
+	}
+	t.inBatch = len(batch.GetRecords()) > 1
+	for i, item := range batch.GetRecords() {
+		if refused := t.apply(item); refused != nil {
+			refused.reason = fmt.Sprintf("record %d of the batch: %s", i+1, refused.reason)
+			return refused
+		}
+	}
+	return nil
+}
+
+func (t *transaction) apply(record *recordv1.Record) *refusal {
+	k, id, ok := target(record)
+	if !ok {
+		return invalid("a batch takes only changes of objects")
+	}
+	if !validName(id) {
+		return invalid("the %s's identifier must have 1 to %d characters of a-z, 0-9, '.', '_' and '-'", k.name(), maxNameBytes)
+	}
+	if refused := t.checkRevision(k, id, record); refused != nil {
+		return refused
+	}
+	switch body := record.GetBody().(type) {
+	case *recordv1.Record_PutClub:
+		return t.putClub(body.PutClub)
+	case *recordv1.Record_PutModel:
+		return t.putModel(body.PutModel)
+	case *recordv1.Record_PutEndpoint:
+		return t.putEndpoint(body.PutEndpoint)
+	case *recordv1.Record_PutDataCentre:
+		return t.putDataCentre(body.PutDataCentre)
+	case *recordv1.Record_PutGroupPlan:
+		return t.putGroupPlan(body.PutGroupPlan)
+	case *recordv1.Record_FormGroup:
+		return t.formGroup(body.FormGroup)
+	case *recordv1.Record_AddEntryHost:
+		return t.addEntryHost(body.AddEntryHost)
+	default:
+		return t.remove(k, id)
+	}
+}
+
+// checkRevision compares with the revision of the object; for entry hosts with
+// the revision of the whole list, so that members change one at a time.
+func (t *transaction) checkRevision(k kind, id string, record *recordv1.Record) *refusal {
+	present := t.state.tables[k][id].GetRevision()
+	if k == kindEntryHost {
+		if t.inBatch || record.GetAnyRevision() {
+			return invalid("entry hosts change one at a time and name the members revision")
+		}
+		present = t.state.membersRevision
+	}
+	if !record.GetAnyRevision() && record.GetExpectedRevision() != present {
+		return conflict("expected revision %d, present revision is %d", record.GetExpectedRevision(), present)
+	}
+	return nil
+}
+
+func (t *transaction) remove(k kind, id string) *refusal {
+	if t.state.tables[k][id] == nil {
+		return invalid("%s %q does not exist", k.name(), id)
+	}
+	if refused := t.checkUnreferenced(k, id); refused != nil {
+		return refused
+	}
+	t.store(k, id, nil)
+	if k == kindEntryHost {
+		t.state.membersRevision = t.offset
+	}
+	return nil
+}
+
+// put stores an object with the record's offset as its revision.
+func (t *transaction) put(object *recordv1.Versioned) {
+	k, id, _ := identify(object)
+	object.Revision = t.offset
+	object.Author = t.author
+	object.AuthorTime = t.authorTime
+	t.store(k, id, object)
+}
+
+func (t *transaction) store(k kind, id string, object *recordv1.Versioned) {
+	table := t.state.tables[k]
+	t.replaced = append(t.replaced, replacement{kind: k, id: id, before: table[id]})
+	if object == nil {
+		delete(table, id)
+		return
+	}
+	table[id] = object
+}
+
+func (t *transaction) rollBack() {
+	t.state.membersRevision = t.membersRevision
+	for i := len(t.replaced) - 1; i >= 0; i-- {
+		change := t.replaced[i]
+		if change.before == nil {
+			delete(t.state.tables[change.kind], change.id)
+			continue
+		}
+		t.state.tables[change.kind][change.id] = change.before
+	}
+}
+
+func (t *transaction) commit() {
+	t.state.revision = t.offset
+	for _, change := range t.replaced {
+		t.state.dirty[change.kind] = true
+	}
+}
