Add the platform stand-in

Serves the log, the host list and the weight store from memory over HTTP/1 and HTTP/2 without TLS, with retention, rates and a lag as options, and a service that injects outages, delays, lost answers, late appends and trims.

--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,122 @@
+// Package standinplatform is an in-memory test double of the platform: the
+// log, the host list, the weight store and a service that injects faults.
+package standinplatform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gorilla/mux"
+
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/platform/v1/platformv1connect"
+)
+
+const (
+	defaultRetention      = 25 * time.Hour
+	readHeaderTimeout     = 5 * time.Second
+	gracefulShutdownLimit = 2 * time.Second
+)
+
+type settings struct {
+	retention  time.Duration
+	appendRate float64 // appends per second; 0 for no limit
+	hostLag    time.Duration
+	weightRate uint64 // bytes per second; 0 for no limit
+}
+
+// Option changes a default.
+type Option func(*settings)
+
+// WithRetention sets how long the log keeps records.
+func WithRetention(retention time.Duration) Option {
+	return func(s *settings) { s.retention = retention }
+}
+
+// WithAppendRate limits the appends per second of all streams together.
+func WithAppendRate(appends float64) Option {
+	return func(s *settings) { s.appendRate = appends }
+}
+
+// WithHostLag delays the host list.
+func WithHostLag(lag time.Duration) Option {
+	return func(s *settings) { s.hostLag = lag }
+}
+
+// WithWeightRate limits the weight store to a number of bytes per second.
+func WithWeightRate(bytesPerSecond uint64) Option {
+	return func(s *settings) { s.weightRate = bytesPerSecond }
+}
+
+// Server is the platform stand-in.
+type Server struct {
+	log     *logService
+	hosts   *hostService
+	weights *weightService
+	faults  *faults
+}
+
+// New returns a platform without records and hosts.
+func New(options ...Option) *Server {
+	set := settings{retention: defaultRetention}
+	for _, option := range options {
+		option(&set)
+	}
+	injected := newFaults()
+	return &Server{
+		log:     newLogService(set.retention, set.appendRate, injected),
+		hosts:   &hostService{lag: set.hostLag, listed: map[string]bool{}},
+		weights: &weightService{bytesPerSecond: set.weightRate},
+		faults:  injected,
+	}
+}
+
+// Handler serves all services. A server that is to speak HTTP/2 without TLS
+// as well needs Protocols.
+func (s *Server) Handler() http.Handler {
+	guard := connect.WithInterceptors(connect.UnaryInterceptorFunc(s.faults.intercept))
+	router := mux.NewRouter()
+	register := func(path string, handler http.Handler) { router.PathPrefix(path).Handler(handler) }
+	register(platformv1connect.NewLogServiceHandler(s.log, guard))
+	register(platformv1connect.NewHostListServiceHandler(s.hosts, guard))
+	register(platformv1connect.NewWeightServiceHandler(s.weights, guard))
+	register(platformv1connect.NewFaultServiceHandler(&faultService{faults: s.faults, log: s.log}))
+	return router
+}
+
+// Protocols returns HTTP/1 and HTTP/2 without TLS.
+func Protocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// Serve answers requests on the listener until the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: s.Handler(), Protocols: Protocols(), ReadHeaderTimeout: readHeaderTimeout}
+	var stopped sync.WaitGroup
+	stopped.Add(1)
+	cancel := context.AfterFunc(ctx, func() {
+		defer stopped.Done()
+		limit, release := context.WithTimeout(context.WithoutCancel(ctx), gracefulShutdownLimit)
+		defer release()
+		if err := server.Shutdown(limit); err != nil {
+			// Reads that wait at the tail are cut off.
+			_ = server.Close()
+		}
+	})
+	err := server.Serve(listener)
+	if cancel() {
+		return err
+	}
+	stopped.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
