--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,119 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/member"
+)
+
+type members struct {
+	flamingodoor.Configuration
+	hosts    []flamingodoor.EntryHost
+	revision uint64
+}
+
+func (m members) EntryHosts() []flamingodoor.EntryHost { return m.hosts }
+func (m members) MembersRevision() uint64              { return m.revision }
+
+func hostList(t *rapid.T) []flamingodoor.EntryHost {
+	count := rapid.IntRange(1, 20).Draw(t, "hosts")
+	hosts := make([]flamingodoor.EntryHost, count)
+	for i := range hosts {
+		hosts[i] = flamingodoor.EntryHost{
+			ID:         fmt.Sprintf("host-%02d", i),
+			DataCentre: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "site"),
+			Joined:     uint64(i + 1),
+		}
+	}
+	return hosts
+}
+
+func identifiers(hosts []flamingodoor.EntryHost) map[string]bool {
+	set := make(map[string]bool)
+	for _, host := range hosts {
+		set[host.ID] = true
+	}
+	return set
+}
+
+// Guards against a membership change that moves the watchers of endpoints
+// which the changed host did not watch.
+func TestWatchersAreStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := hostList(t)
+		endpoint := flamingodoor.Endpoint{ID: rapid.String().Draw(t, "endpoint"), DataCentre: "a"}
+		before := member.Watchers(members{hosts: hosts}, endpoint)
+		assert.Equal(t, len(before), min(3, len(hosts)))
+
+		left := rapid.IntRange(0, len(hosts)-1).Draw(t, "left")
+		rest := append(append([]flamingodoor.EntryHost{}, hosts[:left]...), hosts[left+1:]...)
+		after := identifiers(member.Watchers(members{hosts: rest}, endpoint))
+		near := 0
+		for _, host := range hosts {
+			if host.DataCentre == "a" {
+				near++
+			}
+		}
+		for place, host := range before {
+			assert.Equal(t, host.DataCentre == "a", place < near)
+			if host.ID != hosts[left].ID {
+				assert.Assert(t, after[host.ID])
+			}
+		}
+	})
+}
+
+// Guards against a membership change that replaces more than one voter; the
+// majorities before and after it would then not intersect.
+func TestOneMemberChangesAtMostOneVoter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := hostList(t)
+		before := identifiers(member.Voters(members{hosts: hosts}))
+		assert.Equal(t, len(before), min(7, len(hosts)))
+		changed := rapid.IntRange(0, len(hosts)-1).Draw(t, "changed")
+		rest := append(append([]flamingodoor.EntryHost{}, hosts[:changed]...), hosts[changed+1:]...)
+		lost := 0
+		for id := range identifiers(member.Voters(members{hosts: rest})) {
+			if !before[id] {
+				lost++
+			}
+		}
+		assert.Assert(t, lost <= 1)
+	})
+}
+
+// Guards against a join that displaces a voter without the earlier voters
+// having a say.
+func TestVoterSetsAfterJoin(t *testing.T) {
+	hosts := make([]flamingodoor.EntryHost, 0, 8)
+	for i := range 7 {
+		hosts = append(hosts, flamingodoor.EntryHost{ID: fmt.Sprint(i), DataCentre: "a", Joined: uint64(i + 1)})
+	}
+	hosts = append(hosts, flamingodoor.EntryHost{ID: "new", DataCentre: "b", Joined: 9})
+	sets := member.VoterSets(members{hosts: hosts, revision: 9})
+	assert.Equal(t, len(sets), 2)
+	assert.Assert(t, identifiers(sets[0])["new"])
+	assert.Assert(t, identifiers(sets[1])["6"])
+	assert.Equal(t, len(member.VoterSets(members{hosts: hosts, revision: 10})), 1)
+}
+
+// Guards against two hosts believing that they have the same planner rank.
+func TestPlannerRanksAreDistinct(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := hostList(t)
+		seen := make(map[int]bool)
+		for _, host := range hosts {
+			rank, ok := member.PlannerRank(members{hosts: hosts}, host.ID, "domain")
+			assert.Assert(t, ok && !seen[rank] && rank < len(hosts))
+			seen[rank] = true
+		}
+		_, ok := member.PlannerRank(members{hosts: hosts}, "stranger", "domain")
+		assert.Assert(t, !ok)
+		assert.Equal(t, len(member.Owners(members{hosts: hosts}, "intent-03")), len(hosts))
+	})
+}
