Add the client of model engines and plain services

Every request opens its own connection, and the first write is guarded: it is refused after the deadline of an order or call, and it decides whether a failure is reported as not run or as may have run. This also keeps net/http from sending a request a second time.

--- /dev/null
+++ b/internal/engine/generate.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+type generateBody struct {
+	RequestID     string   `json:"request_id"`
+	Attempt       int      `json:"attempt"`
+	Model         string   `json:"model"`
+	Version       string   `json:"version"`
+	Adapter       string   `json:"adapter"`
+	Prompt        string   `json:"prompt"`
+	MaxTokens     int      `json:"max_tokens"`
+	Priority      int      `json:"priority"`
+	Resume        []string `json:"resume"`
+	FencingNumber uint64   `json:"fencing_number"`
+}
+
+type chunkBody struct {
+	RequestID    string `json:"request_id"`
+	Attempt      int    `json:"attempt"`
+	Seq          int    `json:"seq"`
+	Text         string `json:"text"`
+	Done         bool   `json:"done"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type firstChunkKey struct{}
+
+// ContextWithFirstChunkTimeout replaces the time that Generate waits for the
+// first chunk. A cold engine needs longer than a warm one.
+func ContextWithFirstChunkTimeout(ctx context.Context, timeout time.Duration) context.Context {
+	return context.WithValue(ctx, firstChunkKey{}, timeout)
+}
+
+// Generate sends one attempt and returns its stream once the engine answers.
+func (c *Client) Generate(ctx context.Context, endpoint flamingodoor.Endpoint, request flamingodoor.GenerateRequest) (flamingodoor.Chunks, error) {
+	data, err := json.Marshal(generateBody{
+		RequestID: request.RequestID, Attempt: request.Attempt, Model: request.ModelID,
+		Version: request.Version, Adapter: request.Adapter, Prompt: request.Prompt,
+		MaxTokens: request.MaxTokens, Priority: request.Priority, Resume: request.Resume,
+		FencingNumber: request.FencingNumber,
+	})
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+	}
+	firstChunk := c.settings.firstChunkTimeout
+	if timeout, ok := ctx.Value(firstChunkKey{}).(time.Duration); ok {
+		firstChunk = timeout
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	httpRequest, err := newRequest(ctx, http.MethodPost, baseURL(endpoint)+"/v1/generate", data)
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	httpRequest.Header.Set("Accept", "text/event-stream")
+
+	started := time.Now()
+	timer := time.AfterFunc(firstChunk, func() { cancel(ErrNoProgress) })
+	response, err := send(ctx, c.http, &sendGuard{now: c.settings.now}, httpRequest)
+	timer.Stop()
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		cancel(nil)
+		return nil, statusFailure(response.StatusCode, flamingodoor.CodeEndpointFailed)
+	}
+	events := bufio.NewScanner(io.LimitReader(response.Body, c.settings.maxStreamBytes))
+	// The scanner accepts events up to the size of its first buffer.
+	events.Buffer(make([]byte, 0, min(4<<10, c.settings.maxEventBytes)), c.settings.maxEventBytes)
+	return &chunks{
+		ctx: ctx, cancel: cancel, body: response.Body, events: events,
+		incarnation: response.Header.Get("X-Incarnation"),
+		timer:       timer, wait: firstChunk - time.Since(started), gap: c.settings.chunkGapTimeout,
+	}, nil
+}
+
+// chunks reads server-sent events. The progress deadline runs only while a
+// read waits, so a slow caller does not make its endpoint suspect.
+type chunks struct {
+	ctx         context.Context // ends with the stream
+	cancel      context.CancelCauseFunc
+	body        io.Closer
+	events      *bufio.Scanner
+	incarnation string
+	timer       *time.Timer
+	wait        time.Duration // for the next chunk
+	gap         time.Duration
+	ended       bool
+}
+
+// Incarnation names the engine process that answers.
+func (c *chunks) Incarnation() string {
+	return c.incarnation
+}
+
+// Next returns the next chunk, or io.EOF after the end marker.
+func (c *chunks) Next() (flamingodoor.Chunk, error) {
+	if c.ended {
+		return flamingodoor.Chunk{}, io.EOF
+	}
+	c.timer.Reset(max(c.wait, time.Millisecond))
+	defer c.timer.Stop()
+	for c.events.Scan() {
+		payload, ok := bytes.CutPrefix(c.events.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		var body chunkBody
+		if err := json.Unmarshal(payload, &body); err != nil {
+			return flamingodoor.Chunk{}, flamingodoor.NewError(flamingodoor.CodeEndpointFailed, flamingodoor.RunStateMayHaveRun, err)
+		}
+		c.wait = c.gap
+		c.ended = body.Done
+		return flamingodoor.Chunk(body), nil
+	}
+	return flamingodoor.Chunk{}, c.lost()
+}
+
+func (c *chunks) lost() error {
+	err := c.events.Err()
+	if cause := context.Cause(c.ctx); cause != nil {
+		err = cause
+	}
+	switch {
+	case err == nil:
+		err = io.ErrUnexpectedEOF
+	case errors.Is(err, bufio.ErrTooLong):
+		return flamingodoor.NewError(flamingodoor.CodeEndpointFailed, flamingodoor.RunStateMayHaveRun, err)
+	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
+		return flamingodoor.NewError(flamingodoor.CodeDeadlineExceeded, flamingodoor.RunStateMayHaveRun, err)
+	}
+	return flamingodoor.NewError(flamingodoor.CodeStreamLost, flamingodoor.RunStateMayHaveRun, err)
+}
+
+// Close ends the stream and its connection.
+func (c *chunks) Close() error {
+	c.timer.Stop()
+	c.cancel(nil)
+	return c.body.Close()
+}
--- /dev/null
+++ b/internal/engine/options.go
@@ -0,0 +1,87 @@
+package engine
+
+import "time"
+
+// Defaults of the clients.
+const (
+	defaultDialTimeout       = time.Second
+	defaultFirstChunkTimeout = 5 * time.Second
+	defaultChunkGapTimeout   = 2 * time.Second
+	defaultRequestTimeout    = 5 * time.Second
+	defaultMaxEventBytes     = 64 << 10
+	defaultMaxStreamBytes    = 16 << 20
+	defaultMaxAnswerBytes    = 1 << 20
+	maxHeaderBytes           = 64 << 10
+)
+
+type settings struct {
+	dialTimeout       time.Duration
+	firstChunkTimeout time.Duration
+	chunkGapTimeout   time.Duration
+	requestTimeout    time.Duration
+	maxEventBytes     int
+	maxStreamBytes    int64
+	maxAnswerBytes    int64
+	now               func() time.Time
+}
+
+// Option changes a default of the clients.
+type Option func(*settings)
+
+func newSettings(options []Option) settings {
+	s := settings{
+		dialTimeout:       defaultDialTimeout,
+		firstChunkTimeout: defaultFirstChunkTimeout,
+		chunkGapTimeout:   defaultChunkGapTimeout,
+		requestTimeout:    defaultRequestTimeout,
+		maxEventBytes:     defaultMaxEventBytes,
+		maxStreamBytes:    defaultMaxStreamBytes,
+		maxAnswerBytes:    defaultMaxAnswerBytes,
+		now:               time.Now,
+	}
+	for _, option := range options {
+		option(&s)
+	}
+	return s
+}
+
+// WithDialTimeout bounds the time to open a connection.
+func WithDialTimeout(timeout time.Duration) Option {
+	return func(s *settings) { s.dialTimeout = timeout }
+}
+
+// WithFirstChunkTimeout bounds the time from sending a request to its first
+// chunk.
+func WithFirstChunkTimeout(timeout time.Duration) Option {
+	return func(s *settings) { s.firstChunkTimeout = timeout }
+}
+
+// WithChunkGapTimeout bounds the time that a read waits for each later chunk.
+func WithChunkGapTimeout(timeout time.Duration) Option {
+	return func(s *settings) { s.chunkGapTimeout = timeout }
+}
+
+// WithRequestTimeout bounds reports, orders, cancellations and cache events.
+func WithRequestTimeout(timeout time.Duration) Option {
+	return func(s *settings) { s.requestTimeout = timeout }
+}
+
+// WithMaxEventBytes bounds one event of a stream.
+func WithMaxEventBytes(size int) Option {
+	return func(s *settings) { s.maxEventBytes = size }
+}
+
+// WithMaxStreamBytes bounds a whole stream.
+func WithMaxStreamBytes(size int64) Option {
+	return func(s *settings) { s.maxStreamBytes = size }
+}
+
+// WithMaxAnswerBytes bounds every answer that is not a stream.
+func WithMaxAnswerBytes(size int64) Option {
+	return func(s *settings) { s.maxAnswerBytes = size }
+}
+
+// WithClock replaces time.Now for the deadlines of orders and service calls.
+func WithClock(now func() time.Time) Option {
+	return func(s *settings) { s.now = now }
+}
