--- /dev/null
+++ b/internal/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing chooses the group that runs a request.
+package routing
--- /dev/null
+++ b/internal/routing/prefix.go
@@ -0,0 +1,28 @@
+package routing
+
+import "github.com/cespare/xxhash/v2"
+
+// Engines name the prefixes of a prompt in blocks. Longer prompts share no
+// more than the first blocks, which bounds the work for each request.
+const (
+	prefixBlockBytes = 256
+	maxPrefixBlocks  = 64
+)
+
+// PrefixHashes returns the hashes that engines report for the prefixes of a
+// prompt, the shortest first. The last block may be incomplete.
+func PrefixHashes(modelID, version, adapter, prompt string) []uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{modelID, version, adapter} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	var hashes []uint64
+	for len(prompt) > 0 && len(hashes) < maxPrefixBlocks {
+		size := min(prefixBlockBytes, len(prompt))
+		_, _ = digest.WriteString(prompt[:size])
+		hashes = append(hashes, digest.Sum64())
+		prompt = prompt[size:]
+	}
+	return hashes
+}
