--- /dev/null
+++ b/internal/stream/assembler_test.go
@@ -0,0 +1,72 @@
+package stream_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/stream"
+)
+
+// Guards against a wrong text when chunks of several attempts and of another
+// request are reordered, repeated and mixed. Tokens differ between attempts,
+// as those of sampling engines do.
+func TestAnyOrderGivesTheRightText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		assembler := stream.NewAssembler("r")
+		attempts := rapid.IntRange(1, 4).Draw(t, "attempts")
+		var expected []string
+		var late []flamingodoor.Chunk
+		for attempt := 1; attempt <= attempts; attempt++ {
+			resume := assembler.Begin(attempt)
+			assert.DeepEqual(t, resume, append([]string{}, expected...))
+			length := len(resume) + rapid.IntRange(0, 8).Draw(t, "length")
+			texts := make([]string, length)
+			copy(texts, resume)
+			var chunks []flamingodoor.Chunk
+			for seq := len(resume); seq < length; seq++ {
+				texts[seq] = fmt.Sprintf("%d.%d ", attempt, seq)
+				chunks = append(chunks, flamingodoor.Chunk{RequestID: "r", Attempt: attempt, Seq: seq, Text: texts[seq]})
+			}
+			last := flamingodoor.Chunk{RequestID: "r", Attempt: attempt, Seq: length, Done: true, FinishReason: "stop"}
+			chunks = append(chunks, last)
+			delivered := rapid.Permutation(chunks).Draw(t, "order")
+			if attempt < attempts { // the connection breaks before the answer is whole
+				delivered = delivered[:rapid.IntRange(0, len(chunks)-1).Draw(t, "delivered")]
+			}
+			repeats := append(append([]flamingodoor.Chunk{}, delivered...), late...)
+			repeats = append(repeats, flamingodoor.Chunk{RequestID: "other", Attempt: attempt, Seq: len(resume), Text: "wrong"})
+			mixed := rapid.Permutation(append(repeats, delivered...)).Draw(t, "mixed")
+			for _, chunk := range mixed {
+				released, err := assembler.Accept(chunk)
+				assert.NilError(t, err)
+				expected = append(expected, released...)
+			}
+			for seq, text := range expected {
+				assert.Equal(t, text, texts[seq])
+			}
+			assert.Equal(t, assembler.Complete(), attempt == attempts)
+			if assembler.Complete() {
+				assert.DeepEqual(t, append([]string{}, expected...), append([]string{}, texts...))
+			}
+			late = append(late, chunks...)
+		}
+	})
+}
+
+// Guards against an endless wait, and unbounded memory, for a missing chunk.
+func TestHeldChunksAreBounded(t *testing.T) {
+	assembler := stream.NewAssembler("r")
+	assembler.Begin(1)
+	var err error
+	accepted := 0
+	for seq := 1; err == nil && seq < 10_000; seq++ {
+		_, err = assembler.Accept(flamingodoor.Chunk{RequestID: "r", Attempt: 1, Seq: seq, Text: "x"})
+		accepted++
+	}
+	assert.Equal(t, flamingodoor.CodeOf(err), flamingodoor.CodeEndpointFailed)
+	assert.Equal(t, accepted, 1025)
+}
