Add the ledger of requests that crash endpoints

Counts crashed incarnations by request fingerprint, blocks a request at two for an hour and pushes new strikes to the peers for at most 300 ms.

--- /dev/null
+++ b/internal/poison/ledger.go
@@ -0,0 +1,200 @@
+// Package poison counts the endpoints that a request crashed.
+package poison
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+)
+
+const (
+	blockedAt = 2
+	validity  = time.Hour
+	// Two block a request; more only help to tell them apart in a digest.
+	maxIncarnations     = 4
+	maxFingerprints     = 10_000
+	defaultPushTimeout  = 300 * time.Millisecond
+	defaultDigestLength = 64
+)
+
+// Option changes a setting of a Ledger.
+type Option func(*Ledger)
+
+// WithPush sets the function that tells the peers of a new strike. Report
+// waits for it at most 300 ms.
+func WithPush(push func(ctx context.Context, strike *peerv1.Strike)) Option {
+	return func(l *Ledger) { l.push = push }
+}
+
+// WithClock sets the clock of Report.
+func WithClock(now func() time.Time) Option {
+	return func(l *Ledger) { l.now = now }
+}
+
+// WithMaxFingerprints limits the number of fingerprints; the one struck the
+// longest time ago is dropped first.
+func WithMaxFingerprints(limit int) Option {
+	return func(l *Ledger) { l.maxFingerprints = limit }
+}
+
+// WithDigestLength limits a digest to the latest strikes, because digests are
+// pulled twice a second.
+func WithDigestLength(limit int) Option {
+	return func(l *Ledger) { l.digestLength = limit }
+}
+
+// Ledger holds strikes of request fingerprints. It is safe for concurrent use.
+type Ledger struct {
+	push            func(ctx context.Context, strike *peerv1.Strike)
+	now             func() time.Time
+	maxFingerprints int
+	digestLength    int
+
+	mu      sync.RWMutex
+	strikes map[flamingodoor.Fingerprint]*strike
+}
+
+var _ flamingodoor.Strikes = (*Ledger)(nil)
+
+type strike struct {
+	incarnations map[string]bool
+	struckAt     time.Time // of the latest crash
+	deadline     time.Time
+}
+
+// New returns an empty ledger.
+func New(options ...Option) *Ledger {
+	l := &Ledger{
+		push:            func(context.Context, *peerv1.Strike) {},
+		now:             time.Now,
+		maxFingerprints: maxFingerprints,
+		digestLength:    defaultDigestLength,
+		strikes:         make(map[flamingodoor.Fingerprint]*strike),
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// Blocked reports whether the request crashed two endpoints within an hour.
+func (l *Ledger) Blocked(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	s, ok := l.strikes[fingerprint]
+	return ok && now.Before(s.deadline) && len(s.incarnations) >= blockedAt
+}
+
+// Report records a crash and pushes it to the peers if it is new. The push
+// does not end with the caller's context, because a caller that goes away
+// often repeats the request elsewhere.
+func (l *Ledger) Report(ctx context.Context, fingerprint flamingodoor.Fingerprint, incarnation string) {
+	now := l.now()
+	l.mu.Lock()
+	added := l.add(fingerprint, []string{incarnation}, now, now)
+	var message *peerv1.Strike
+	if added {
+		message = encode(fingerprint, l.strikes[fingerprint], now)
+	}
+	l.mu.Unlock()
+	if !added {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultPushTimeout)
+	done := make(chan struct{})
+	go func() {
+		defer cancel()
+		defer close(done)
+		l.push(ctx, message)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Merge records strikes of a peer, asked for or received at start.
+func (l *Ledger) Merge(strikes []*peerv1.Strike, start time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range strikes {
+		age := max(s.GetAge().AsDuration(), 0)
+		if len(s.GetFingerprint()) != len(flamingodoor.Fingerprint{}) || age >= validity {
+			continue
+		}
+		l.add(flamingodoor.Fingerprint(s.GetFingerprint()), s.GetIncarnations(), start.Add(-age), start)
+	}
+}
+
+// Digest returns the latest strikes, newest first.
+func (l *Ledger) Digest(now time.Time) []*peerv1.Strike {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	digest := make([]*peerv1.Strike, 0, min(len(l.strikes), l.digestLength))
+	for fingerprint, s := range l.strikes {
+		if now.Before(s.deadline) {
+			digest = append(digest, encode(fingerprint, s, now))
+		}
+	}
+	slices.SortFunc(digest, func(a, b *peerv1.Strike) int {
+		return cmp.Or(
+			cmp.Compare(a.GetAge().AsDuration(), b.GetAge().AsDuration()),
+			slices.Compare(a.GetFingerprint(), b.GetFingerprint()),
+		)
+	})
+	return digest[:min(len(digest), l.digestLength)]
+}
+
+// add reports whether an incarnation is new for the fingerprint.
+func (l *Ledger) add(fingerprint flamingodoor.Fingerprint, incarnations []string, struckAt, now time.Time) bool {
+	s, ok := l.strikes[fingerprint]
+	if !ok || !now.Before(s.deadline) {
+		delete(l.strikes, fingerprint)
+		l.makeRoom()
+		s = &strike{incarnations: make(map[string]bool)}
+		l.strikes[fingerprint] = s
+	}
+	added := false
+	for _, incarnation := range incarnations {
+		if s.incarnations[incarnation] || len(s.incarnations) >= maxIncarnations {
+			continue
+		}
+		s.incarnations[incarnation] = true
+		added = true
+	}
+	if struckAt.After(s.struckAt) {
+		s.struckAt = struckAt
+		s.deadline = struckAt.Add(validity)
+	}
+	return added
+}
+
+func (l *Ledger) makeRoom() {
+	if len(l.strikes) < l.maxFingerprints {
+		return
+	}
+	var oldest flamingodoor.Fingerprint
+	var at time.Time
+	for fingerprint, s := range l.strikes {
+		if at.IsZero() || s.struckAt.Before(at) {
+			oldest, at = fingerprint, s.struckAt
+		}
+	}
+	delete(l.strikes, oldest)
+}
+
+func encode(fingerprint flamingodoor.Fingerprint, s *strike, now time.Time) *peerv1.Strike {
+	return &peerv1.Strike{
+		Fingerprint:  fingerprint[:],
+		Incarnations: slices.Sorted(maps.Keys(s.incarnations)),
+		Age:          durationpb.New(max(now.Sub(s.struckAt), 0)),
+	}
+}
--- /dev/null
+++ b/internal/poison/ledger_test.go
@@ -0,0 +1,74 @@
+package poison_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/internal/poison"
+)
+
+var request = flamingodoor.Fingerprint{1}
+
+// Guards against one crash that is counted twice, strikes that peers do not
+// add up, and a block that outlives its hour or is renewed by digests.
+func TestTwoIncarnationsBlockForAnHour(t *testing.T) {
+	start := time.Unix(1000, 0)
+	clock := poison.WithClock(func() time.Time { return start })
+	here, peer := poison.New(clock), poison.New(clock)
+	here.Report(t.Context(), request, "a")
+	here.Report(t.Context(), request, "a")
+	assert.Assert(t, !here.Blocked(request, start))
+
+	peer.Report(t.Context(), request, "b")
+	for age := time.Duration(0); age < time.Hour; age += 10 * time.Minute {
+		here.Merge(peer.Digest(start.Add(age)), start.Add(age))
+		peer.Merge(here.Digest(start.Add(age)), start.Add(age))
+	}
+	assert.Assert(t, here.Blocked(request, start.Add(59*time.Minute)))
+	assert.Assert(t, peer.Blocked(request, start.Add(59*time.Minute)))
+	assert.Assert(t, !here.Blocked(request, start.Add(time.Hour)))
+	here.Merge([]*peerv1.Strike{{Fingerprint: []byte("short"), Incarnations: []string{"a", "b"}}}, start)
+}
+
+// Guards against memory that grows with the number of crashed requests.
+func TestOldestFingerprintIsDropped(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ledger := poison.New(poison.WithMaxFingerprints(2), poison.WithClock(func() time.Time {
+		start = start.Add(time.Second)
+		return start
+	}))
+	for i := range 3 {
+		for _, incarnation := range []string{"a", "b"} {
+			ledger.Report(t.Context(), flamingodoor.Fingerprint{byte(i)}, incarnation)
+		}
+	}
+	assert.Assert(t, !ledger.Blocked(flamingodoor.Fingerprint{0}, start))
+	assert.Assert(t, ledger.Blocked(flamingodoor.Fingerprint{2}, start))
+	assert.Equal(t, len(ledger.Digest(start)), 2)
+}
+
+// Guards against a push that ends with the caller's connection or holds up
+// the retry for longer than 300 ms.
+func TestPushIsDetachedAndBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pushed := make(chan *peerv1.Strike, 1)
+		ledger := poison.New(poison.WithPush(func(ctx context.Context, strike *peerv1.Strike) {
+			assert.Check(t, ctx.Err())
+			pushed <- strike
+			time.Sleep(time.Minute)
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		start := time.Now()
+		ledger.Report(ctx, request, "a")
+		assert.Equal(t, time.Since(start), 300*time.Millisecond)
+		assert.DeepEqual(t, (<-pushed).GetIncarnations(), []string{"a"})
+		time.Sleep(time.Minute) // lets the push end
+	})
+}
