--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,168 @@
+// Package telemetry records metrics through OpenTelemetry and serves them for
+// scraping.
+package telemetry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+const scope = "flamingodoor.example/flamingodoor"
+
+// Metrics holds the instruments of one daemon.
+type Metrics struct {
+	handler http.Handler
+	meter   metric.Meter
+
+	requests   metric.Int64Counter
+	firstToken metric.Float64Histogram
+	tokenGap   metric.Float64Histogram
+	bytes      map[string]*traffic
+}
+
+// traffic counts the bytes of one kind of connection.
+type traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// New creates the instruments and their scrape handler.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+	}
+	metrics := &Metrics{
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		meter:   sdk.NewMeterProvider(sdk.WithReader(reader)).Meter(scope),
+		bytes:   make(map[string]*traffic),
+	}
+	return metrics, metrics.createInstruments()
+}
+
+func (m *Metrics) createInstruments() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter("flamingodoor.requests",
+		metric.WithDescription("Finished requests by club and result")); err != nil {
+		return instrumentError(err)
+	}
+	if m.firstToken, err = m.meter.Float64Histogram("flamingodoor.first_token", metric.WithUnit("s"),
+		metric.WithDescription("Time to the first token"),
+		metric.WithExplicitBucketBoundaries(.01, .025, .05, .1, .25, .5, 1, 2, 5, 10)); err != nil {
+		return instrumentError(err)
+	}
+	m.tokenGap, err = m.meter.Float64Histogram("flamingodoor.token_gap", metric.WithUnit("s"),
+		metric.WithDescription("Longest time between two tokens of a request"),
+		metric.WithExplicitBucketBoundaries(.005, .01, .025, .05, .1, .25, .5, 1, 2))
+	return instrumentError(err)
+}
+
+func instrumentError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return m.handler
+}
+
+// RequestFinished counts a request. The result is "ok" or a failure code.
+func (m *Metrics) RequestFinished(club, result string) {
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("club", club), attribute.String("result", result)))
+}
+
+// FirstToken records the time to the first token.
+func (m *Metrics) FirstToken(club string, elapsed time.Duration) {
+	m.firstToken.Record(context.Background(), elapsed.Seconds(), metric.WithAttributes(attribute.String("club", club)))
+}
+
+// TokenGap records the longest time between two tokens of a request.
+func (m *Metrics) TokenGap(club string, longest time.Duration) {
+	m.tokenGap.Record(context.Background(), longest.Seconds(), metric.WithAttributes(attribute.String("club", club)))
+}
+
+// Gauge reports a value that is read at each scrape.
+func (m *Metrics) Gauge(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return instrumentError(err)
+}
+
+// CountTraffic reports the bytes of the connections that WrapConn wraps with
+// the same kind.
+func (m *Metrics) CountTraffic(kind string) error {
+	counter := &traffic{}
+	m.bytes[kind] = counter
+	_, err := m.meter.Int64ObservableCounter("flamingodoor."+kind+".bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes sent and received on "+kind+" connections"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(counter.sent.Load(), metric.WithAttributes(attribute.String("direction", "sent")))
+			observer.Observe(counter.received.Load(), metric.WithAttributes(attribute.String("direction", "received")))
+			return nil
+		}))
+	return instrumentError(err)
+}
+
+// WrapConn counts the bytes of a connection.
+func (m *Metrics) WrapConn(kind string, connection net.Conn) net.Conn {
+	return &countedConn{Conn: connection, counter: m.bytes[kind]}
+}
+
+// WrapListener counts the bytes of accepted connections.
+func (m *Metrics) WrapListener(kind string, listener net.Listener) net.Listener {
+	return &countedListener{Listener: listener, metrics: m, kind: kind}
+}
+
+type countedConn struct {
+	net.Conn
+	counter *traffic
+}
+
+// Read counts received bytes.
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.counter.received.Add(int64(n))
+	return n, err
+}
+
+// Write counts sent bytes.
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.counter.sent.Add(int64(n))
+	return n, err
+}
+
+type countedListener struct {
+	net.Listener
+	metrics *Metrics
+	kind    string
+}
+
+// Accept wraps the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.metrics.WrapConn(l.kind, connection), nil
+}
