--- /dev/null
+++ b/internal/logstream/checkpointer.go
@@ -0,0 +1,134 @@
+package logstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"flamingodoor.example/flamingodoor"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+	"flamingodoor.example/flamingodoor/internal/registry"
+)
+
+// Checkpointer appends a checkpoint when more than 512 records or half of the
+// retention passed since the last accepted one.
+type Checkpointer struct {
+	settings
+	recorder *Recorder
+	store    *registry.Store
+	hostID   string
+	started  time.Time
+}
+
+// NewCheckpointer returns a checkpointer of a host; a Follower must run on the
+// same store.
+func NewCheckpointer(log flamingodoor.Log, store *registry.Store, hostID string, options ...Option) *Checkpointer {
+	return &Checkpointer{
+		settings: newSettings(options),
+		recorder: NewRecorder(log, store, options...),
+		store:    store,
+		hostID:   hostID,
+		started:  time.Now(),
+	}
+}
+
+// Run checks until the context ends. Hosts act one after the other in
+// rendezvous order, so that the first one's checkpoint usually spares the rest.
+func (c *Checkpointer) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, c.checkInterval)
+		if !c.due(time.Now()) {
+			continue
+		}
+		sleep(ctx, c.turn())
+		if ctx.Err() == nil && c.due(time.Now()) {
+			c.append(ctx)
+		}
+	}
+	return nil
+}
+
+// due also counts time without new records: the last checkpoint must be
+// repeated before the log trims it.
+func (c *Checkpointer) due(now time.Time) bool {
+	applied := c.store.Current().Applied()
+	if applied == 0 || c.store.Err() != nil {
+		return false
+	}
+	status := c.store.CheckpointStatus()
+	if applied-status.Accepted.GetOffset() > checkpointRecords {
+		return true
+	}
+	since := c.started
+	if last := status.Accepted; last != nil {
+		since = authorTime(last, since)
+	} else if status.Oldest != nil {
+		since = authorTime(status.Oldest, since)
+	}
+	retention := c.retention()
+	return retention > 0 && now.Sub(since) > retention/2
+}
+
+// authorTime is the clock of another host; it is off by seconds where
+// retentions are hours.
+func authorTime(verdict *recordv1.Verdict, fallback time.Time) time.Time {
+	if verdict.GetAuthorTime() == nil {
+		return fallback
+	}
+	return verdict.GetAuthorTime().AsTime()
+}
+
+// turn returns the delay of this host for the next checkpoint.
+func (c *Checkpointer) turn() time.Duration {
+	hosts := c.store.Current().EntryHosts()
+	names := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		names = append(names, host.ID)
+	}
+	key := "checkpoint/" + strconv.FormatUint(c.store.CheckpointStatus().Accepted.GetOffset(), 10)
+	rank := rankOf(c.hostID, names, key)
+	//nolint:gosec // the jitter needs no secrecy
+	jitter := rand.N(c.rankDelay/2 + 1)
+	return time.Duration(rank)*c.rankDelay + jitter
+}
+
+// rankOf places a host that is not a member after all members.
+func rankOf(hostID string, names []string, key string) int {
+	left := slices.Clone(names)
+	for rank := range names {
+		next := rendezvous.New(left, xxhash.Sum64String).Lookup(key)
+		if next == hostID {
+			return rank
+		}
+		left = slices.DeleteFunc(left, func(name string) bool { return name == next })
+	}
+	return len(names)
+}
+
+func (c *Checkpointer) append(ctx context.Context) {
+	checkpoint, err := c.store.Checkpoint()
+	if err != nil {
+		_ = level.Error(c.logger).Log("msg", "failed to encode a checkpoint", "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.appendTimeout+maxRepeatAfter)
+	defer cancel()
+	verdict, err := c.recorder.Record(ctx, &recordv1.Record{
+		Author:     c.hostID,
+		AuthorTime: timestamppb.Now(),
+		Body:       &recordv1.Record_Checkpoint{Checkpoint: checkpoint},
+	})
+	if err != nil {
+		_ = level.Warn(c.logger).Log("msg", "failed to append a checkpoint", "offset", checkpoint.GetOffset(), "err", err)
+		return
+	}
+	_ = level.Info(c.logger).Log("msg", "checkpoint appended", "offset", checkpoint.GetOffset(),
+		"verdict", verdict.GetCode(), "reason", verdict.GetReason())
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -175,6 +175,19 @@
 	return version
 }
 
+// CheckRecord tells whether a record can be given a verdict that is kept. The
+// error has CodeInvalidRequest.
+func CheckRecord(record *recordv1.Record) error {
+	reason := unidentifiedReason(record, true)
+	if reason == "" && record.GetBody() == nil {
+		reason = "the record has no body"
+	}
+	if reason != "" {
+		return flamingodoor.Errorf(flamingodoor.CodeInvalidRequest, "%s", reason)
+	}
+	return nil
+}
+
 // unidentifiedReason tells why a record cannot have a kept verdict.
 func unidentifiedReason(record *recordv1.Record, readable bool) string {
 	switch {
--- a/internal/registry/store.go
+++ b/internal/registry/store.go
@@ -82,6 +82,13 @@
 	return nil
 }
 
+// Verdict returns the verdict on a command, if it is known.
+func (s *Store) Verdict(commandID string) (*recordv1.Verdict, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Verdict(commandID)
+}
+
 // WaitVerdict waits until a verdict on the command is known.
 func (s *Store) WaitVerdict(ctx context.Context, commandID string) (*recordv1.Verdict, error) {
 	var verdict *recordv1.Verdict
