Add the peer RPC and the loop that keeps the member list

Package membership tells which members the platform's list no longer shows, and adds and removes members one record at a time. A restarted host removes the entry of its earlier process and joins anew, because its floor was in memory only; a leaving host stops granting before its removal is appended.

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,133 @@
+package membership_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/membership"
+)
+
+// journal is a log of membership changes and the configuration after them.
+type journal struct {
+	flamingodoor.Configuration
+	hosts    []flamingodoor.EntryHost
+	offset   uint64
+	accepted []uint64
+	before   func() // runs before each record
+}
+
+func (j *journal) Current() flamingodoor.Configuration  { return j }
+func (j *journal) EntryHosts() []flamingodoor.EntryHost { return j.hosts }
+func (j *journal) MembersRevision() uint64              { return j.offset }
+func (j *journal) Accept(_ context.Context, o uint64) error {
+	j.accepted = append(j.accepted, o)
+	return nil
+}
+
+func (j *journal) Record(_ context.Context, r *recordv1.Record) (*recordv1.Verdict, error) {
+	if j.before != nil {
+		j.before()
+	}
+	if r.GetExpectedRevision() != j.offset {
+		return &recordv1.Verdict{Code: recordv1.VerdictCode_VERDICT_CODE_CONFLICT}, nil
+	}
+	j.offset++
+	var rest []flamingodoor.EntryHost
+	for _, host := range j.hosts {
+		if host.ID != r.GetRemoveEntryHost() {
+			rest = append(rest, host)
+		}
+	}
+	if added := r.GetAddEntryHost(); added != nil {
+		rest = append(rest, flamingodoor.EntryHost{ID: added.GetHostId(), Joined: j.offset})
+	}
+	j.hosts = rest
+	return &recordv1.Verdict{Offset: j.offset, Code: recordv1.VerdictCode_VERDICT_CODE_ACCEPTED}, nil
+}
+
+func (j *journal) Hosts(context.Context) ([]flamingodoor.PlatformHost, error) { return nil, nil }
+
+func newLoop(j *journal, presence *membership.Presence) (*membership.Loop, *freshness.Lease) {
+	self := flamingodoor.EntryHost{ID: "self", PeerAddress: netip.MustParseAddrPort("127.0.0.1:9")}
+	lease := freshness.New(self.ID)
+	return membership.New(self, j, j, j, presence, lease), lease
+}
+
+// Guards against a restarted process that votes under the entry of its earlier
+// process, and against a change whose predecessor was not acknowledged.
+func TestRestartedHostJoinsAnew(t *testing.T) {
+	j := &journal{hosts: []flamingodoor.EntryHost{{ID: "self", Joined: 3}}, offset: 3}
+	loop, lease := newLoop(j, membership.NewPresence(j, j))
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	assert.Equal(t, len(j.hosts), 0)
+	granted, _ := lease.Grant(100)
+	assert.Assert(t, !granted)
+
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	assert.Equal(t, j.hosts[0].Joined, uint64(5))
+	assert.Assert(t, loop.Joined())
+	granted, floor := lease.Grant(5)
+	assert.Assert(t, granted && floor == 5)
+	assert.DeepEqual(t, j.accepted, []uint64{3, 4})
+
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	assert.Equal(t, j.offset, uint64(5))
+}
+
+// Guards against a leaving voter that still grants when its removal is
+// appended, and against a conflict that ends the stop.
+func TestLeaveStopsGrantingFirst(t *testing.T) {
+	j := &journal{}
+	loop, lease := newLoop(j, membership.NewPresence(j, j))
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	attempts := 0
+	j.before = func() {
+		granted, _ := lease.Grant(100)
+		assert.Assert(t, !granted)
+		if attempts++; attempts == 1 {
+			j.offset++ // another host's change comes first
+		}
+	}
+	assert.NilError(t, loop.Leave(t.Context()))
+	assert.Equal(t, len(j.hosts), 0)
+	assert.Equal(t, attempts, 2)
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	assert.Equal(t, len(j.hosts), 0)
+}
+
+// Guards against the removal of a host that the list has shown within 10 s,
+// that joined again, or that was seen missing in too few reads.
+func TestGoneHostIsRemoved(t *testing.T) {
+	j := &journal{}
+	presence := membership.NewPresence(j, j)
+	loop, _ := newLoop(j, presence)
+	start := time.Now()
+	assert.NilError(t, loop.Step(t.Context(), start))
+	j.hosts = append(j.hosts, flamingodoor.EntryHost{ID: "other", Joined: 1})
+	both := []flamingodoor.PlatformHost{{ID: "self"}, {ID: "other", Leaving: true}}
+
+	presence.Observe(both, start)
+	presence.Observe(both[:1], start)
+	presence.Observe(both[:1], start.Add(time.Minute))
+	assert.Assert(t, !presence.Gone("other", start.Add(time.Minute)))
+	presence.Observe(both, start)
+	for i := range 10 {
+		presence.Observe(both[:1], start.Add(time.Duration(i)*time.Second))
+		assert.Assert(t, !presence.Gone("other", start.Add(time.Hour)))
+	}
+	presence.Observe(both[:1], start.Add(10*time.Second))
+	assert.Assert(t, presence.Gone("other", start.Add(10*time.Second)))
+
+	j.hosts[1].Joined = 9
+	assert.Assert(t, !presence.Gone("other", start.Add(10*time.Second)))
+	j.hosts[1].Joined = 1
+	assert.NilError(t, loop.Step(t.Context(), start.Add(15*time.Second)))
+	assert.Equal(t, len(j.hosts), 1)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,222 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1/peerv1connect"
+	platformv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/platform/v1"
+	"flamingodoor.example/flamingodoor/internal/freshness"
+)
+
+const (
+	maxFetchRecords = 1000
+	maxFetchBytes   = 4 << 20 // records of one answer
+	// maxApplyWait ends the wait for an offset whose record this host cannot
+	// read; the caller gives up earlier.
+	maxApplyWait = 5 * time.Second
+)
+
+// Store is the replica of the configuration that the peer RPC needs.
+type Store interface {
+	flamingodoor.ConfigurationSource
+	// WaitApplied returns once the offset is applied.
+	WaitApplied(ctx context.Context, offset uint64) error
+	// Records returns kept records from an offset on.
+	Records(from uint64, limit int) []flamingodoor.LogEntry
+	// Snapshot returns the encoded state and its offset.
+	Snapshot() (applied uint64, encoded []byte, err error)
+	// Err returns why the state machine has stopped, or nil.
+	Err() error
+}
+
+// Parts are what the server answers from. The store and the lease are needed;
+// a nil function makes its call answer CodeUnimplemented or its field empty.
+type Parts struct {
+	HostID        string
+	Store         Store
+	Lease         *freshness.Lease
+	Digest        func(now time.Time) []*peerv1.Evidence
+	ClubUses      func() []*peerv1.ClubUse
+	Strikes       func(now time.Time) []*peerv1.Strike
+	Stopping      func() bool
+	GrantPermit   func(ctx context.Context, request *peerv1.GrantPermitRequest) (*peerv1.GrantPermitResponse, error)
+	ReleasePermit func(ctx context.Context, request *peerv1.ReleasePermitRequest) (*peerv1.ReleasePermitResponse, error)
+	RunOnce       func(ctx context.Context, call flamingodoor.ServiceCall) (flamingodoor.ServiceAnswer, error)
+	ReportStrike  func(strike *peerv1.Strike)
+}
+
+// Server answers the peer RPC.
+type Server struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	parts Parts
+}
+
+var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
+
+// NewServer returns a server that answers from the parts.
+func NewServer(parts Parts) *Server {
+	return &Server{parts: parts}
+}
+
+// Exchange answers with this host's digest and a freshness grant. The
+// restrictions are read after the grant is decided, so that a granted lease
+// covers every restriction that this host held at that time.
+func (s *Server) Exchange(
+	_ context.Context, request *connect.Request[peerv1.ExchangeRequest],
+) (*connect.Response[peerv1.ExchangeResponse], error) {
+	now := time.Now()
+	granted, floor := s.parts.Lease.Grant(request.Msg.GetApplied())
+	response := &peerv1.ExchangeResponse{
+		HostId:  s.parts.HostID,
+		Applied: s.parts.Store.Current().Applied(),
+		Granted: granted && s.parts.Store.Err() == nil,
+		Floor:   floor,
+	}
+	for _, r := range s.parts.Lease.Restrictions() {
+		response.Restrictions = append(response.Restrictions, restrictionMessage(r))
+	}
+	if s.parts.Digest != nil {
+		response.Evidence = s.parts.Digest(now)
+	}
+	if s.parts.ClubUses != nil {
+		response.ClubUses = s.parts.ClubUses()
+	}
+	if s.parts.Strikes != nil {
+		response.Strikes = s.parts.Strikes(now)
+	}
+	if s.parts.Stopping != nil {
+		response.Stopping = s.parts.Stopping()
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Acknowledge waits until this host has applied the offset and then grants
+// leases only to hosts that have applied it too.
+func (s *Server) Acknowledge(
+	ctx context.Context, request *connect.Request[peerv1.AcknowledgeRequest],
+) (*connect.Response[peerv1.AcknowledgeResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, maxApplyWait)
+	defer cancel()
+	if err := s.parts.Store.WaitApplied(ctx, request.Msg.GetOffset()); err != nil {
+		return nil, connectError(err)
+	}
+	s.parts.Lease.Acknowledge(request.Msg.GetOffset())
+	applied := s.parts.Store.Current().Applied()
+	return connect.NewResponse(&peerv1.AcknowledgeResponse{Applied: applied}), nil
+}
+
+// FetchRecords returns records from an offset on, or none if this host no
+// longer keeps the record at that offset.
+func (s *Server) FetchRecords(
+	_ context.Context, request *connect.Request[peerv1.FetchRecordsRequest],
+) (*connect.Response[peerv1.FetchRecordsResponse], error) {
+	limit := int(min(request.Msg.GetMaxRecords(), maxFetchRecords))
+	if limit == 0 {
+		limit = maxFetchRecords
+	}
+	response := &peerv1.FetchRecordsResponse{Applied: s.parts.Store.Current().Applied()}
+	size := 0
+	for _, entry := range s.parts.Store.Records(request.Msg.GetFrom(), limit) {
+		size += len(entry.Data)
+		if size > maxFetchBytes && len(response.GetEntries()) > 0 {
+			break
+		}
+		response.Entries = append(response.Entries, &platformv1.Entry{Offset: entry.Offset, Data: entry.Data})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// FetchSnapshot returns the encoded state.
+func (s *Server) FetchSnapshot(
+	context.Context, *connect.Request[peerv1.FetchSnapshotRequest],
+) (*connect.Response[peerv1.FetchSnapshotResponse], error) {
+	applied, encoded, err := s.parts.Store.Snapshot()
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&peerv1.FetchSnapshotResponse{Applied: applied, State: encoded}), nil
+}
+
+// Restrict takes over a provisional restriction.
+func (s *Server) Restrict(
+	_ context.Context, request *connect.Request[peerv1.RestrictRequest],
+) (*connect.Response[peerv1.RestrictResponse], error) {
+	restriction := restrictionFrom(request.Msg.GetRestriction())
+	if restriction.CommandID == "" || restriction.DataCentre == "" {
+		return nil, connectError(flamingodoor.Errorf(flamingodoor.CodeInvalidRequest,
+			"a restriction needs a command identifier and a data centre"))
+	}
+	s.parts.Lease.AddRestriction(restriction)
+	return connect.NewResponse(&peerv1.RestrictResponse{}), nil
+}
+
+// GrantPermit asks the watcher's table for a slot.
+func (s *Server) GrantPermit(
+	ctx context.Context, request *connect.Request[peerv1.GrantPermitRequest],
+) (*connect.Response[peerv1.GrantPermitResponse], error) {
+	return forward(ctx, request, s.parts.GrantPermit)
+}
+
+// ReleasePermit gives a slot back to the watcher's table.
+func (s *Server) ReleasePermit(
+	ctx context.Context, request *connect.Request[peerv1.ReleasePermitRequest],
+) (*connect.Response[peerv1.ReleasePermitResponse], error) {
+	return forward(ctx, request, s.parts.ReleasePermit)
+}
+
+// RunOnce runs a call as the owner of its intent shard. A refusal is part of
+// the response, so that its run state reaches the caller.
+func (s *Server) RunOnce(
+	ctx context.Context, request *connect.Request[peerv1.RunOnceRequest],
+) (*connect.Response[peerv1.RunOnceResponse], error) {
+	if s.parts.RunOnce == nil {
+		return nil, unimplemented()
+	}
+	answer, err := s.parts.RunOnce(ctx, serviceCall(ctx, request.Msg))
+	if err != nil {
+		return connect.NewResponse(&peerv1.RunOnceResponse{
+			RunState:     runStateMessage(flamingodoor.RunStateOf(err)),
+			ErrorCode:    flamingodoor.CodeOf(err).String(),
+			ErrorMessage: err.Error(),
+		}), nil
+	}
+	return connect.NewResponse(&peerv1.RunOnceResponse{
+		RunState:        peerv1.RunState_RUN_STATE_RAN,
+		Status:          uint32(max(answer.Status, 0)), //nolint:gosec // an HTTP status
+		ContentType:     answer.ContentType,
+		Body:            answer.Body,
+		RepeatedOutcome: answer.Repeated,
+	}), nil
+}
+
+// ReportStrike records that a request crashed an endpoint.
+func (s *Server) ReportStrike(
+	_ context.Context, request *connect.Request[peerv1.ReportStrikeRequest],
+) (*connect.Response[peerv1.ReportStrikeResponse], error) {
+	if s.parts.ReportStrike == nil {
+		return nil, unimplemented()
+	}
+	if request.Msg.GetStrike() != nil {
+		s.parts.ReportStrike(request.Msg.GetStrike())
+	}
+	return connect.NewResponse(&peerv1.ReportStrikeResponse{}), nil
+}
+
+func forward[Request, Response any](
+	ctx context.Context, request *connect.Request[Request],
+	call func(context.Context, *Request) (*Response, error),
+) (*connect.Response[Response], error) {
+	if call == nil {
+		return nil, unimplemented()
+	}
+	response, err := call(ctx, request.Msg)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(response), nil
+}
