Raise the floor when a restriction is confirmed

A voter that drops a restriction because the log holds it must not grant a lease to a host that has not applied that record: the grant no longer carries the restriction.

Run: go vet, golangci-lint, go test -race on internal/freshness; all passed.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -174,9 +174,10 @@
 	return slices.Clone(l.restrictions)
 }
 
-// Confirm drops the restrictions whose command has a verdict in the log that
-// the configuration covers; from then on the configuration itself tells
-// whether the data centre is out.
+// Confirm drops the restrictions whose command has a verdict in the log; from
+// then on the configuration itself tells whether the data centre is out. The
+// floor rises to what this host has applied, since the grants of this host no
+// longer carry the restriction to a host that has not applied the record.
 func (l *Lease) Confirm(configuration flamingodoor.Configuration, verdictOf func(commandID string) bool) {
 	if configuration == nil || verdictOf == nil {
 		return
@@ -191,8 +192,12 @@
 	if len(done) == 0 {
 		return
 	}
+	// The configuration can be older than the verdicts; the applied offset is
+	// read after them.
+	applied := max(configuration.Applied(), l.applied())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.floor = max(l.floor, applied)
 	l.restrictions = slices.DeleteFunc(l.restrictions, func(r flamingodoor.Restriction) bool {
 		return slices.Contains(done, r.CommandID)
 	})
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -29,16 +29,18 @@
 	assert.Assert(t, lease.Fresh(now))
 }
 
-// Guards against a confirmed restriction that a lagging peer brings back.
+// Guards against a confirmed restriction that a lagging peer brings back, and
+// against a grant without it to a host that has not applied the record.
 func TestConfirmedRestrictionStaysDropped(t *testing.T) {
 	lease := freshness.New("h0")
 	drain := flamingodoor.Restriction{CommandID: "c1", DataCentre: "a"}
 	lease.AddRestriction(drain)
 	lease.AddRestriction(flamingodoor.Restriction{CommandID: "c2", DataCentre: "b"})
-	lease.Confirm(configuration{}, func(id string) bool { return id == "c1" })
+	lease.Confirm(configuration{applied: 7}, func(id string) bool { return id == "c1" })
 	lease.AddRestriction(drain)
 	assert.Assert(t, !lease.Restricted("a"))
 	assert.Assert(t, lease.Restricted("b"))
+	assert.Equal(t, lease.Acknowledged(), uint64(7))
 }
 
 // Guards against a restarted voter that grants below what its earlier process
