Add the operators' RPC

Commands turn a batch into one record under the caller's identifier and report whether the change is accepted or only recorded. A drain goes provisional when the log does not answer within 2 s and is recorded later by whichever host has its turn. It accepts any revision, so that a concurrent change cannot undo a restriction that was reported as held. DrainResponse names the members that have not confirmed a restriction.

--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,402 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"flamingodoor.example/flamingodoor"
+	operatorv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/operator/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/operator/v1/operatorv1connect"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/member"
+)
+
+const (
+	recordVersion  = 1
+	kindDataCentre = "data_centre"
+	// commandTimeout bounds a command whose caller set no deadline.
+	commandTimeout = 10 * time.Second
+	// drainRecordTimeout is how long Drain waits for the log before it goes
+	// provisional; a slow log must not hold up the restriction.
+	drainRecordTimeout = 2 * time.Second
+	confirmInterval    = 1 * time.Second
+	confirmTimeout     = 5 * time.Second
+	// confirmTurns spreads the hosts that append the same restriction over
+	// this many seconds, so that as a rule one of them does.
+	confirmTurns = 8
+)
+
+// Recorder appends a record to the config stream and returns the verdict of
+// the state machine. The error has CodeLogUnavailable or CodeDeadlineExceeded
+// when the log does not answer.
+type Recorder interface {
+	Record(ctx context.Context, record *recordv1.Record) (*recordv1.Verdict, error)
+}
+
+// Accepter has changes and restrictions confirmed by the voters.
+type Accepter interface {
+	Accept(ctx context.Context, offset uint64) error
+	Restrict(ctx context.Context, restriction flamingodoor.Restriction) (unconfirmed []string, err error)
+}
+
+// Objects reads the configuration with revisions.
+type Objects interface {
+	flamingodoor.ConfigurationSource
+	Objects(kind, name string) []*recordv1.Versioned
+}
+
+// CommandOption changes Commands at their construction.
+type CommandOption func(*Commands)
+
+// WithCommandToken sets the bearer token of the operators. Without this option
+// every caller is admitted.
+func WithCommandToken(token string) CommandOption {
+	return func(c *Commands) { c.authenticator = newAuthenticator(token) }
+}
+
+// WithCommandLogger logs commands.
+func WithCommandLogger(logger log.Logger) CommandOption {
+	return func(c *Commands) { c.logger = logger }
+}
+
+// Commands serves the command service.
+type Commands struct {
+	hostID        string
+	store         Objects
+	recorder      Recorder
+	accepter      Accepter
+	lease         *freshness.Lease
+	authenticator authenticator
+	logger        log.Logger
+}
+
+var _ operatorv1connect.CommandServiceHandler = (*Commands)(nil)
+
+// NewCommands returns the command service of the host.
+func NewCommands(
+	hostID string, store Objects, recorder Recorder, accepter Accepter,
+	lease *freshness.Lease, options ...CommandOption,
+) *Commands {
+	c := &Commands{
+		hostID:   hostID,
+		store:    store,
+		recorder: recorder,
+		accepter: accepter,
+		lease:    lease,
+		logger:   log.NewNopLogger(),
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Apply records a batch of changes, all or none. A repeat with the same command
+// identifier returns the result of the first.
+func (c *Commands) Apply(
+	ctx context.Context, request *connect.Request[operatorv1.ApplyRequest],
+) (*connect.Response[operatorv1.ApplyResponse], error) {
+	ctx, cancel, err := c.begin(ctx, request.Header(), request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	record, err := recordOf(request.Msg)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	result, err := c.change(ctx, record)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&operatorv1.ApplyResponse{
+		Acceptance: result.acceptance, Revision: result.revision, InForceAt: result.inForceAt,
+	}), nil
+}
+
+// Drain takes a data centre out of service. When the log does not answer, the
+// restriction is provisional and recorded later under the same identifier. It
+// accepts any revision: a concurrent change of the data centre must not undo
+// a restriction that the operator was told is held.
+func (c *Commands) Drain(
+	ctx context.Context, request *connect.Request[operatorv1.DrainRequest],
+) (*connect.Response[operatorv1.DrainResponse], error) {
+	ctx, cancel, err := c.begin(ctx, request.Header(), request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	restriction := flamingodoor.Restriction{
+		CommandID:  request.Msg.GetCommandId(),
+		DataCentre: request.Msg.GetDataCentre(),
+		Author:     request.Msg.GetAuthor(),
+		AuthorTime: time.Now(),
+		Reason:     request.Msg.GetReason(),
+	}
+	record, err := c.drainRecord(restriction)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	verdict, err := c.recordBriefly(ctx, record)
+	if !logFailed(err) {
+		result, err := c.accepted(ctx, verdict, err)
+		if err != nil {
+			return nil, connectError(err)
+		}
+		return connect.NewResponse(&operatorv1.DrainResponse{
+			Acceptance: result.acceptance, Revision: result.revision, InForceAt: result.inForceAt,
+		}), nil
+	}
+	_ = level.Warn(c.logger).Log("msg", "log unavailable; data centre is taken out provisionally",
+		"data_centre", restriction.DataCentre, "command_id", restriction.CommandID, "err", err)
+	unconfirmed, err := c.accepter.Restrict(ctx, restriction)
+	if err != nil {
+		// Some hosts hold the restriction, and the log will get it.
+		return nil, connectError(flamingodoor.NewError(flamingodoor.CodeOf(err), flamingodoor.RunStateMayHaveRun, err))
+	}
+	return connect.NewResponse(&operatorv1.DrainResponse{
+		Acceptance:       operatorv1.Acceptance_ACCEPTANCE_PROVISIONAL,
+		InForceAt:        inForceAt(time.Now()),
+		UnconfirmedHosts: unconfirmed,
+	}), nil
+}
+
+// Return puts a data centre back into service. Provisional restrictions of the
+// data centre are recorded first; recorded later, they would take it out again.
+func (c *Commands) Return(
+	ctx context.Context, request *connect.Request[operatorv1.ReturnRequest],
+) (*connect.Response[operatorv1.ReturnResponse], error) {
+	ctx, cancel, err := c.begin(ctx, request.Header(), request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	for _, restriction := range c.lease.Restrictions() {
+		if restriction.DataCentre == request.Msg.GetDataCentre() {
+			if err := c.confirm(ctx, restriction); err != nil {
+				return nil, connectError(err)
+			}
+		}
+	}
+	object, err := c.dataCentre(request.Msg.GetDataCentre())
+	if err != nil {
+		return nil, connectError(err)
+	}
+	changed := proto.CloneOf(object.GetDataCentre())
+	changed.Out, changed.Reason = false, ""
+	result, err := c.change(ctx, &recordv1.Record{
+		Version:          recordVersion,
+		CommandId:        request.Msg.GetCommandId(),
+		Author:           request.Msg.GetAuthor(),
+		AuthorTime:       timestamppb.Now(),
+		ExpectedRevision: object.GetRevision(),
+		Body:             &recordv1.Record_PutDataCentre{PutDataCentre: changed},
+	})
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&operatorv1.ReturnResponse{
+		Acceptance: result.acceptance, Revision: result.revision, InForceAt: result.inForceAt,
+	}), nil
+}
+
+// Run records provisional restrictions until the context ends. Every host does
+// so, each in its turn, because the host that took the command may be gone.
+func (c *Commands) Run(ctx context.Context) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for turn := 0; ; turn = (turn + 1) % confirmTurns {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.ConfirmRestrictions(ctx, turn)
+	}
+}
+
+// ConfirmRestrictions records the provisional restrictions for which it is
+// this host's turn, from 0 to 7.
+func (c *Commands) ConfirmRestrictions(ctx context.Context, turn int) {
+	for _, restriction := range c.lease.Restrictions() {
+		owners := member.Owners(c.store.Current(), "restriction/"+restriction.CommandID)
+		place := slices.IndexFunc(owners, func(host flamingodoor.EntryHost) bool { return host.ID == c.hostID })
+		if max(place, 0)%confirmTurns != turn {
+			continue
+		}
+		if err := c.confirm(ctx, restriction); err != nil {
+			_ = level.Info(c.logger).Log("msg", "provisional restriction not recorded yet",
+				"command_id", restriction.CommandID, "err", err)
+		}
+	}
+}
+
+// confirm records a restriction and drops it once the record is applied.
+func (c *Commands) confirm(ctx context.Context, restriction flamingodoor.Restriction) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	record, err := c.drainRecord(restriction)
+	if err != nil {
+		return err
+	}
+	verdict, err := c.recorder.Record(ctx, record)
+	if err != nil {
+		return err
+	}
+	c.lease.Confirm(c.store.Current(), func(commandID string) bool { return commandID == restriction.CommandID })
+	_ = level.Info(c.logger).Log("msg", "provisional restriction recorded",
+		"command_id", restriction.CommandID, "verdict", verdict.GetCode(), "offset", verdict.GetOffset())
+	if verdict.GetCode() != recordv1.VerdictCode_VERDICT_CODE_ACCEPTED {
+		return nil
+	}
+	return c.accepter.Accept(ctx, verdict.GetOffset())
+}
+
+type command interface {
+	GetCommandId() string
+	GetAuthor() string
+}
+
+// begin admits a command and bounds its duration.
+func (c *Commands) begin(
+	ctx context.Context, header map[string][]string, request command,
+) (context.Context, context.CancelFunc, error) {
+	if err := c.authenticator.check(header); err != nil {
+		return nil, nil, err
+	}
+	if request.GetCommandId() == "" || request.GetAuthor() == "" {
+		return nil, nil, connectError(flamingodoor.Errorf(flamingodoor.CodeInvalidRequest,
+			"a command needs an identifier and an author"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	return ctx, cancel, nil
+}
+
+type result struct {
+	acceptance operatorv1.Acceptance
+	revision   uint64
+	inForceAt  *timestamppb.Timestamp
+}
+
+func (c *Commands) change(ctx context.Context, record *recordv1.Record) (result, error) {
+	verdict, err := c.recorder.Record(ctx, record)
+	return c.accepted(ctx, verdict, err)
+}
+
+// accepted has a recorded change acknowledged. Without a majority the change
+// stays recorded, and the operator repeats the command to have it accepted.
+func (c *Commands) accepted(ctx context.Context, verdict *recordv1.Verdict, err error) (result, error) {
+	if err != nil {
+		return result{}, err
+	}
+	if verdict.GetCode() != recordv1.VerdictCode_VERDICT_CODE_ACCEPTED {
+		return result{}, rejection(verdict)
+	}
+	if err := c.accepter.Accept(ctx, verdict.GetOffset()); err != nil {
+		_ = level.Warn(c.logger).Log("msg", "change recorded but not accepted",
+			"command_id", verdict.GetCommandId(), "offset", verdict.GetOffset(), "err", err)
+		return result{acceptance: operatorv1.Acceptance_ACCEPTANCE_RECORDED, revision: verdict.GetOffset()}, nil
+	}
+	_ = level.Info(c.logger).Log("msg", "change accepted", "command_id", verdict.GetCommandId(),
+		"author", verdict.GetAuthor(), "object", verdict.GetObject(), "offset", verdict.GetOffset())
+	return result{
+		acceptance: operatorv1.Acceptance_ACCEPTANCE_ACCEPTED,
+		revision:   verdict.GetOffset(),
+		inForceAt:  inForceAt(time.Now()),
+	}, nil
+}
+
+func (c *Commands) recordBriefly(ctx context.Context, record *recordv1.Record) (*recordv1.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, drainRecordTimeout)
+	defer cancel()
+	return c.recorder.Record(ctx, record)
+}
+
+func logFailed(err error) bool {
+	if err == nil {
+		return false
+	}
+	code := flamingodoor.CodeOf(err)
+	return code == flamingodoor.CodeLogUnavailable || code == flamingodoor.CodeDeadlineExceeded
+}
+
+func (c *Commands) dataCentre(id string) (*recordv1.Versioned, error) {
+	if id != "" {
+		if objects := c.store.Objects(kindDataCentre, id); len(objects) == 1 {
+			return objects[0], nil
+		}
+	}
+	return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidRequest, "data centre %q does not exist", id)
+}
+
+func (c *Commands) drainRecord(restriction flamingodoor.Restriction) (*recordv1.Record, error) {
+	object, err := c.dataCentre(restriction.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	changed := proto.CloneOf(object.GetDataCentre())
+	changed.Out, changed.Reason = true, restriction.Reason
+	return &recordv1.Record{
+		Version:     recordVersion,
+		CommandId:   restriction.CommandID,
+		Author:      restriction.Author,
+		AuthorTime:  timestamppb.New(restriction.AuthorTime),
+		AnyRevision: true,
+		Body:        &recordv1.Record_PutDataCentre{PutDataCentre: changed},
+	}, nil
+}
+
+// recordOf turns a batch into one record, of which only bodies and revisions
+// come from the caller.
+func recordOf(request *operatorv1.ApplyRequest) (*recordv1.Record, error) {
+	if len(request.GetChanges()) == 0 {
+		return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidRequest, "the batch has no changes")
+	}
+	records := make([]*recordv1.Record, 0, len(request.GetChanges()))
+	for i, change := range request.GetChanges() {
+		if !operatorMayChange(change.GetRecord()) {
+			return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidRequest,
+				"change %d is of a kind that operators cannot make", i+1)
+		}
+		records = append(records, &recordv1.Record{
+			Version:          recordVersion,
+			ExpectedRevision: change.GetRecord().GetExpectedRevision(),
+			AnyRevision:      change.GetRecord().GetAnyRevision(),
+			Body:             change.GetRecord().GetBody(),
+		})
+	}
+	record := records[0]
+	if len(records) > 1 {
+		record = &recordv1.Record{
+			Version: recordVersion,
+			Body:    &recordv1.Record_Batch{Batch: &recordv1.Batch{Records: records}},
+		}
+	}
+	record.CommandId = request.GetCommandId()
+	record.Author = request.GetAuthor()
+	record.AuthorTime = timestamppb.Now()
+	return record, nil
+}
+
+// operatorMayChange refuses the records that hosts write themselves: members,
+// groups to form, checkpoints and nested batches.
+func operatorMayChange(record *recordv1.Record) bool {
+	switch record.GetBody().(type) {
+	case *recordv1.Record_PutClub, *recordv1.Record_DeleteClub,
+		*recordv1.Record_PutModel, *recordv1.Record_DeleteModel,
+		*recordv1.Record_PutEndpoint, *recordv1.Record_DeleteEndpoint,
+		*recordv1.Record_PutGroupPlan, *recordv1.Record_DeleteGroupPlan,
+		*recordv1.Record_PutDataCentre, *recordv1.Record_DissolveGroup:
+		return true
+	default:
+		return false
+	}
+}
