--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -28,6 +28,8 @@
 	MetricsListen  string `long:"metrics-listen" env:"FLAMINGODOOR_METRICS_LISTEN" default:"127.0.0.1:8083" description:"IP address and port for metrics, health and readiness"`
 	Platform       string `long:"platform" env:"FLAMINGODOOR_PLATFORM" description:"IP address and port of the platform's services"`
 
+	PeerSeeds []string `long:"peer-seed" env:"FLAMINGODOOR_PEER_SEEDS" env-delim:"," description:"peer address of another entry host, asked for the configuration at a start while the log is down; may be repeated"`
+
 	OperatorToken string `long:"operator-token" env:"FLAMINGODOOR_OPERATOR_TOKEN" default-mask:"-" description:"bearer token that operators must present"`
 
 	CallerCertificate   string `long:"caller-cert" env:"FLAMINGODOOR_CALLER_CERT" description:"PEM certificate for callers; enables TLS"`
@@ -41,6 +43,7 @@
 	MaxBodyBytes   int64         `long:"max-body-bytes" env:"FLAMINGODOOR_MAX_BODY_BYTES" default:"1048576" description:"largest request body of a caller"`
 	MaxHeaderBytes int           `long:"max-header-bytes" env:"FLAMINGODOOR_MAX_HEADER_BYTES" default:"16384" description:"largest request header of a caller"`
 	MaxConnections int           `long:"max-connections" env:"FLAMINGODOOR_MAX_CONNECTIONS" default:"4096" description:"open connections of callers"`
+	StopDelay      time.Duration `long:"stop-delay" env:"FLAMINGODOOR_STOP_DELAY" default:"3s" description:"time for which a stopping host that is no longer ready still takes requests"`
 	StopTimeout    time.Duration `long:"stop-timeout" env:"FLAMINGODOOR_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop"`
 	LogLevel       string        `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 
@@ -57,6 +60,7 @@
 	OperatorListen netip.AddrPort
 	MetricsListen  netip.AddrPort
 	Platform       netip.AddrPort
+	Seeds          []netip.AddrPort
 }
 
 // Bounds of the settings.
@@ -110,6 +114,9 @@
 	if s.PeerAdvertise != "" {
 		s.Addresses.PeerAdvertise = mistakes.address("peer-advertise", s.PeerAdvertise)
 	}
+	for _, seed := range s.PeerSeeds {
+		s.Addresses.Seeds = append(s.Addresses.Seeds, mistakes.address("peer-seed", seed))
+	}
 	mistakes.pair("caller", s.CallerCertificate, s.CallerKey)
 	mistakes.pair("operator", s.OperatorCertificate, s.OperatorKey)
 	mistakes.pair("peer", s.PeerCertificate, s.PeerKey)
@@ -133,6 +140,9 @@
 	if s.StopTimeout < 0 || s.StopTimeout > maxStopTimeout {
 		mistakes.add("stop-timeout", fmt.Sprintf("must be between 0s and %s", maxStopTimeout))
 	}
+	if s.StopDelay < 0 || s.StopDelay > s.StopTimeout {
+		mistakes.add("stop-delay", "must be between 0s and stop-timeout")
+	}
 	if s.OperatorToken == "" && s.Addresses.OperatorListen.IsValid() && !s.Addresses.OperatorListen.Addr().IsLoopback() {
 		mistakes.add("operator-token", "must be set unless operator-listen is a loopback address")
 	}
--- /dev/null
+++ b/internal/daemon/configplane.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/logstream"
+	"flamingodoor.example/flamingodoor/internal/membership"
+	"flamingodoor.example/flamingodoor/internal/peer"
+	"flamingodoor.example/flamingodoor/internal/platform"
+	"flamingodoor.example/flamingodoor/internal/registry"
+)
+
+const (
+	platformDialTimeout = time.Second
+	// A log that did not answer for this long counts as unreachable.
+	logReachableFor  = 3 * time.Second
+	announceInterval = 2 * time.Second
+	// A configuration is applied within a second, so polling it twice a second
+	// keeps watch sets and weights inside the 9 s bound at no cost.
+	configurationInterval = 500 * time.Millisecond
+)
+
+// buildConfigPlane creates what follows, records and spreads the configuration.
+func (d *Daemon) buildConfigPlane(listening netip.AddrPort) error {
+	client := &http.Client{Transport: d.platformTransport()}
+	address := d.settings.Addresses.Platform
+	d.log = platform.NewLog(address, platform.WithHTTPClient(client))
+	d.hostList = platform.NewHostList(address, platform.WithHTTPClient(client))
+	d.weights = platform.NewWeightStore(address, platform.WithHTTPClient(client))
+
+	d.store = registry.NewStore()
+	applied := func() uint64 { return d.store.Current().Applied() }
+	d.lease = freshness.New(d.settings.HostID, freshness.WithApplied(applied))
+
+	peerTLS, err := mutualTLS(d.settings.PeerCertificate, d.settings.PeerKey, d.settings.PeerCA)
+	if err != nil {
+		return err
+	}
+	d.directory = peer.NewDirectory(peer.WithDial(d.dialPeer(listening.Addr())), peer.WithTLS(peerTLS))
+	d.presence = membership.NewPresence(d.store, d.hostList, membership.WithPresenceLogger(d.logger))
+	d.exchanger = peer.NewExchanger(d.settings.HostID, d.store, d.lease, d.directory,
+		peer.WithEvidence(d.takeExchange),
+		peer.WithVerdicts(d.hasVerdict),
+		peer.WithExchangeLogger(d.logger))
+	d.acknowledger = peer.NewAcknowledger(d.settings.HostID, d.store, d.lease, d.directory, peer.WithGone(d.presence.Gone))
+	fetcher := peer.NewFetcher(d.settings.HostID, d.store, d.directory, peer.WithSeeds(d.settings.Addresses.Seeds...))
+
+	d.recorder = logstream.NewRecorder(d.log, d.store, logstream.WithLogger(d.logger))
+	d.follower = logstream.NewFollower(d.log, d.store,
+		logstream.WithLogger(d.logger),
+		logstream.WithTailReached(d.tailWasReached),
+		logstream.WithPeerSource(fetcher.FetchRecords),
+		logstream.WithSnapshotSource(func(ctx context.Context) ([]byte, error) {
+			snapshot, err := fetcher.FetchSnapshot(ctx)
+			return snapshot.State, err
+		}))
+	d.checkpointer = logstream.NewCheckpointer(d.log, d.store, d.settings.HostID,
+		logstream.WithLogger(d.logger), logstream.WithRetention(d.follower.Retention))
+	d.membership = membership.New(d.self(listening), d.store, d.recorder, d.acknowledger, d.presence, d.lease,
+		membership.WithLogger(d.logger))
+	return nil
+}
+
+// platformTransport carries calls to the platform over one HTTP/2 connection
+// whose pings find a silent path within the freshness lease.
+func (d *Daemon) platformTransport() *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: platformDialTimeout}
+	return &http.Transport{
+		Protocols: &protocols,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  time.Second,
+			PingTimeout:      1500 * time.Millisecond,
+			WriteByteTimeout: 2 * time.Second,
+		},
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return d.metrics.WrapConn(trafficPlatform, connection), nil
+		},
+	}
+}
+
+// dialPeer connects from the address of the peer listener.
+func (d *Daemon) dialPeer(source netip.Addr) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: platformDialTimeout}
+	if !source.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return d.metrics.WrapConn(trafficPeer, connection), nil
+	}
+}
+
+func (d *Daemon) tailWasReached(readStart time.Time) {
+	d.lease.RenewFromLog(readStart)
+	d.tailReached.Store(readStart.UnixNano())
+}
+
+func (d *Daemon) logReachable(now time.Time) bool {
+	return now.Sub(time.Unix(0, d.tailReached.Load())) < logReachableFor
+}
+
+func (d *Daemon) hasVerdict(commandID string) bool {
+	_, ok := d.store.Verdict(commandID)
+	return ok
+}
+
+// takeExchange spreads a peer's answer over the parts that use it.
+func (d *Daemon) takeExchange(start time.Time, response *peerv1.ExchangeResponse) {
+	d.table.Merge(start, response.GetEvidence())
+	d.ledger.Merge(response.GetStrikes(), start)
+	d.uses.record(response.GetHostId(), start, response.GetClubUses())
+}
+
+// announce stands for the platform's own knowledge of this host's life.
+func (d *Daemon) announce(ctx context.Context) {
+	everyInterval(ctx, announceInterval, func() {
+		if err := d.hostList.Announce(ctx, d.settings.HostID, d.stopping.Load(), false); err != nil {
+			_ = level.Debug(d.logger).Log("event", "announce_failed", "err", err)
+		}
+	})
+}
+
+// followConfiguration applies changes of the configuration to the parts that
+// keep state derived from it.
+func (d *Daemon) followConfiguration(ctx context.Context) {
+	var seen uint64
+	everyInterval(ctx, configurationInterval, func() {
+		current := d.store.Current()
+		d.queue.SetCapacity(d.capacity(current))
+		if current.Applied() == seen && seen != 0 {
+			return
+		}
+		seen = current.Applied()
+		d.lease.Confirm(current, d.hasVerdict)
+		d.permits.Update(time.Now(), current.MembersRevision(), d.watched())
+		d.table.Prune(current)
+		d.queue.SetClubs(current.Clubs())
+		d.directory.Retain(current.EntryHosts())
+	})
+}
+
+// everyInterval calls the function at once and then each interval.
+func everyInterval(ctx context.Context, interval time.Duration, call func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		call()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// member finds an entry host of the configuration.
+func (d *Daemon) member(hostID string) (flamingodoor.EntryHost, bool) {
+	for _, host := range d.store.Current().EntryHosts() {
+		if host.ID == hostID {
+			return host, true
+		}
+	}
+	return flamingodoor.EntryHost{}, false
+}
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodoor.example/flamingodoor"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+)
+
+const summaryPage = 512
+
+// summaryReader reads service-level summaries from the log.
+type summaryReader struct {
+	log flamingodoor.LogReader
+}
+
+// Summaries returns the kept summaries that overlap the interval. Records that
+// cannot be decoded are passed over.
+func (r *summaryReader) Summaries(ctx context.Context, from, to time.Time) ([]*recordv1.SummaryRecord, error) {
+	var summaries []*recordv1.SummaryRecord
+	next := uint64(1)
+	for {
+		page, err := r.log.Read(ctx, flamingodoor.SummaryStream, next, summaryPage, time.Now())
+		if flamingodoor.CodeOf(err) == flamingodoor.CodeTrimmed && err != nil && page.First > next {
+			next = page.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range page.Entries {
+			next = entry.Offset + 1
+			summary := &recordv1.SummaryRecord{}
+			if proto.Unmarshal(entry.Data, summary) != nil {
+				continue
+			}
+			if summary.GetTo().AsTime().After(from) && summary.GetFrom().AsTime().Before(to) {
+				summaries = append(summaries, summary)
+			}
+		}
+		if len(page.Entries) == 0 || next >= page.Next {
+			return summaries, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/requestpath.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/internal/admission"
+	"flamingodoor.example/flamingodoor/internal/burn"
+	"flamingodoor.example/flamingodoor/internal/dispatch"
+	"flamingodoor.example/flamingodoor/internal/engine"
+	"flamingodoor.example/flamingodoor/internal/intent"
+	"flamingodoor.example/flamingodoor/internal/member"
+	"flamingodoor.example/flamingodoor/internal/routing"
+)
+
+const (
+	retryRatio = 0.1
+	retryFloor = 10
+	// strikeTimeout bounds one push inside the 300 ms that a strike may delay
+	// an answer.
+	strikeTimeout = 300 * time.Millisecond
+)
+
+// buildRequestPath creates what admits, routes and runs requests.
+func (d *Daemon) buildRequestPath() {
+	d.uses = newClubUses()
+	d.queue = admission.New(admission.WithClubUses(d.uses), admission.WithCapacity(defaultCapacity))
+	d.chooser = routing.New(routing.WithDataCentre(d.settings.DataCentre))
+	d.collector = burn.NewCollector(d.settings.HostID, burn.WithAppend(func(ctx context.Context, data []byte) error {
+		_, err := d.log.Append(ctx, flamingodoor.SummaryStream, data)
+		return err
+	}))
+	d.dispatcher = dispatch.New(dispatch.Parts{
+		Configuration:  d.store,
+		Freshness:      d.lease,
+		Health:         d.table,
+		HealthRecorder: d.table,
+		Permits:        d.holder,
+		Engine:         d.engine,
+		Service:        engine.NewServiceClient(),
+		Strikes:        d.ledger,
+		Chooser:        d.chooser,
+		RetryBudget:    admission.NewRetryBudget(retryRatio, retryFloor),
+		HostID:         d.settings.HostID,
+		DataCentre:     d.settings.DataCentre,
+		Logger:         d.logger,
+	})
+	d.runner = intent.NewRunner(intent.Parts{
+		HostID:     d.settings.HostID,
+		Log:        d.log,
+		Dispatcher: d.dispatcher,
+		Logger:     d.logger,
+	})
+	d.forwarder = intent.NewForwarder(intent.ForwarderParts{
+		HostID: d.settings.HostID,
+		Local:  d.runner,
+		Peers:  d.directory,
+		Owners: func(key string) []flamingodoor.EntryHost { return member.Owners(d.store.Current(), key) },
+		Reachable: func(hostID string) bool {
+			return d.exchanger.Reachable(hostID, time.Now()) && !d.exchanger.Stopping(hostID)
+		},
+	})
+}
+
+// clubUse reports this host's work in flight to the peers.
+func (d *Daemon) clubUse() []*peerv1.ClubUse {
+	uses := d.queue.Uses()
+	report := make([]*peerv1.ClubUse, 0, len(uses))
+	for clubID, inFlight := range uses {
+		report = append(report, &peerv1.ClubUse{ClubId: clubID, InFlight: uint32(inFlight)}) //nolint:gosec // Bounded by the queue's capacity.
+	}
+	return report
+}
+
+// reportStrike tells one peer of a crash.
+func (d *Daemon) reportStrike(ctx context.Context, host flamingodoor.EntryHost, strike *peerv1.Strike) {
+	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
+	defer cancel()
+	request := newRequest(&peerv1.ReportStrikeRequest{Strike: strike})
+	if _, err := d.directory.Peer(host).ReportStrike(ctx, request); err != nil {
+		_ = level.Warn(d.logger).Log("event", "strike_push_failed", "peer", host.ID, "err", err)
+	}
+}
--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -54,11 +54,12 @@
 // Endpoint is a model engine or a plain service behind a proxy.
 type Endpoint struct {
 	*Process
-	DataCentre   string
-	FabricDomain string
-	Service      string // empty for engines
-	Direct       netip.AddrPort
-	Proxy        *faultproxy.Proxy
+	DataCentre    string
+	FabricDomain  string
+	Service       string // empty for engines
+	ChecksFencing bool
+	Direct        netip.AddrPort
+	Proxy         *faultproxy.Proxy
 }
 
 // StartPlatform starts the platform stand-in.
@@ -139,7 +140,7 @@
 
 // StartService starts a plain service.
 func (d *Deployment) StartService(ctx context.Context, name, dataCentre, service string, arguments ...string) (*Endpoint, error) {
-	return d.startEndpoint(ctx, &Endpoint{DataCentre: dataCentre, Service: service}, name, append(arguments, "--kind=service"))
+	return d.startEndpoint(ctx, &Endpoint{DataCentre: dataCentre, Service: service}, name, append(arguments, "--service"))
 }
 
 func (d *Deployment) startEndpoint(ctx context.Context, endpoint *Endpoint, name string, arguments []string) (*Endpoint, error) {
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -3,6 +3,8 @@
 package peer
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,6 +36,16 @@
 	return func(d *Directory) { d.options = append(d.options, options...) }
 }
 
+// WithDial sets the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) DirectoryOption {
+	return func(d *Directory) { d.dial = dial }
+}
+
+// WithTLS encrypts the connections; nil leaves them in clear.
+func WithTLS(config *tls.Config) DirectoryOption {
+	return func(d *Directory) { d.tls = config }
+}
+
 type remote struct {
 	client    peerv1connect.PeerServiceClient
 	transport *http.Transport
@@ -42,6 +54,8 @@
 // Directory keeps one client, with its own connection, for each peer address.
 type Directory struct {
 	options []connect.ClientOption
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	tls     *tls.Config
 
 	mu      sync.Mutex
 	remotes map[netip.AddrPort]remote
@@ -53,6 +67,7 @@
 func NewDirectory(options ...DirectoryOption) *Directory {
 	d := &Directory{
 		options: []connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes)},
+		dial:    (&net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}).DialContext,
 		remotes: make(map[netip.AddrPort]remote),
 	}
 	for _, option := range options {
@@ -67,10 +82,10 @@
 	defer d.mu.Unlock()
 	known, ok := d.remotes[host.PeerAddress]
 	if !ok {
-		transport := newTransport()
+		transport := d.newTransport()
 		known = remote{
 			client: peerv1connect.NewPeerServiceClient(
-				&http.Client{Transport: transport}, "http://"+host.PeerAddress.String(), d.options...),
+				&http.Client{Transport: transport}, d.scheme()+host.PeerAddress.String(), d.options...),
 			transport: transport,
 		}
 		d.remotes[host.PeerAddress] = known
@@ -100,11 +115,20 @@
 	d.Retain(nil)
 }
 
-func newTransport() *http.Transport {
+func (d *Directory) scheme() string {
+	if d.tls != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (d *Directory) newTransport() *http.Transport {
 	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(d.tls == nil)
+	protocols.SetHTTP2(d.tls != nil)
 	return &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}).DialContext,
+		DialContext:     d.dial,
+		TLSClientConfig: d.tls,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       protocols,
 		HTTP2: &http.HTTP2Config{
