Add the manifest and the command-line tool

The manifest is strict YAML; errors name line and column. A data centre keeps its state of service unless the file names it, so that applying a file does not return a drained one.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,189 @@
+// Package ctl is the operators' command-line tool.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/user"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jessevdk/go-flags"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/operator"
+)
+
+// Exit codes.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1 // refused or failed
+	ExitUsage    = 2
+	ExitRecorded = 3 // recorded but not yet accepted
+)
+
+const (
+	outputJSON = "json"
+	name       = "flamingodoorctl"
+)
+
+type globalOptions struct {
+	Servers []string      `long:"server" short:"s" env:"FLAMINGODOOR_SERVER" env-delim:"," default:"127.0.0.1:7200" value-name:"ADDRESS" description:"entry host to call; repeat it or give a comma list to name others to try next"`
+	Token   string        `long:"token" env:"FLAMINGODOOR_TOKEN" default-mask:"-" value-name:"TOKEN" description:"operators' bearer token"`
+	Author  string        `long:"author" env:"FLAMINGODOOR_AUTHOR" value-name:"NAME" description:"name shown in the history (default: the current user)"`
+	Output  string        `long:"output" short:"o" choice:"text" choice:"json" default:"text" description:"form of the output"`
+	Timeout time.Duration `long:"timeout" default:"30s" value-name:"DURATION" description:"longest duration of the command over all servers"`
+	Version bool          `long:"version" description:"print the version and exit"`
+}
+
+// app is one run of the tool.
+type app struct {
+	options globalOptions
+	ctx     context.Context // of the run; go-flags passes none to commands
+	http    connect.HTTPClient
+	stdout  io.Writer
+	stderr  io.Writer
+}
+
+// exitError ends the tool with an exit code other than ExitFailed.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// Run runs the tool and returns its exit code.
+func Run(ctx context.Context, version string, args []string, stdout, stderr io.Writer) int {
+	a := &app{ctx: ctx, http: http.DefaultClient, stdout: stdout, stderr: stderr}
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	if err := a.register(parser); err != nil {
+		return a.fail(err)
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		switch {
+		case a.options.Version:
+			return a.print("%s %s\n", name, version)
+		case command == nil:
+			return usage("a command is needed; see %s --help", name)
+		case len(rest) > 0:
+			return usage("unexpected argument %q", rest[0])
+		}
+		ctx, cancel := context.WithTimeout(a.ctx, a.options.Timeout)
+		defer cancel()
+		a.ctx = ctx
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	return a.fail(err)
+}
+
+func (a *app) register(parser *flags.Parser) error {
+	if _, err := parser.AddGroup("Global options", "", &a.options); err != nil {
+		return err
+	}
+	for _, command := range []struct {
+		name, short string
+		data        any
+	}{
+		{"apply", "Change the configuration to what a file declares", &applyCommand{app: a}},
+		{"get", "List objects of the configuration", &getCommand{app: a}},
+		{"history", "List the latest commands and their verdicts", &historyCommand{app: a}},
+		{"drain", "Take a data centre out of service", &drainCommand{app: a}},
+		{"return", "Put a data centre back into service", &returnCommand{app: a}},
+		{"status", "Show hosts, endpoints and groups as one host sees them", &statusCommand{app: a}},
+	} {
+		if _, err := parser.AddCommand(command.name, command.short, "", command.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fail reports an error and returns the exit code.
+func (a *app) fail(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	var parsing *flags.Error
+	if errors.As(err, &parsing) {
+		if parsing.Type == flags.ErrHelp {
+			_ = a.print("%s\n", parsing.Message)
+			return ExitDone
+		}
+		a.warn("%s", parsing.Message)
+		return ExitUsage
+	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		a.warn("%v", exit)
+		return exit.code
+	}
+	a.warn("%s", describe(err))
+	return ExitFailed
+}
+
+func usage(format string, args ...any) error {
+	return &exitError{code: ExitUsage, err: flamingodoor.Errorf(flamingodoor.CodeInvalidRequest, format, args...)}
+}
+
+func (a *app) print(format string, args ...any) error {
+	_, err := fmt.Fprintf(a.stdout, format, args...)
+	return err
+}
+
+// warn writes a message for the operator. A failure to write it changes
+// nothing, since the exit code carries the result.
+func (a *app) warn(format string, args ...any) {
+	_, _ = fmt.Fprintf(a.stderr, name+": "+format+"\n", args...)
+}
+
+// describe names the typed code of a failed call.
+func describe(err error) string {
+	var failure *connect.Error
+	if !errors.As(err, &failure) {
+		return err.Error()
+	}
+	if code := failure.Meta().Get(operator.ErrorCodeHeader); code != "" {
+		return code + ": " + failure.Message()
+	}
+	return failure.Error()
+}
+
+func (a *app) author() (string, error) {
+	if a.options.Author != "" {
+		return a.options.Author, nil
+	}
+	current, err := user.Current()
+	if err != nil || current.Username == "" {
+		return "", usage("--author is needed")
+	}
+	return current.Username, nil
+}
+
+// servers returns the base addresses to try in turn.
+func (a *app) servers() ([]string, error) {
+	var servers []string
+	for _, list := range a.options.Servers {
+		for server := range strings.SplitSeq(list, ",") {
+			server = strings.TrimRight(strings.TrimSpace(server), "/")
+			switch {
+			case server == "":
+				continue
+			case !strings.Contains(server, "://"):
+				server = "http://" + server
+			}
+			servers = append(servers, server)
+		}
+	}
+	if len(servers) == 0 {
+		return nil, usage("--server is needed")
+	}
+	return servers, nil
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,226 @@
+// Package manifest reads the file of flamingodoorctl apply and compares it with
+// the present configuration.
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+
+	"github.com/goccy/go-yaml"
+
+	"flamingodoor.example/flamingodoor"
+	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+)
+
+// Manifest is the declared configuration.
+type Manifest struct {
+	clubs       []*recordv1.Club
+	models      []*recordv1.Model
+	endpoints   []*recordv1.Endpoint
+	dataCentres []declaredDataCentre
+	groupPlans  []*recordv1.GroupPlan
+}
+
+// declaredDataCentre keeps whether the file names the state of service.
+type declaredDataCentre struct {
+	object *recordv1.DataCentre
+	out    *bool
+	reason *string
+}
+
+// Parse reads a file. An error about a field names its line and column.
+func Parse(data []byte) (*Manifest, error) {
+	var content file
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := decoder.Decode(&content); err != nil && !errors.Is(err, io.EOF) {
+		return nil, syntaxError(err)
+	}
+	if err := decoder.Decode(&file{}); !errors.Is(err, io.EOF) {
+		return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "the file has more than one document")
+	}
+	m := &Manifest{}
+	for _, c := range content.Clubs {
+		m.clubs = append(m.clubs, c.message())
+	}
+	for _, c := range content.Models {
+		m.models = append(m.models, c.message())
+	}
+	for _, c := range content.DataCentres {
+		m.dataCentres = append(m.dataCentres, declaredDataCentre{
+			object: &recordv1.DataCentre{DataCentre: c.DataCentre, Region: c.Region},
+			out:    c.Out,
+			reason: c.Reason,
+		})
+	}
+	for _, c := range content.GroupPlans {
+		m.groupPlans = append(m.groupPlans, c.message())
+	}
+	for _, c := range content.Endpoints {
+		m.endpoints = append(m.endpoints, c.message())
+	}
+	return m, m.checkNames()
+}
+
+// syntaxError keeps the position, in the form [line:column].
+func syntaxError(err error) error {
+	return flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "%s", yaml.FormatError(err, false, false))
+}
+
+// checkNames refuses objects without a name and objects that are declared
+// twice, of which the later would silently win.
+func (m *Manifest) checkNames() error {
+	seen := make(map[string]bool)
+	for _, object := range m.objects(nil) {
+		key := KindOf(object) + " " + NameOf(object)
+		switch {
+		case NameOf(object) == "":
+			return flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "a %s has no name", KindOf(object))
+		case seen[key]:
+			return flamingodoor.Errorf(flamingodoor.CodeInvalidConfiguration, "%s is declared twice", key)
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
+// HashKey returns the form in which the configuration holds a caller's key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// file mirrors the messages of package recordv1.
+type file struct {
+	Clubs       []club       `yaml:"clubs"`
+	Models      []model      `yaml:"models"`
+	Endpoints   []endpoint   `yaml:"endpoints"`
+	DataCentres []dataCentre `yaml:"data_centres"`
+	GroupPlans  []groupPlan  `yaml:"group_plans"`
+}
+
+type club struct {
+	ClubID       string       `yaml:"club_id"`
+	DisplayName  string       `yaml:"display_name"`
+	Keys         []string     `yaml:"keys"`
+	KeyHashes    []string     `yaml:"key_hashes"`
+	Accelerators uint32       `yaml:"accelerators"`
+	Weight       uint32       `yaml:"weight"`
+	Models       []modelGrant `yaml:"models"`
+	Services     []string     `yaml:"services"`
+	MaxPriority  uint32       `yaml:"max_priority"`
+}
+
+type modelGrant struct {
+	ModelID  string   `yaml:"model_id"`
+	Adapters []string `yaml:"adapters"`
+	Versions []string `yaml:"versions"`
+}
+
+type model struct {
+	ModelID             string   `yaml:"model_id"`
+	Versions            []string `yaml:"versions"`
+	Adapters            []string `yaml:"adapters"`
+	HostsPerGroup       uint32   `yaml:"hosts_per_group"`
+	AcceleratorsPerHost uint32   `yaml:"accelerators_per_host"`
+	WeightBytesPerHost  uint64   `yaml:"weight_bytes_per_host"`
+}
+
+type endpoint struct {
+	EndpointID      string                    `yaml:"endpoint_id"`
+	HostID          string                    `yaml:"host_id"`
+	DataCentre      string                    `yaml:"data_centre"`
+	FabricDomain    string                    `yaml:"fabric_domain"`
+	Address         string                    `yaml:"address"`
+	Kind            flamingodoor.EndpointKind `yaml:"kind"`
+	ChecksFencing   bool                      `yaml:"checks_fencing"`
+	Accelerators    uint32                    `yaml:"accelerators"`
+	ColdAllowance   uint32                    `yaml:"cold_allowance"`
+	WarmCapacity    uint32                    `yaml:"warm_capacity"`
+	Service         string                    `yaml:"service"`
+	IdempotentPaths []string                  `yaml:"idempotent_paths"`
+	Leaving         bool                      `yaml:"leaving"`
+}
+
+type dataCentre struct {
+	DataCentre string  `yaml:"data_centre"`
+	Region     string  `yaml:"region"`
+	Out        *bool   `yaml:"out"`
+	Reason     *string `yaml:"reason"`
+}
+
+type groupPlan struct {
+	PlanID  string `yaml:"plan_id"`
+	ModelID string `yaml:"model_id"`
+	Version string `yaml:"version"`
+	ClubID  string `yaml:"club_id"`
+	Groups  uint32 `yaml:"groups"`
+}
+
+func (c club) message() *recordv1.Club {
+	hashes := make([]string, 0, len(c.KeyHashes)+len(c.Keys))
+	hashes = append(hashes, c.KeyHashes...)
+	for _, key := range c.Keys {
+		hashes = append(hashes, HashKey(key))
+	}
+	grants := make([]*recordv1.ModelGrant, 0, len(c.Models))
+	for _, grant := range c.Models {
+		grants = append(grants, &recordv1.ModelGrant{
+			ModelId: grant.ModelID, Adapters: grant.Adapters, Versions: grant.Versions,
+		})
+	}
+	return &recordv1.Club{
+		ClubId:       c.ClubID,
+		DisplayName:  c.DisplayName,
+		KeyHashes:    hashes,
+		Accelerators: c.Accelerators,
+		Weight:       c.Weight,
+		Models:       grants,
+		Services:     c.Services,
+		MaxPriority:  c.MaxPriority,
+	}
+}
+
+func (c model) message() *recordv1.Model {
+	return &recordv1.Model{
+		ModelId:             c.ModelID,
+		Versions:            c.Versions,
+		Adapters:            c.Adapters,
+		HostsPerGroup:       c.HostsPerGroup,
+		AcceleratorsPerHost: c.AcceleratorsPerHost,
+		WeightBytesPerHost:  c.WeightBytesPerHost,
+	}
+}
+
+func (c endpoint) message() *recordv1.Endpoint {
+	kind := recordv1.EndpointKind_ENDPOINT_KIND_UNSPECIFIED
+	switch c.Kind {
+	case flamingodoor.EndpointKindEngine:
+		kind = recordv1.EndpointKind_ENDPOINT_KIND_ENGINE
+	case flamingodoor.EndpointKindService:
+		kind = recordv1.EndpointKind_ENDPOINT_KIND_SERVICE
+	}
+	return &recordv1.Endpoint{
+		EndpointId:      c.EndpointID,
+		HostId:          c.HostID,
+		DataCentre:      c.DataCentre,
+		FabricDomain:    c.FabricDomain,
+		Address:         c.Address,
+		Kind:            kind,
+		ChecksFencing:   c.ChecksFencing,
+		Accelerators:    c.Accelerators,
+		ColdAllowance:   c.ColdAllowance,
+		WarmCapacity:    c.WarmCapacity,
+		Service:         c.Service,
+		IdempotentPaths: c.IdempotentPaths,
+		Leaving:         c.Leaving,
+	}
+}
+
+func (c groupPlan) message() *recordv1.GroupPlan {
+	return &recordv1.GroupPlan{
+		PlanId: c.PlanID, ModelId: c.ModelID, Version: c.Version, ClubId: c.ClubID, Groups: c.Groups,
+	}
+}
