--- /dev/null
+++ b/internal/dispatch/target.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/routing"
+)
+
+// Waits between two searches for an endpoint. They grow because every search
+// may ask three watchers for a permit.
+const (
+	firstSearchWait  = 25 * time.Millisecond
+	longestSearch    = 400 * time.Millisecond
+	cancelTries      = 4
+	cancelTryTimeout = 2 * time.Second
+	releaseTimeout   = 2 * time.Second
+)
+
+// search looks for the endpoint of one request.
+type search struct {
+	find    func(now time.Time) []routing.Candidate
+	request routing.Request
+	avoid   map[string]time.Time // until, by endpoint
+}
+
+// target is a chosen endpoint with its permit if it is cold.
+type target struct {
+	routing.Candidate
+	permit flamingodoor.Permit
+	// stopRenewal ends the context of the permit.
+	stopRenewal context.CancelFunc
+}
+
+// groupCandidates returns the groups of a model that may receive work.
+func (d *Dispatcher) groupCandidates(modelID, version string, now time.Time) []routing.Candidate {
+	configuration := d.parts.Configuration.Current()
+	var candidates []routing.Candidate
+	for _, group := range configuration.GroupsOfModel(modelID) {
+		if group.Version != version || len(group.EndpointIDs) == 0 || !d.groupUsable(configuration, group, now) {
+			continue
+		}
+		leader, _ := configuration.Endpoint(group.EndpointIDs[0])
+		if candidate, ok := d.candidate(leader, now); ok {
+			candidate.Group = group
+			candidates = append(candidates, candidate)
+		}
+	}
+	return candidates
+}
+
+func (d *Dispatcher) groupUsable(configuration flamingodoor.Configuration, group flamingodoor.Group, now time.Time) bool {
+	for _, id := range group.EndpointIDs {
+		endpoint, ok := configuration.Endpoint(id)
+		if !ok || !d.endpointUsable(configuration, endpoint) {
+			return false
+		}
+		if health, ok := d.parts.Health.Endpoint(id, now); ok && health.Report.State == flamingodoor.EndpointStateLeaving {
+			return false
+		}
+	}
+	serving, _ := d.parts.Health.GroupServing(group, now)
+	return serving
+}
+
+func (d *Dispatcher) endpointUsable(configuration flamingodoor.Configuration, endpoint flamingodoor.Endpoint) bool {
+	if endpoint.Leaving || d.parts.Freshness.Restricted(endpoint.DataCentre) {
+		return false
+	}
+	dataCentre, ok := configuration.DataCentre(endpoint.DataCentre)
+	return !ok || !dataCentre.Out
+}
+
+// serviceCandidates returns the endpoints of a service that may receive work.
+func (d *Dispatcher) serviceCandidates(service string, now time.Time) []routing.Candidate {
+	configuration := d.parts.Configuration.Current()
+	var candidates []routing.Candidate
+	for _, endpoint := range configuration.ServiceEndpoints(service) {
+		if !d.endpointUsable(configuration, endpoint) {
+			continue
+		}
+		if candidate, ok := d.candidate(endpoint, now); ok {
+			candidates = append(candidates, candidate)
+		}
+	}
+	return candidates
+}
+
+func (d *Dispatcher) candidate(endpoint flamingodoor.Endpoint, now time.Time) (routing.Candidate, bool) {
+	health, ok := d.parts.Health.Endpoint(endpoint.ID, now)
+	if !ok || !now.Before(health.Deadline) {
+		return routing.Candidate{}, false
+	}
+	if state := health.Report.State; state != flamingodoor.EndpointStateWarm && state != flamingodoor.EndpointStateCold {
+		return routing.Candidate{}, false
+	}
+	inFlight, delta := d.loads.get(endpoint.ID, health.ProbedAt)
+	return routing.Candidate{
+		Leader: endpoint, Report: health.Report, ReportedAt: health.ProbedAt,
+		InFlight: inFlight, Change: delta,
+	}, true
+}
+
+// acquire returns a target that may receive the request now. It waits for a
+// permit until ctx ends, and for any candidate at all until the time given.
+func (d *Dispatcher) acquire(ctx context.Context, s *search, waitUntil time.Time) (target, error) {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval, waits.MaxInterval = firstSearchWait, longestSearch
+	for {
+		if ctx.Err() != nil {
+			return target{}, flamingodoor.NewError(flamingodoor.CodeDeadlineExceeded, flamingodoor.RunStateNotRun, context.Cause(ctx))
+		}
+		now := d.now()
+		var failure error
+		if !d.parts.Freshness.Fresh(now) {
+			failure = flamingodoor.Errorf(flamingodoor.CodeNotFresh, "freshness lease of the host has expired")
+		} else {
+			chosen, denied, ok := d.choose(ctx, s, now)
+			if ok {
+				return chosen, nil
+			}
+			if !denied {
+				failure = flamingodoor.Errorf(flamingodoor.CodeNoEndpoint, "no endpoint can take the request")
+			}
+		}
+		if failure != nil && !now.Before(waitUntil) {
+			return target{}, failure
+		}
+		select {
+		case <-time.After(waits.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// choose tries the candidates in the order of the chooser. A cold one needs a
+// permit; denied reports that one was refused.
+func (d *Dispatcher) choose(ctx context.Context, s *search, now time.Time) (chosen target, denied, ok bool) {
+	candidates := slices.DeleteFunc(s.find(now), func(c routing.Candidate) bool { return now.Before(s.avoid[c.Leader.ID]) })
+	for {
+		candidate, found := d.parts.Chooser.Choose(now, s.request, candidates)
+		if !found {
+			return target{}, denied, false
+		}
+		if !candidate.Cold() {
+			return target{Candidate: candidate}, denied, true
+		}
+		// The watchers would deny more permits than the allowance.
+		if candidate.InFlight < candidate.Leader.ColdAllowance {
+			if chosen, err := d.acquirePermit(ctx, candidate); err == nil {
+				return chosen, denied, true
+			}
+		}
+		denied = true
+		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return c.Leader.ID == candidate.Leader.ID })
+	}
+}
+
+// acquirePermit obtains a permit under a context that outlives the request,
+// because the permit is kept until the endpoint has confirmed a cancellation.
+func (d *Dispatcher) acquirePermit(ctx context.Context, candidate routing.Candidate) (target, error) {
+	permitContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	timer := time.AfterFunc(d.permitTimeout, stop)
+	unlink := context.AfterFunc(ctx, stop)
+	permit, err := d.parts.Permits.Acquire(permitContext, candidate.Leader, candidate.Report.Incarnation)
+	if err != nil {
+		stop()
+		return target{}, err
+	}
+	chosen := target{Candidate: candidate, permit: permit, stopRenewal: stop}
+	if !timer.Stop() || !unlink() {
+		d.releasePermit(ctx, chosen)
+		return target{}, flamingodoor.Errorf(flamingodoor.CodePermitDenied, "permit arrived too late")
+	}
+	return chosen, nil
+}
+
+// maySend repeats the checks just before a send: obtaining a permit took
+// time, and the process may have been paused.
+func (d *Dispatcher) maySend(s *search, t target) bool {
+	now := d.now()
+	if !d.parts.Freshness.Fresh(now) {
+		return false
+	}
+	if t.permit != nil && (permitLost(t.permit) || !now.Before(t.permit.Deadline())) {
+		return false
+	}
+	for _, current := range s.find(now) {
+		if current.Leader.ID == t.Leader.ID {
+			return current.Report.Incarnation == t.Report.Incarnation &&
+				current.Group.FencingNumber == t.Group.FencingNumber &&
+				(t.permit != nil || !current.Cold())
+		}
+	}
+	return false
+}
+
+func permitLost(permit flamingodoor.Permit) bool {
+	select {
+	case <-permit.Lost():
+		return true
+	default:
+		return false
+	}
+}
+
+// inBackground runs a task that outlives the request; Drain waits for it.
+func (d *Dispatcher) inBackground(ctx context.Context, task func(ctx context.Context)) {
+	d.background.Go(func() { task(context.WithoutCancel(ctx)) })
+}
+
+// releasePermit gives the permit back; the endpoint no longer runs the request.
+func (d *Dispatcher) releasePermit(ctx context.Context, t target) {
+	if t.permit == nil {
+		return
+	}
+	d.inBackground(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		t.permit.Release(ctx)
+		t.stopRenewal()
+	})
+}
+
+// abandonPermit lets the permit expire; the endpoint may still run the request.
+func (t *target) abandonPermit() {
+	if t.permit != nil {
+		t.stopRenewal()
+	}
+}
+
+// cancelAttempt ends an attempt at its engine. The permit is released once
+// the engine has confirmed; else it is left to expire.
+func (d *Dispatcher) cancelAttempt(ctx context.Context, t target, requestID string, attempt int) {
+	d.inBackground(ctx, func(ctx context.Context) {
+		_, err := backoff.Retry(ctx, func() (struct{}, error) {
+			ctx, cancel := context.WithTimeout(ctx, cancelTryTimeout)
+			defer cancel()
+			return struct{}{}, d.parts.Engine.Cancel(ctx, t.Leader, requestID, attempt)
+		}, backoff.WithMaxTries(cancelTries))
+		if err != nil {
+			_ = d.parts.Logger.Log("event", "cancel_failed", "endpoint", t.Leader.ID, "request_id", requestID, "attempt", attempt, "error", err)
+			t.abandonPermit()
+			return
+		}
+		d.releasePermit(ctx, t)
+	})
+}
