Seal the send guard of a failed request

The transport writes in a goroutine of its own. A request that is reported as not run can now no longer send a byte, whatever net/http does later.

--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -24,36 +24,50 @@
 
 var errDeadlinePassed = flamingodoor.Errorf(flamingodoor.CodeDeadlineExceeded, "deadline passed before the request was sent")
 
+var errSealed = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "request has already failed")
+
+// States of a sendGuard.
+const (
+	guardOpen   int32 = iota
+	guardSent         // bytes may have left
+	guardSealed       // reported as not run; no byte can leave any more
+)
+
 // sendGuard watches the first write of a request. It refuses the write after
 // the deadline, and records whether any byte may have left.
 type sendGuard struct {
 	now      func() time.Time
 	deadline time.Time // zero: none
-	sent     atomic.Bool
+	state    atomic.Int32
 }
 
 func (g *sendGuard) beforeWrite() error {
-	if g.sent.Load() {
+	if g.state.Load() == guardSent {
 		return nil
 	}
 	if !g.deadline.IsZero() && !g.now().Before(g.deadline) {
 		return errDeadlinePassed
 	}
-	g.sent.Store(true)
+	if !g.state.CompareAndSwap(guardOpen, guardSent) {
+		return errSealed
+	}
 	return nil
 }
 
+// mayHaveSent seals the guard of a failed request. The transport writes in a
+// goroutine of its own, which could otherwise write after the report.
+func (g *sendGuard) mayHaveSent() bool {
+	return !g.state.CompareAndSwap(guardOpen, guardSealed)
+}
+
 // failure types an error of the transport by what may have been sent. Only the
 // end of ctx counts as the deadline: a dial timeout is a failed endpoint.
 func (g *sendGuard) failure(ctx context.Context, err error) error {
-	if errors.Is(err, errDeadlinePassed) {
-		return flamingodoor.NewError(flamingodoor.CodeDeadlineExceeded, flamingodoor.RunStateNotRun, err)
-	}
 	state := flamingodoor.RunStateNotRun
-	if g.sent.Load() {
+	if g.mayHaveSent() {
 		state = flamingodoor.RunStateMayHaveRun
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(err, errDeadlinePassed) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return flamingodoor.NewError(flamingodoor.CodeDeadlineExceeded, state, err)
 	}
 	return flamingodoor.NewError(flamingodoor.CodeEndpointFailed, state, err)
