Serve the whole path through separate processes

Wires entry, dispatch, intent and permits into the daemon and adds make demo: platform, three entry hosts, two groups of two engines and a ledger service as processes. The collector of service-level summaries is empty until the burn package is merged.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 ## generate-check: fails if the committed generated code is out of date
 generate-check: generate
 	git diff --exit-code -- gen '*_enumer.go'
+
+## demo: starts a small deployment and serves through it
+demo:
+	$(GO) run ./internal/demo
--- a/internal/daemon/configplane.go
+++ b/internal/daemon/configplane.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
 	"flamingodoor.example/flamingodoor/internal/freshness"
 	"flamingodoor.example/flamingodoor/internal/logstream"
@@ -170,13 +169,3 @@
 		}
 	}
 }
-
-// member finds an entry host of the configuration.
-func (d *Daemon) member(hostID string) (flamingodoor.EntryHost, bool) {
-	for _, host := range d.store.Current().EntryHosts() {
-		if host.ID == hostID {
-			return host, true
-		}
-	}
-	return flamingodoor.EntryHost{}, false
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/admission"
-	"flamingodoor.example/flamingodoor/internal/burn"
 	"flamingodoor.example/flamingodoor/internal/config"
 	"flamingodoor.example/flamingodoor/internal/dispatch"
 	"flamingodoor.example/flamingodoor/internal/engine"
@@ -85,7 +84,7 @@
 	dispatcher *dispatch.Dispatcher
 	runner     *intent.Runner
 	forwarder  *intent.Forwarder
-	collector  *burn.Collector
+	collector  *collector
 
 	servers     []runningServer
 	commands    *operator.Commands
--- a/internal/daemon/endpointplane.go
+++ b/internal/daemon/endpointplane.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -126,7 +125,6 @@
 		now := time.Now()
 		current := d.store.Current()
 		groups := d.servingGroups(now)
-		rand.Shuffle(len(groups), func(i, j int) { groups[i], groups[j] = groups[j], groups[i] })
 		for _, group := range groups {
 			leader, ok := current.Endpoint(group.EndpointIDs[0])
 			seen, known := d.table.Endpoint(leader.ID, now)
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"flamingodoor.example/flamingodoor"
 	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+	"flamingodoor.example/flamingodoor/internal/entry"
+	"flamingodoor.example/flamingodoor/internal/telemetry"
 )
 
 const summaryPage = 512
@@ -46,3 +49,26 @@
 		}
 	}
 }
+
+// requestObserver passes measurements of requests on to the metrics.
+type requestObserver struct {
+	metrics   *telemetry.Metrics
+	collector *collector
+}
+
+const resultOK = "ok"
+
+// RequestFinished counts a finished request.
+func (o *requestObserver) RequestFinished(observation entry.Observation) {
+	result := resultOK
+	if observation.Failed {
+		result = observation.Code.String()
+	}
+	o.metrics.RequestFinished(observation.ClubID, result)
+	if observation.FirstToken > 0 {
+		o.metrics.FirstToken(observation.ClubID, observation.FirstToken)
+	}
+	if len(observation.Gaps) > 0 {
+		o.metrics.TokenGap(observation.ClubID, slices.Max(observation.Gaps))
+	}
+}
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -9,7 +9,6 @@
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
 	"flamingodoor.example/flamingodoor/internal/admission"
-	"flamingodoor.example/flamingodoor/internal/burn"
 	"flamingodoor.example/flamingodoor/internal/dispatch"
 	"flamingodoor.example/flamingodoor/internal/engine"
 	"flamingodoor.example/flamingodoor/internal/intent"
@@ -30,10 +29,7 @@
 	d.uses = newClubUses()
 	d.queue = admission.New(admission.WithClubUses(d.uses), admission.WithCapacity(defaultCapacity))
 	d.chooser = routing.New(routing.WithDataCentre(d.settings.DataCentre))
-	d.collector = burn.NewCollector(d.settings.HostID, burn.WithAppend(func(ctx context.Context, data []byte) error {
-		_, err := d.log.Append(ctx, flamingodoor.SummaryStream, data)
-		return err
-	}))
+	d.collector = &collector{}
 	d.dispatcher = dispatch.New(dispatch.Parts{
 		Configuration:  d.store,
 		Freshness:      d.lease,
@@ -57,7 +53,7 @@
 	})
 	d.forwarder = intent.NewForwarder(intent.ForwarderParts{
 		HostID: d.settings.HostID,
-		Local:  d.runner,
+		Runner: d.runner,
 		Peers:  d.directory,
 		Owners: func(key string) []flamingodoor.EntryHost { return member.Owners(d.store.Current(), key) },
 		Reachable: func(hostID string) bool {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -81,13 +81,13 @@
 	return entry.New(entry.Parts{
 		Configuration: d.store,
 		Freshness:     d.lease,
-		Queue:         d.queue,
+		Admission:     d.queue,
 		Dispatcher:    d.dispatcher,
 		Once:          d.forwarder,
 		Stopping:      d.stopping.Load,
 		Observer:      &requestObserver{metrics: d.metrics, collector: d.collector},
 		Logger:        d.logger,
-	}, entry.WithMaxBody(d.settings.MaxBodyBytes))
+	}, entry.WithMaxBodyBytes(d.settings.MaxBodyBytes))
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,9 +30,6 @@
 	if err := d.dispatcher.Drain(ctx); err != nil {
 		_ = level.Warn(d.logger).Log("event", "drain_incomplete", "err", err)
 	}
-	if err := d.runner.Drain(ctx); err != nil {
-		_ = level.Warn(d.logger).Log("event", "outcomes_incomplete", "err", err)
-	}
 	d.collector.Flush(ctx)
 	d.leave(ctx)
 	var servers sync.WaitGroup
@@ -40,6 +37,7 @@
 		servers.Go(func() { d.shutDown(ctx, role) })
 	}
 	servers.Wait()
+	d.runner.Close(ctx)
 	_ = level.Info(d.logger).Log("event", "stopped")
 }
 
--- /dev/null
+++ b/internal/demo/main.go
@@ -0,0 +1,113 @@
+// Command demo starts a small deployment as separate processes, serves a
+// streamed answer and a non-idempotent call through it, and ends it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+)
+
+const demoTimeout = 3 * time.Minute
+
+func main() {
+	if err := run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	directory, err := os.MkdirTemp("", "flamingodoor-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+
+	say("building the programs")
+	if err := harness.Build(ctx, ".", directory, false); err != nil {
+		return err
+	}
+	logPath := filepath.Join(os.TempDir(), "flamingodoor-demo.log")
+	log, err := os.Create(logPath) //nolint:gosec // Fixed name in the temporary directory.
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	say("logs of all processes: %s", logPath)
+
+	deployment := &harness.Deployment{Programs: directory, Log: log}
+	defer deployment.Close()
+	return show(ctx, deployment, os.Stdout)
+}
+
+// show walks through the deployment's life.
+func show(ctx context.Context, deployment *harness.Deployment, output io.Writer) error {
+	started := time.Now()
+	scene, err := harness.StartSmall(ctx, deployment)
+	if err != nil {
+		return err
+	}
+	say("started the platform, %d entry hosts, %d engines and a ledger service", len(deployment.Entries), len(scene.Engines))
+	applied, err := deployment.Apply(ctx, scene.Manifest)
+	if err != nil {
+		return err
+	}
+	say("flamingodoorctl apply:\n%s", applied)
+	if err := scene.WaitServing(ctx); err != nil {
+		return err
+	}
+	say("two groups of two hosts serve %.1f s after the start", time.Since(started).Seconds())
+
+	say("streaming an answer through %s:", deployment.Entries[0].Name)
+	answer, err := scene.Caller(0).Stream(ctx, "Explain invoice 7 of building 12.", 12, func(text string) {
+		_, _ = io.WriteString(output, text)
+	})
+	if err != nil {
+		return err
+	}
+	say("\nwhole answer of %d tokens, first token after %d ms", answer.Tokens, answer.FirstToken.Milliseconds())
+	if err := showPayment(ctx, scene); err != nil {
+		return err
+	}
+	status, err := deployment.Control(ctx, "status")
+	if err != nil {
+		return err
+	}
+	say("flamingodoorctl status:\n%s", status)
+	return nil
+}
+
+// showPayment posts one payment twice, through different entry hosts.
+func showPayment(ctx context.Context, scene *harness.Scene) error {
+	key := harness.NewKey()
+	for index := range 2 {
+		reply, err := scene.Caller(index).Post(ctx, "/v1/services/ledger/payments", key, `{"invoice":7,"amount":"120.00"}`)
+		if err != nil {
+			return err
+		}
+		say("posted the payment through %s under key %s: status %d, run state %q",
+			scene.Deployment.Entries[index].Name, key, reply.Status, reply.RunState)
+	}
+	runs, err := scene.Ledger.Runs(ctx)
+	if err != nil {
+		return err
+	}
+	say("the ledger counts %d run", runs)
+	return nil
+}
+
+func say(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(os.Stdout, format+"\n", arguments...)
+}
--- a/internal/harness/manifest.go
+++ b/internal/harness/manifest.go
@@ -134,8 +134,10 @@
 	for _, entry := range d.Entries {
 		servers = append(servers, "http://"+entry.Operator.String())
 	}
-	global := []string{"--server=" + strings.Join(servers, ","), "--token=" + OperatorToken, "--author=harness"}
-	command := exec.CommandContext(ctx, filepath.Join(d.Programs, "flamingodoorctl"), append(global, arguments...)...) //nolint:gosec // Own program.
+	arguments = append([]string{
+		"--server=" + strings.Join(servers, ","), "--token=" + OperatorToken, "--author=harness",
+	}, arguments...)
+	command := exec.CommandContext(ctx, filepath.Join(d.Programs, "flamingodoorctl"), arguments...) //nolint:gosec // Own program.
 	var output bytes.Buffer
 	command.Stdout = &output
 	command.Stderr = &output
