--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,6 +29,7 @@
 	ReasonNoSpare      = "member_lost_no_spare"
 	ReasonMoved        = "data_centre_out"
 	ReasonOutdated     = "plan_changed"
+	ReasonRelocated    = "relocated"
 )
 
 // Endpoint is what this host knows of an endpoint. The zero value is an
@@ -126,6 +127,7 @@
 	quarantine   time.Duration
 	drainWait    time.Duration
 	choose       chooser
+	relocates    bool
 }
 
 // Option changes a default of a policy.
@@ -149,13 +151,15 @@
 }
 
 // New returns the policy that keeps the most whole groups possible after the
-// next host failure.
+// next host failure, and moves small groups to make room for larger ones.
 func New(options ...Option) *Policy {
-	return newPolicy(chooseRobust, options)
+	policy := newPolicy(chooseRobust, options)
+	policy.relocates = true
+	return policy
 }
 
 // FirstFit returns the baseline policy, which takes the first fabric domain
-// with enough free hosts.
+// with enough free hosts and moves no groups.
 func FirstFit(options ...Option) *Policy {
 	return newPolicy(chooseFirst, options)
 }
@@ -183,6 +187,9 @@
 	state.repair()
 	state.renewOutdated()
 	state.form()
+	if p.relocates {
+		state.relocate()
+	}
 	state.moveOut()
 	return state.actions
 }
