--- /dev/null
+++ b/internal/integration/path_test.go
@@ -0,0 +1,33 @@
+package integration_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+	standinendpoint "flamingodoor.example/flamingodoor/internal/standin/endpoint"
+)
+
+// Guards against the processes not working together: a caller gets its whole
+// answer, and a repeated posting runs once.
+func TestWholePath(t *testing.T) {
+	t.Parallel()
+	ctx, scene := startScene(t, harness.SmallShape)
+
+	const prompt = "Explain the invoice."
+	answer, err := scene.Caller(0).Stream(ctx, prompt, 8, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Complete, "code %s", answer.Code)
+	assert.Equal(t, answer.Text, standinendpoint.Answer("user: "+prompt+"\n", 8))
+
+	key := harness.NewKey()
+	for entry := range scene.Deployment.Entries {
+		reply, err := scene.Caller(entry).Post(ctx, "/v1/services/ledger/payments", key, `{"amount":1}`)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Status, 200, reply.Body)
+	}
+	runs, err := scene.Ledger.Runs(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, runs, 1)
+}
