Append service-level summaries and add flamingodoorctl report burn

Every host appends a summary of its requests each minute, so that a host that dies loses at most one interval.

--- a/cmd/flamingodoorctl/main.go
+++ b/cmd/flamingodoorctl/main.go
@@ -8,11 +8,9 @@
 	"syscall"
 
 	"flamingodoor.example/flamingodoor/internal/ctl"
+	"flamingodoor.example/flamingodoor/internal/version"
 )
 
-// version is set by the linker.
-var version = "devel"
-
 func main() {
 	os.Exit(run())
 }
@@ -20,5 +18,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return ctl.Run(ctx, version, os.Args[1:], os.Stdout, os.Stderr)
+	return ctl.Run(ctx, version.Release(), os.Args[1:], os.Stdout, os.Stderr)
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -40,12 +40,13 @@
 	PeerKey             string `long:"peer-key" env:"FLAMINGODOOR_PEER_KEY" description:"PEM key between entry hosts"`
 	PeerCA              string `long:"peer-ca" env:"FLAMINGODOOR_PEER_CA" description:"PEM certificates that sign the entry hosts' certificates"`
 
-	MaxBodyBytes   int64         `long:"max-body-bytes" env:"FLAMINGODOOR_MAX_BODY_BYTES" default:"1048576" description:"largest request body of a caller"`
-	MaxHeaderBytes int           `long:"max-header-bytes" env:"FLAMINGODOOR_MAX_HEADER_BYTES" default:"16384" description:"largest request header of a caller"`
-	MaxConnections int           `long:"max-connections" env:"FLAMINGODOOR_MAX_CONNECTIONS" default:"4096" description:"open connections of callers"`
-	StopDelay      time.Duration `long:"stop-delay" env:"FLAMINGODOOR_STOP_DELAY" default:"3s" description:"time for which a stopping host that is no longer ready still takes requests"`
-	StopTimeout    time.Duration `long:"stop-timeout" env:"FLAMINGODOOR_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop"`
-	LogLevel       string        `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	MaxBodyBytes    int64         `long:"max-body-bytes" env:"FLAMINGODOOR_MAX_BODY_BYTES" default:"1048576" description:"largest request body of a caller"`
+	MaxHeaderBytes  int           `long:"max-header-bytes" env:"FLAMINGODOOR_MAX_HEADER_BYTES" default:"16384" description:"largest request header of a caller"`
+	MaxConnections  int           `long:"max-connections" env:"FLAMINGODOOR_MAX_CONNECTIONS" default:"4096" description:"open connections of callers"`
+	StopDelay       time.Duration `long:"stop-delay" env:"FLAMINGODOOR_STOP_DELAY" default:"3s" description:"time for which a stopping host that is no longer ready still takes requests"`
+	StopTimeout     time.Duration `long:"stop-timeout" env:"FLAMINGODOOR_STOP_TIMEOUT" default:"10m" description:"longest wait for requests in flight at a planned stop"`
+	SummaryInterval time.Duration `long:"summary-interval" env:"FLAMINGODOOR_SUMMARY_INTERVAL" default:"60s" description:"time between service-level summaries appended to the log; a host that dies loses at most one"`
+	LogLevel        string        `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 
 	Version bool `long:"version" description:"print the version and exit"`
 
@@ -70,6 +71,9 @@
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
 	maxStopTimeout = 24 * time.Hour
+
+	minSummaryInterval = time.Second
+	maxSummaryInterval = time.Hour
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
@@ -143,6 +147,9 @@
 	if s.StopDelay < 0 || s.StopDelay > s.StopTimeout {
 		mistakes.add("stop-delay", "must be between 0s and stop-timeout")
 	}
+	if s.SummaryInterval < minSummaryInterval || s.SummaryInterval > maxSummaryInterval {
+		mistakes.add("summary-interval", fmt.Sprintf("must be between %s and %s", minSummaryInterval, maxSummaryInterval))
+	}
 	if s.OperatorToken == "" && s.Addresses.OperatorListen.IsValid() && !s.Addresses.OperatorListen.Addr().IsLoopback() {
 		mistakes.add("operator-token", "must be set unless operator-listen is a loopback address")
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -103,7 +103,12 @@
 			return err
 		}
 	}
-	return nil
+	report, err := parser.AddCommand("report", "Compute a report", "", &struct{}{})
+	if err != nil {
+		return err
+	}
+	_, err = report.AddCommand("burn", "Show how fast each club's service-level budgets are used up", "", &burnCommand{app: a})
+	return err
 }
 
 // fail reports an error and returns the exit code.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/admission"
+	"flamingodoor.example/flamingodoor/internal/burn"
 	"flamingodoor.example/flamingodoor/internal/config"
 	"flamingodoor.example/flamingodoor/internal/dispatch"
 	"flamingodoor.example/flamingodoor/internal/engine"
@@ -84,7 +85,7 @@
 	dispatcher *dispatch.Dispatcher
 	runner     *intent.Runner
 	forwarder  *intent.Forwarder
-	collector  *collector
+	collector  *burn.Collector
 
 	servers     []runningServer
 	commands    *operator.Commands
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -9,6 +9,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	recordv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/record/v1"
+	"flamingodoor.example/flamingodoor/internal/burn"
 	"flamingodoor.example/flamingodoor/internal/entry"
 	"flamingodoor.example/flamingodoor/internal/telemetry"
 )
@@ -53,7 +54,21 @@
 // requestObserver passes measurements of requests on to the metrics.
 type requestObserver struct {
 	metrics   *telemetry.Metrics
-	collector *collector
+	collector *burn.Collector
+}
+
+// causedByCaller reports whether a refusal is due to the request itself and so
+// does not count against the service's availability.
+func causedByCaller(code flamingodoor.Code) bool {
+	switch code {
+	case flamingodoor.CodeInvalidRequest, flamingodoor.CodeUnauthenticated, flamingodoor.CodeNotAllowed,
+		flamingodoor.CodeUnknownModel, flamingodoor.CodeUnknownService, flamingodoor.CodeTooLarge,
+		flamingodoor.CodeKeyRequired, flamingodoor.CodeKeyInvalid, flamingodoor.CodeKeyExpired,
+		flamingodoor.CodeKeyReused, flamingodoor.CodePoisonRequest:
+		return true
+	default:
+		return false
+	}
 }
 
 const resultOK = "ok"
@@ -71,4 +86,8 @@
 	if len(observation.Gaps) > 0 {
 		o.metrics.TokenGap(observation.ClubID, slices.Max(observation.Gaps))
 	}
+	if observation.ClubID != "" {
+		failed := observation.Failed && !causedByCaller(observation.Code)
+		o.collector.RequestFinished(observation.ClubID, failed, observation.FirstToken, observation.Gaps)
+	}
 }
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -9,6 +9,7 @@
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
 	"flamingodoor.example/flamingodoor/internal/admission"
+	"flamingodoor.example/flamingodoor/internal/burn"
 	"flamingodoor.example/flamingodoor/internal/dispatch"
 	"flamingodoor.example/flamingodoor/internal/engine"
 	"flamingodoor.example/flamingodoor/internal/intent"
@@ -29,7 +30,10 @@
 	d.uses = newClubUses()
 	d.queue = admission.New(admission.WithClubUses(d.uses), admission.WithCapacity(defaultCapacity))
 	d.chooser = routing.New(routing.WithDataCentre(d.settings.DataCentre))
-	d.collector = &collector{}
+	d.collector = burn.NewCollector(d.settings.HostID, burn.WithAppend(func(ctx context.Context, data []byte) error {
+		_, err := d.log.Append(ctx, flamingodoor.SummaryStream, data)
+		return err
+	}), burn.WithInterval(d.settings.SummaryInterval))
 	d.dispatcher = dispatch.New(dispatch.Parts{
 		Configuration:  d.store,
 		Freshness:      d.lease,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,7 +30,6 @@
 	if err := d.dispatcher.Drain(ctx); err != nil {
 		_ = level.Warn(d.logger).Log("event", "drain_incomplete", "err", err)
 	}
-	d.collector.Flush(ctx)
 	d.leave(ctx)
 	var servers sync.WaitGroup
 	for _, role := range []string{roleOperator, rolePeer, roleMetrics} {
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -15,7 +15,10 @@
 	"flamingodoor.example/flamingodoor/internal/harness"
 )
 
-const demoTimeout = 3 * time.Minute
+const (
+	demoTimeout     = 3 * time.Minute
+	summaryInterval = time.Second
+)
 
 func main() {
 	if err := run(); err != nil {
@@ -55,7 +58,9 @@
 // show walks through the deployment's life.
 func show(ctx context.Context, deployment *harness.Deployment, output io.Writer) error {
 	started := time.Now()
-	scene, err := harness.StartSmall(ctx, deployment)
+	shape := harness.SmallShape
+	shape.EntryArguments = []string{"--summary-interval=" + summaryInterval.String()}
+	scene, err := harness.StartScene(ctx, deployment, shape)
 	if err != nil {
 		return err
 	}
@@ -86,6 +91,12 @@
 		return err
 	}
 	say("flamingodoorctl status:\n%s", status)
+	time.Sleep(2 * summaryInterval)
+	report, err := deployment.Control(ctx, "report", "burn", "--period=1m")
+	if err != nil {
+		return err
+	}
+	say("flamingodoorctl report burn:\n%s", report)
 	return nil
 }
 
--- a/internal/harness/scene.go
+++ b/internal/harness/scene.go
@@ -57,11 +57,6 @@
 // SmallShape has three entry hosts and two groups of two hosts.
 var SmallShape = Shape{Entries: 3, Domains: 2, EnginesPerDomain: 2, HostsPerGroup: 2, Groups: 2}
 
-// StartSmall starts a scene of the small shape.
-func StartSmall(ctx context.Context, deployment *Deployment) (*Scene, error) {
-	return StartScene(ctx, deployment, SmallShape)
-}
-
 // StartScene starts the processes of a scene and describes its configuration,
 // which the caller applies.
 func StartScene(ctx context.Context, deployment *Deployment, shape Shape) (*Scene, error) {
