--- /dev/null
+++ b/internal/capacity/load.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+)
+
+const tokensPerRequest = 100
+
+// load keeps streams in flight through every host.
+type load struct {
+	tokens atomic.Int64
+	failed atomic.Int64
+}
+
+// startLoad starts the given number of callers for each host.
+func startLoad(ctx context.Context, scene *harness.Scene, streams int) *load {
+	l := &load{}
+	for entry := range scene.Deployment.Entries {
+		caller := scene.Caller(entry)
+		for stream := range streams {
+			go l.run(ctx, caller, fmt.Sprintf("host %d stream %d", entry, stream))
+		}
+	}
+	return l
+}
+
+func (l *load) run(ctx context.Context, caller *harness.Caller, name string) {
+	for request := 0; ctx.Err() == nil; request++ {
+		prompt := fmt.Sprintf("%s request %d", name, request)
+		answer, err := caller.Stream(ctx, prompt, tokensPerRequest, func(string) { l.tokens.Add(1) })
+		if err != nil || !answer.Complete {
+			l.failed.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/main.go
@@ -0,0 +1,141 @@
+// Command capacity measures what an entry host uses for control at several
+// numbers of hosts and endpoints. docs/CAPACITY.md works out the slopes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+)
+
+type options struct {
+	Sizes  []string      `long:"size" default:"3x48" default:"6x48" default:"12x48" default:"24x48" default:"6x96" default:"6x192" description:"entry hosts and engines, as 6x48; may be repeated"`
+	Group  int           `long:"group" default:"4" description:"hosts of a group"`
+	Settle time.Duration `long:"settle" default:"25s" description:"time before the measurement"`
+	Window time.Duration `long:"window" default:"20s" description:"length of the measurement"`
+	Load   int           `long:"load" default:"0" description:"streams in flight through every host during the measurement"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var args options
+	if _, err := flags.Parse(&args); err != nil {
+		if flags.WroteHelp(err) {
+			return nil
+		}
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	directory, err := os.MkdirTemp("", "flamingodoor-capacity-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	if err := harness.Build(ctx, ".", directory, false); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(os.Stdout, "hosts engines groups  cpu_percent  resident_mb  peer_bytes_s  platform_bytes_s  probe_bytes_s  streams  tokens_s")
+	for _, size := range args.Sizes {
+		var hosts, engines int
+		if _, err := fmt.Sscanf(size, "%dx%d", &hosts, &engines); err != nil {
+			return err
+		}
+		if err := measureSize(ctx, args, directory, hosts, engines); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measureSize prints the mean use of a host over the window.
+func measureSize(ctx context.Context, args options, programs string, hosts, engines int) error {
+	log, err := os.Create(filepath.Join(programs, "processes.log")) //nolint:gosec // Own directory.
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	deployment := &harness.Deployment{Programs: programs, Log: log}
+	defer deployment.Close()
+	scene, farm, err := startFarmScene(ctx, deployment, args, hosts, engines)
+	if err != nil {
+		return err
+	}
+	load := startLoad(ctx, scene, args.Load)
+	time.Sleep(args.Settle)
+	if err := scene.WaitServing(ctx); err != nil {
+		return err
+	}
+	before, err := sampleAll(ctx, deployment)
+	if err != nil {
+		return err
+	}
+	probeBefore, tokensBefore := farm.bytes(), load.tokens.Load()
+	time.Sleep(args.Window)
+	after, err := sampleAll(ctx, deployment)
+	if err != nil {
+		return err
+	}
+	seconds := args.Window.Seconds()
+	var mean sample
+	for index := range after {
+		use := after[index].minus(before[index])
+		mean.cpuSeconds += use.cpuSeconds / float64(hosts)
+		mean.residentBytes += use.residentBytes / float64(hosts)
+		mean.peerBytes += use.peerBytes / float64(hosts)
+		mean.platformBytes += use.platformBytes / float64(hosts)
+	}
+	probes := float64(farm.bytes()-probeBefore) / float64(hosts)
+	_, err = fmt.Fprintf(os.Stdout, "%5d %7d %6d  %11.2f  %11.1f  %12.0f  %16.0f  %13.0f  %7d  %8.0f\n",
+		hosts, engines, engines/args.Group, 100*mean.cpuSeconds/seconds, mean.residentBytes/(1<<20),
+		mean.peerBytes/seconds, mean.platformBytes/seconds, probes/seconds,
+		args.Load*hosts, float64(load.tokens.Load()-tokensBefore)/seconds)
+	return err
+}
+
+func sampleAll(ctx context.Context, deployment *harness.Deployment) ([]sample, error) {
+	samples := make([]sample, 0, len(deployment.Entries))
+	for _, entry := range deployment.Entries {
+		use, err := sampleEntry(ctx, entry)
+		if err != nil {
+			return nil, err
+		}
+		samples = append(samples, use)
+	}
+	return samples, nil
+}
+
+// startFarmScene starts the hosts before a farm of engines and applies the
+// configuration.
+func startFarmScene(ctx context.Context, deployment *harness.Deployment, args options, hosts, engines int) (*harness.Scene, *farm, error) {
+	shape := harness.Shape{Entries: hosts, HostsPerGroup: args.Group, Groups: engines / args.Group}
+	scene, err := harness.StartScene(ctx, deployment, shape)
+	if err != nil {
+		return nil, nil, err
+	}
+	farm, err := newFarm(ctx, engines, args.Group)
+	if err != nil {
+		return nil, nil, err
+	}
+	scene.Manifest.Endpoints = append(scene.Manifest.Endpoints, farm.endpoints...)
+	if _, err := deployment.Apply(ctx, scene.Manifest); err != nil {
+		return nil, nil, err
+	}
+	return scene, farm, nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,6 @@
 const (
 	trafficPeer     = "peer"
 	trafficPlatform = "platform"
-	trafficProbe    = "probe"
 )
 
 // Daemon is one entry host.
@@ -128,7 +127,7 @@
 }
 
 func (d *Daemon) build(ctx context.Context) error {
-	for _, kind := range []string{trafficPeer, trafficPlatform, trafficProbe} {
+	for _, kind := range []string{trafficPeer, trafficPlatform} {
 		if err := d.metrics.CountTraffic(kind); err != nil {
 			return err
 		}
