Fix a data race in the at-most-once property test

A late call to a peer could join the wait group of a simulated host while stop waited for it, which the race detector reported in about one of several runs. A call is now counted under the lock that replaces the host, and refused once the host is replaced.

--- a/internal/intent/runner_test.go
+++ b/internal/intent/runner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -89,6 +90,18 @@
 	return h
 }
 
+// begin counts a call unless the host was replaced, since stop may then wait
+// for its calls already.
+func (h *host) begin() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	serving := slices.Contains(h.hosts, h)
+	if serving {
+		h.calls.Add(1)
+	}
+	return serving
+}
+
 func (h *host) stop(flush time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), flush)
 	defer cancel()
@@ -176,12 +189,18 @@
 			return &peer{target: other}
 		}
 	}
-	return nil
+	return &peer{target: &host{world: h.world}} // stopped
 }
 
 func (p *peer) RunOnce(ctx context.Context, request *connect.Request[peerv1.RunOnceRequest]) (*connect.Response[peerv1.RunOnceResponse], error) {
 	answers := make(chan *peerv1.RunOnceResponse, 1)
-	p.target.calls.Go(func() { answers <- intent.ServeRunOnce(ctx, p.target.runner, request.Msg) })
+	if !p.target.begin() {
+		return nil, connect.NewError(connect.CodeUnavailable, io.ErrClosedPipe)
+	}
+	go func() {
+		defer p.target.calls.Done()
+		answers <- intent.ServeRunOnce(ctx, p.target.runner, request.Msg)
+	}()
 	select {
 	case answer := <-answers:
 		if !p.target.dead.Load() && !p.target.fault() {
@@ -270,7 +289,9 @@
 			w.set(func() { w.outage = false })
 		})
 		group.Wait()
-		for _, h := range w.hosts {
+		var last []*host
+		w.set(func() { last, w.hosts = w.hosts, nil })
+		for _, h := range last {
 			h.stop(time.Minute)
 		}
 		time.Sleep(time.Minute) // late appends end
