Place groups on hosts rather than endpoints and replace unfit members

Two endpoints of one host could be chosen for groups, which the state machine refuses each round, so the group never formed. A host now counts as taken while any of its endpoints is in a group or in quarantine. A replacement that kept a leaving member or one in a data centre that is out was refused in the same way; such members are now replaced together with the lost one.

The settle property covers hosts with two endpoints, fabric domains that span data centres and leaving members.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -27,7 +27,7 @@
 		for h := range hosts {
 			id := fmt.Sprintf("d%d-h%02d", d, h)
 			w.endpoints = append(w.endpoints, flamingodoor.Endpoint{
-				ID: id, DataCentre: dataCentre, FabricDomain: fmt.Sprintf("d%d", d),
+				ID: id, HostID: id, DataCentre: dataCentre, FabricDomain: fmt.Sprintf("d%d", d),
 				Kind: flamingodoor.EndpointKindEngine, Accelerators: 1 + h%accelerators,
 			})
 			w.seen[id] = placement.Endpoint{Live: true}
@@ -42,18 +42,33 @@
 	return w
 }
 
+// share puts several endpoints on each host, and may spread each fabric domain
+// over data centres.
+func (w *world) share(endpoints int, spread bool) {
+	for i := range w.endpoints {
+		w.endpoints[i].HostID = w.endpoints[i-i%endpoints].ID
+		if spread {
+			w.endpoints[i].DataCentre = w.dataCentres[i/endpoints%2].ID
+		}
+	}
+}
+
 // change applies one kind of failure or operator change.
 func (w *world) change(t *rapid.T, now time.Time) {
-	host := rapid.SampledFrom(w.endpoints).Draw(t, "host")
+	index := rapid.IntRange(0, len(w.endpoints)-1).Draw(t, "host")
+	host := &w.endpoints[index]
 	plan := rapid.IntRange(0, len(w.plans)-1).Draw(t, "plan")
 	seen := w.seen[host.ID]
-	switch rapid.IntRange(0, 6).Draw(t, "change") {
+	switch rapid.IntRange(0, 7).Draw(t, "change") {
 	case 0, 1:
 		seen.Live, seen.LostAt = false, now
 	case 2:
 		seen.Live = true
 	case 3:
 		seen.Leaving = !seen.Leaving
+		seen.InFlight = rapid.IntRange(0, 1).Draw(t, "in flight")
+	case 7:
+		host.Leaving = !host.Leaving
 	case 4:
 		w.plans[plan].Groups = rapid.IntRange(0, 4).Draw(t, "groups")
 	case 5:
@@ -73,10 +88,10 @@
 		used[plan.ClubID] += model.AcceleratorsPerHost * len(group.EndpointIDs)
 		for _, id := range group.EndpointIDs {
 			endpoint, _ := w.Endpoint(id)
-			assert.Equal(t, holder[id], "", "%s in two groups", id)
+			assert.Equal(t, holder[endpoint.HostID], "", "%s in two groups", endpoint.HostID)
 			assert.Equal(t, endpoint.FabricDomain, group.FabricDomain)
 			assert.Assert(t, endpoint.Accelerators >= model.AcceleratorsPerHost)
-			holder[id] = group.ID
+			holder[endpoint.HostID] = group.ID
 		}
 	}
 	for _, club := range w.clubs {
@@ -98,14 +113,21 @@
 	}
 	w := newWorld(ints(1, 9, 4, "domains"), rapid.IntRange(1, 2).Draw(t, "accelerators"),
 		ints(1, 5, 3, "sizes"), ints(0, 4, 3, "wanted"), ints(0, 20, 3, "shares"))
+	w.share(rapid.IntRange(1, 2).Draw(t, "endpoints of a host"), rapid.Bool().Draw(t, "domains span data centres"))
 	now := start
 	for range rapid.IntRange(1, 25).Draw(t, "steps") {
 		now = now.Add(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
 		for _, action := range w.planAndApply(t, policy, now) {
-			form, ok := action.(placement.Form)
+			form, _ := action.(placement.Form)
 			for _, id := range form.EndpointIDs {
 				freed := w.seen[id].FreedAt
-				assert.Assert(t, !ok || freed.IsZero() || now.Sub(freed) >= placement.DefaultQuarantine, "%s", id)
+				assert.Assert(t, freed.IsZero() || now.Sub(freed) >= placement.DefaultQuarantine, "%s", id)
+			}
+			replace, _ := action.(placement.Replace)
+			for _, id := range append(form.EndpointIDs, replace.EndpointIDs...) {
+				endpoint, _ := w.Endpoint(id)
+				dataCentre, _ := w.DataCentre(endpoint.DataCentre)
+				assert.Assert(t, !endpoint.Leaving && !dataCentre.Out, "%s is not to be used", id)
 			}
 		}
 		w.serveAll()
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -151,16 +151,20 @@
 
 func (s *state) readDomains() {
 	domains := map[string]*domain{}
+	taken := s.takenHosts()
 	for _, endpoint := range s.input.Configuration.Endpoints() {
 		if endpoint.Kind != flamingodoor.EndpointKindEngine {
 			continue
 		}
-		if domains[endpoint.FabricDomain] == nil {
-			domains[endpoint.FabricDomain] = &domain{id: endpoint.FabricDomain}
-			s.domains = append(s.domains, domains[endpoint.FabricDomain])
+		entry := domains[endpoint.FabricDomain]
+		if entry == nil {
+			entry = &domain{id: endpoint.FabricDomain}
+			domains[endpoint.FabricDomain] = entry
+			s.domains = append(s.domains, entry)
 		}
-		if s.free(endpoint) {
-			entry := domains[endpoint.FabricDomain]
+		if s.usable(endpoint) && !taken[endpoint.HostID] {
+			// Only one endpoint of a host is used.
+			taken[endpoint.HostID] = true
 			entry.free = append(entry.free, endpoint)
 		}
 	}
@@ -178,6 +182,27 @@
 	slices.SortFunc(s.domains, func(a, b *domain) int { return cmp.Compare(a.id, b.id) })
 }
 
+// takenHosts returns the hosts with an endpoint that is in a group or in
+// quarantine.
+func (s *state) takenHosts() map[string]bool {
+	taken := map[string]bool{}
+	for _, endpoint := range s.input.Configuration.Endpoints() {
+		if endpoint.Kind != flamingodoor.EndpointKindEngine {
+			continue
+		}
+		if _, grouped := s.input.Configuration.GroupOfEndpoint(endpoint.ID); grouped {
+			taken[endpoint.HostID] = true
+			continue
+		}
+		freedAt := s.input.Endpoints[endpoint.ID].FreedAt
+		if !freedAt.IsZero() && s.now.Sub(freedAt) < s.policy.quarantine {
+			s.quarantined = true
+			taken[endpoint.HostID] = true
+		}
+	}
+	return taken
+}
+
 // usable reports whether groups may run on the endpoint.
 func (s *state) usable(endpoint flamingodoor.Endpoint) bool {
 	seen := s.input.Endpoints[endpoint.ID]
@@ -186,18 +211,6 @@
 		seen.Live && !seen.Leaving && !endpoint.Leaving && !out
 }
 
-func (s *state) free(endpoint flamingodoor.Endpoint) bool {
-	if _, grouped := s.input.Configuration.GroupOfEndpoint(endpoint.ID); grouped {
-		return false
-	}
-	freedAt := s.input.Endpoints[endpoint.ID].FreedAt
-	if !freedAt.IsZero() && s.now.Sub(freedAt) < s.policy.quarantine {
-		s.quarantined = true
-		return false
-	}
-	return s.usable(endpoint)
-}
-
 func (s *state) outSince(dataCentre string) (time.Time, bool) {
 	if since, out := s.input.OutSince[dataCentre]; out {
 		return since, true
--- a/internal/placement/steps.go
+++ b/internal/placement/steps.go
@@ -88,20 +88,28 @@
 
 // lostMembers returns the members to replace. A leaving member of a group
 // that still runs requests stays, because the replacement would interrupt
-// them.
+// them. Once a group is replaced, no member may be leaving or out of service:
+// the state machine refuses such a record.
 func (s *state) lostMembers(group flamingodoor.Group) []string {
 	drained := s.inFlight(group) == 0
-	var lost []string
+	var lost, unfit []string
 	for _, id := range group.EndpointIDs {
 		endpoint, known := s.input.Configuration.Endpoint(id)
 		seen := s.input.Endpoints[id]
+		_, out := s.outSince(endpoint.DataCentre)
 		dead := !seen.Live && s.now.Sub(seen.LostAt) >= s.policy.replaceAfter
-		leaving := seen.Live && (seen.Leaving || endpoint.Leaving)
-		if !known || dead || (leaving && drained) {
+		leaving := endpoint.Leaving || (seen.Live && seen.Leaving)
+		if !known || dead || (seen.Live && leaving && drained) {
 			lost = append(lost, id)
 		}
+		if !known || dead || leaving || out {
+			unfit = append(unfit, id)
+		}
+	}
+	if len(lost) == 0 {
+		return nil
 	}
-	return lost
+	return unfit
 }
 
 // renewOutdated dissolves one group of a plan whose model or version changed,
--- a/internal/plan/platform_test.go
+++ b/internal/plan/platform_test.go
@@ -39,7 +39,7 @@
 		for h := range hosts {
 			id := fmt.Sprintf("d%d-h%d", d, h)
 			p.endpoints = append(p.endpoints, flamingodoor.Endpoint{
-				ID: id, FabricDomain: fmt.Sprintf("d%d", d), DataCentre: "dc", Accelerators: 1,
+				ID: id, HostID: id, FabricDomain: fmt.Sprintf("d%d", d), DataCentre: "dc", Accelerators: 1,
 				Kind: flamingodoor.EndpointKindEngine, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(h)),
 			})
 			p.reports[id] = flamingodoor.Report{State: flamingodoor.EndpointStateCold}
