--- /dev/null
+++ b/internal/departure/main.go
@@ -0,0 +1,216 @@
+// Command departure measures the service that callers get while a data centre
+// leaves and returns with cold engines, against a plain policy: a random leader
+// of a data centre in service, three tries, no care for cold starts.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"flamingodoor.example/flamingodoor/internal/faultproxy"
+	"flamingodoor.example/flamingodoor/internal/harness"
+)
+
+type options struct {
+	Distance time.Duration `long:"distance" default:"500us" description:"one-way delay between data centres (Kivuko 1.5ms, Valach 500us)"`
+	Rate     float64       `long:"rate" default:"30" description:"requests a second"`
+	Phase    time.Duration `long:"phase" default:"15s" description:"length of each phase: before, out, returned"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the arrivals"`
+}
+
+// Targets of design.md section 1.3.
+const (
+	firstTokenTarget = 500 * time.Millisecond
+	gapTarget        = 25 * time.Millisecond
+)
+
+const (
+	leavingDataCentre = "dc-a"
+	requestTokens     = 40
+	drainTimeout      = 20 * time.Second
+)
+
+func main() {
+	if err := run(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "departure:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var args options
+	if _, err := flags.Parse(&args); err != nil {
+		if flags.WroteHelp(err) {
+			return nil
+		}
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	directory, err := os.MkdirTemp("", "flamingodoor-departure-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	if err := harness.Build(ctx, ".", directory, false); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(directory, "processes.log")) //nolint:gosec // Own directory.
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	_, _ = fmt.Fprintln(os.Stdout, "policy  phase     requests  complete  in_time  gaps_in_time  cold_in_flight_max  failures")
+	for _, policy := range []string{"plain", "entry"} {
+		deployment := &harness.Deployment{Programs: directory, Log: log}
+		err := measure(ctx, args, deployment, policy)
+		deployment.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// measure runs the three phases with one policy and prints a line for each.
+func measure(ctx context.Context, args options, deployment *harness.Deployment, policy string) error {
+	scene, err := startScene(ctx, args, deployment)
+	if err != nil {
+		return err
+	}
+	sender := newSender(scene, policy)
+	phases := []struct {
+		name  string
+		begin func() error
+	}{
+		{"start", func() error { return nil }},
+		{"before", func() error { return nil }},
+		{"out", func() error {
+			_, err := deployment.Control(ctx, "drain", leavingDataCentre, "--reason", "measurement")
+			return err
+		}},
+		{"returned", func() error { return returnCold(ctx, scene) }},
+	}
+	random := rand.New(rand.NewPCG(args.Seed, args.Seed)) //nolint:gosec // Reproducible arrivals.
+	for _, phase := range phases {
+		if err := phase.begin(); err != nil {
+			return err
+		}
+		if err := sender.refresh(ctx); err != nil {
+			return err
+		}
+		result := runPhase(ctx, args, random, sender)
+		if err := result.print(ctx, policy, phase.name, scene); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startScene starts three data centres with two groups of two engines each.
+func startScene(ctx context.Context, args options, deployment *harness.Deployment) (*harness.Scene, error) {
+	scene, err := harness.StartScene(ctx, deployment, harness.Shape{
+		Entries: 3, Domains: 6, EnginesPerDomain: 2, HostsPerGroup: 2, Groups: 6,
+		EngineArguments: []string{
+			"--first-token-delay=100ms", "--token-interval=15ms", "--answer-tokens=40",
+			"--cold-delay=300ms", "--cold-requests=10", "--cold-grace=2s", "--report-lag=200ms", "--capacity=32",
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, engine := range scene.Engines {
+		engine.Proxy.Set(faultproxy.Rule{Delay: args.Distance})
+	}
+	if _, err := deployment.Apply(ctx, scene.Manifest); err != nil {
+		return nil, err
+	}
+	return scene, scene.WaitServing(ctx)
+}
+
+// returnCold puts the data centre back with its engines cold.
+func returnCold(ctx context.Context, scene *harness.Scene) error {
+	for _, engine := range scene.Engines {
+		if engine.DataCentre != leavingDataCentre {
+			continue
+		}
+		if err := engine.Control(ctx, "cold"); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	_, err := scene.Deployment.Control(ctx, "return", leavingDataCentre)
+	return err
+}
+
+// phaseResult sums the answers of one phase.
+type phaseResult struct {
+	mutex    sync.Mutex
+	requests int
+	complete int
+	inTime   int
+	gaps     int
+	gapsSlow int
+	failures map[string]int // by code
+}
+
+func (r *phaseResult) add(answer harness.Answer) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.requests++
+	if answer.Complete {
+		r.complete++
+		if answer.FirstToken <= firstTokenTarget {
+			r.inTime++
+		}
+	}
+	if !answer.Complete {
+		r.failures[answer.Code]++
+	}
+	for _, gap := range answer.Gaps {
+		r.gaps++
+		if gap > gapTarget {
+			r.gapsSlow++
+		}
+	}
+}
+
+func (r *phaseResult) print(ctx context.Context, policy, phase string, scene *harness.Scene) error {
+	cold := 0
+	for _, engine := range scene.Engines {
+		statistics, err := engine.Statistics(ctx)
+		if err != nil {
+			return err
+		}
+		cold = max(cold, statistics.ColdInFlightMax)
+	}
+	share := func(part, whole int) float64 { return float64(part) / float64(max(1, whole)) }
+	_, err := fmt.Fprintf(os.Stdout, "%-6s  %-8s  %8d  %8.4f  %7.4f  %12.4f  %18d  %v\n", policy, phase, r.requests,
+		share(r.complete, r.requests), share(r.inTime, r.requests), 1-share(r.gapsSlow, r.gaps), cold, r.failures)
+	return err
+}
+
+// runPhase sends requests at random times of the given mean rate.
+func runPhase(ctx context.Context, args options, random *rand.Rand, sender *sender) *phaseResult {
+	result := &phaseResult{failures: make(map[string]int)}
+	var requests sync.WaitGroup
+	for at := time.Duration(0); at < args.Phase; {
+		wait := time.Duration(random.ExpFloat64() / args.Rate * float64(time.Second))
+		at += wait
+		time.Sleep(wait)
+		choice := random.Uint64()
+		requests.Go(func() { result.add(sender.send(ctx, choice)) })
+	}
+	requests.Wait()
+	return result
+}
--- /dev/null
+++ b/internal/departure/sender.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/engine"
+	"flamingodoor.example/flamingodoor/internal/harness"
+)
+
+const (
+	plainTries   = 3
+	plainVersion = "v1"
+)
+
+// sender sends requests through the entry hosts or, for the plain policy,
+// straight to random leaders.
+type sender struct {
+	scene   *harness.Scene
+	plain   bool
+	callers []*harness.Caller
+	engine  *engine.Client
+	leaders []leader
+}
+
+type leader struct {
+	address       netip.AddrPort
+	fencingNumber uint64
+}
+
+func newSender(scene *harness.Scene, policy string) *sender {
+	s := &sender{scene: scene, plain: policy == "plain", engine: engine.NewClient()}
+	for index := range scene.Deployment.Entries {
+		s.callers = append(s.callers, scene.Caller(index))
+	}
+	return s
+}
+
+// refresh lists the leaders of the data centres in service for the plain
+// policy, which follows the configuration without delay.
+func (s *sender) refresh(ctx context.Context) error {
+	status, err := s.scene.Deployment.Entries[0].Status(ctx)
+	if err != nil {
+		return err
+	}
+	out := make(map[string]bool)
+	for _, name := range status.GetRestrictedDataCentres() {
+		out[name] = true
+	}
+	objects, err := s.scene.OutDataCentres(ctx)
+	if err != nil {
+		return err
+	}
+	for _, name := range objects {
+		out[name] = true
+	}
+	s.leaders = nil
+	for _, endpoint := range s.scene.Engines {
+		report, err := s.engine.Report(ctx, flamingodoor.Endpoint{ID: endpoint.Name, Address: endpoint.Proxy.Address()})
+		if err != nil || report.GroupID == "" || report.MemberIndex != 0 || out[endpoint.DataCentre] {
+			continue
+		}
+		s.leaders = append(s.leaders, leader{endpoint.Proxy.Address(), report.FencingNumber})
+	}
+	return nil
+}
+
+func (s *sender) send(ctx context.Context, choice uint64) harness.Answer {
+	prompt := fmt.Sprintf("request %d", choice)
+	if s.plain {
+		return s.sendPlain(ctx, prompt, choice)
+	}
+	caller := s.callers[choice%uint64(len(s.callers))]
+	answer, err := caller.Stream(ctx, prompt, requestTokens, nil)
+	if err != nil {
+		return harness.Answer{}
+	}
+	return answer
+}
+
+// sendPlain tries up to three leaders and starts anew at each.
+func (s *sender) sendPlain(ctx context.Context, prompt string, choice uint64) harness.Answer {
+	started := time.Now()
+	for try := range plainTries {
+		target := s.leaders[(choice>>(8*try))%uint64(len(s.leaders))]
+		answer, err := s.generate(ctx, target, prompt, started, try)
+		if err == nil {
+			return answer
+		}
+	}
+	return harness.Answer{}
+}
+
+func (s *sender) generate(ctx context.Context, target leader, prompt string, started time.Time, try int) (harness.Answer, error) {
+	chunks, err := s.engine.Generate(ctx, flamingodoor.Endpoint{Address: target.address}, flamingodoor.GenerateRequest{
+		RequestID: prompt, Attempt: try, ModelID: harness.SceneModel, Version: plainVersion,
+		Prompt: prompt, MaxTokens: requestTokens, FencingNumber: target.fencingNumber,
+	})
+	if err != nil {
+		return harness.Answer{}, err
+	}
+	defer func() { _ = chunks.Close() }()
+	var answer harness.Answer
+	last := started
+	for {
+		chunk, err := chunks.Next()
+		if err == io.EOF { //nolint:errorlint // Next returns the value itself.
+			answer.Complete = true
+			return answer, nil
+		}
+		if err != nil {
+			return harness.Answer{}, err
+		}
+		if chunk.Done {
+			continue
+		}
+		now := time.Now()
+		if answer.Tokens == 0 {
+			answer.FirstToken = now.Sub(started)
+		} else {
+			answer.Gaps = append(answer.Gaps, now.Sub(last))
+		}
+		answer.Tokens++
+		last = now
+	}
+}
--- a/internal/harness/scene.go
+++ b/internal/harness/scene.go
@@ -225,3 +225,22 @@
 func formatSeconds(duration time.Duration) string {
 	return strconv.FormatFloat(duration.Seconds(), 'f', 3, 64)
 }
+
+// OutDataCentres lists the data centres that the configuration has out of
+// service.
+func (s *Scene) OutDataCentres(ctx context.Context) ([]string, error) {
+	client := operatorv1connect.NewQueryServiceClient(http.DefaultClient, "http://"+s.Deployment.Entries[0].Operator.String())
+	request := connect.NewRequest(&operatorv1.GetRequest{Kind: "data_centre"})
+	request.Header().Set("Authorization", "Bearer "+OperatorToken)
+	response, err := client.Get(ctx, request)
+	if err != nil {
+		return nil, internalError(err)
+	}
+	var out []string
+	for _, object := range response.Msg.GetObjects() {
+		if object.GetDataCentre().GetOut() {
+			out = append(out, object.GetDataCentre().GetDataCentre())
+		}
+	}
+	return out, nil
+}
--- a/internal/standin/endpoint/generate.go
+++ b/internal/standin/endpoint/generate.go
@@ -88,7 +88,7 @@
 	}()
 	delay := s.settings.firstTokenDelay
 	if cold {
-		delay = max(delay, s.settings.coldDelay)
+		delay = max(delay, s.coldDelay())
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Incarnation", s.settings.incarnation)
@@ -97,6 +97,15 @@
 	completed = s.stream(ctx, w, &body, delay)
 }
 
+// coldDelay is the time to the first token while cold. A cold engine works
+// requests off one after the other, so it falls behind under load.
+func (s *Server) coldDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap := s.current()
+	return s.settings.coldDelay * time.Duration(max(1, snap.inFlight))
+}
+
 // accept decides whether the request runs here, and registers it.
 func (s *Server) accept(body *generateBody, run *running) (cold, counted bool, status int) {
 	s.mu.Lock()
