Stop renewing a permit whose cancellation was not confirmed

Cause: abandonPermit cancelled the context that Acquire was called with, but a claim detaches its renewals from that context, so an abandoned claim kept its slot of the cold endpoint for as long as the host ran. Ruled out: the watchers' table, which expires an unrenewed slot as it should. Permit has a method Abandon now, and the dispatcher calls it.

--- a/interfaces.go
+++ b/interfaces.go
@@ -120,7 +120,8 @@
 	Acquire(ctx context.Context, endpoint Endpoint, incarnation string) (Permit, error)
 }
 
-// Permit is a slot of a cold endpoint, renewed until it is released.
+// Permit is a slot of a cold endpoint, renewed until it is released or
+// abandoned.
 type Permit interface {
 	// Lost is closed when the slot could not be renewed in time; the request
 	// must then be cancelled at the endpoint.
@@ -130,6 +131,9 @@
 	// Release gives the slot back. It is called only after the endpoint has
 	// finished or confirmed the cancellation; else the slot must expire.
 	Release(ctx context.Context)
+	// Abandon stops the renewal and lets the slot expire, because the endpoint
+	// may still run the request.
+	Abandon()
 }
 
 // Engine is a client of model engines.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -125,6 +125,19 @@
 	assert.Equal(t, len(w.suspects), 0)
 }
 
+// Guards against a permit that is released, or renewed for ever, although the
+// engine has not confirmed the end of the request.
+func TestUnconfirmedCancellationAbandonsThePermit(t *testing.T) {
+	w := newWorld(t)
+	w.slots = 1
+	w.add(t, "a", standinendpoint.WithColdRequests(9), standinendpoint.WithCrash("boom", 1, w.stop("a")))
+	_, _, err := w.generate(t, "boom", 10*time.Second)
+	assert.Equal(t, flamingodoor.RunStateOf(err), flamingodoor.RunStateRan)
+	assert.NilError(t, w.dispatcher.Drain(t.Context()))
+	assert.Equal(t, w.abandoned, 1)
+	assert.Equal(t, w.released, 0)
+}
+
 // Guards against trusting the state of a process that has been replaced.
 func TestRestartedEngineIsNotUsed(t *testing.T) {
 	w := newWorld(t)
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -35,6 +35,7 @@
 	slots                      int
 	lost                       chan struct{}
 	released                   int
+	abandoned                  int
 	dispatcher                 *dispatch.Dispatcher
 }
 
@@ -189,6 +190,12 @@
 	w.released++
 }
 
+func (w *world) Abandon() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.abandoned++
+}
+
 func (w *world) Blocked(flamingodoor.Fingerprint, time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -32,8 +32,6 @@
 type target struct {
 	routing.Candidate
 	permit flamingodoor.Permit
-	// stopRenewal ends the context of the permit.
-	stopRenewal context.CancelFunc
 }
 
 // groupCandidates returns the groups of a model that may receive work.
@@ -160,23 +158,16 @@
 	}
 }
 
-// acquirePermit obtains a permit under a context that outlives the request,
-// because the permit is kept until the endpoint has confirmed a cancellation.
+// acquirePermit obtains a permit, which outlives the request until the endpoint
+// has confirmed a cancellation.
 func (d *Dispatcher) acquirePermit(ctx context.Context, candidate routing.Candidate) (target, error) {
-	permitContext, stop := context.WithCancel(context.WithoutCancel(ctx))
-	timer := time.AfterFunc(d.permitTimeout, stop)
-	unlink := context.AfterFunc(ctx, stop)
-	permit, err := d.parts.Permits.Acquire(permitContext, candidate.Leader, candidate.Report.Incarnation)
+	ctx, cancel := context.WithTimeout(ctx, d.permitTimeout)
+	defer cancel()
+	permit, err := d.parts.Permits.Acquire(ctx, candidate.Leader, candidate.Report.Incarnation)
 	if err != nil {
-		stop()
 		return target{}, err
 	}
-	chosen := target{Candidate: candidate, permit: permit, stopRenewal: stop}
-	if !timer.Stop() || !unlink() {
-		d.releasePermit(ctx, chosen)
-		return target{}, flamingodoor.Errorf(flamingodoor.CodePermitDenied, "permit arrived too late")
-	}
-	return chosen, nil
+	return target{Candidate: candidate, permit: permit}, nil
 }
 
 // maySend repeats the checks just before a send: obtaining a permit took
@@ -222,14 +213,13 @@
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		t.permit.Release(ctx)
-		t.stopRenewal()
 	})
 }
 
 // abandonPermit lets the permit expire; the endpoint may still run the request.
 func (t *target) abandonPermit() {
 	if t.permit != nil {
-		t.stopRenewal()
+		t.permit.Abandon()
 	}
 }
 
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -87,7 +87,7 @@
 	endpoint flamingodoor.Endpoint
 	request  Request
 
-	ctx      context.Context // of renewals; ends with the release
+	ctx      context.Context // of renewals; ends with Release or Abandon
 	stop     context.CancelFunc
 	lost     chan struct{}
 	kept     chan struct{} // closed when keep has ended
@@ -143,6 +143,12 @@
 	})
 }
 
+// Abandon stops the renewal. A renewal in flight may still extend the slot
+// once at a watcher.
+func (c *claim) Abandon() {
+	c.stop()
+}
+
 // ask asks all watchers and returns as soon as the majority is decided. The
 // validity counts from the time before the first call. Calls that are still in
 // flight go on, so that all watchers know of the claim.
