--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -20,10 +20,10 @@
 	"flamingodoor.example/flamingodoor/internal/engine"
 )
 
-func serve(t *testing.T, handler http.HandlerFunc) flamingodoor.Endpoint {
-	t.Helper()
+func serve(tb testing.TB, handler http.HandlerFunc) flamingodoor.Endpoint {
+	tb.Helper()
 	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
+	tb.Cleanup(server.Close)
 	return flamingodoor.Endpoint{ID: "e", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 }
 
