Refuse a request after two crashes only if others do not explain them

Cause: every request in flight at a crash gets a strike, so a harmless one that resumed at the same endpoint as the culprit was refused with it. Ruled out: running alone after the first strike (every ordinary crash would resume its streams one by one) and strikes weighted by the number in flight (64 endpoints for one request). Now a request whose two crashes both struck other requests runs without other suspects of its host and is refused at the third crash. One request costs at most 2 endpoints, or 3 if others shared both crashes.

--- a/interfaces.go
+++ b/interfaces.go
@@ -173,6 +173,9 @@
 type Strikes interface {
 	// Blocked reports whether the request has crashed too many endpoints.
 	Blocked(fingerprint Fingerprint, now time.Time) bool
+	// MustRunAlone reports whether the request is a suspect that has to run
+	// without other suspects.
+	MustRunAlone(fingerprint Fingerprint, now time.Time) bool
 	// Report records a crash and tells the peers before it returns.
 	Report(ctx context.Context, fingerprint Fingerprint, incarnation string)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	resumeWait            time.Duration
 	avoidTime             time.Duration
 	loads                 loads
+	suspects              chan struct{} // holds the suspect in flight, at most one
 	background            sync.WaitGroup
 }
 
@@ -115,7 +116,7 @@
 		permitTimeout: defaultPermitTimeout, probeTimeout: defaultProbeTimeout,
 		coldFirstChunkTimeout: defaultColdFirstChunkTimeout, serviceTryTimeout: defaultServiceTryTimeout,
 		endpointWait: defaultEndpointWait, resumeWait: defaultResumeWait, avoidTime: defaultAvoidTime,
-		loads: newLoads(),
+		loads: newLoads(), suspects: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -57,6 +57,7 @@
 	tokens     int
 	state      flamingodoor.RunState
 	last       error // failure of the latest attempt
+	isolated   bool  // is the only suspect in flight of this host
 }
 
 // Generate runs a request and hands its tokens to emit in order. A nil error
@@ -85,6 +86,9 @@
 		},
 	}
 	err := g.run(ctx)
+	if g.isolated {
+		<-d.suspects
+	}
 	result := Result{FinishReason: g.assembler.FinishReason(), Tokens: g.tokens, Attempts: g.attempts}
 	if err != nil {
 		return result, flamingodoor.NewError(flamingodoor.CodeOf(err), g.state, err)
@@ -101,6 +105,13 @@
 		waitUntil = waitUntil.Add(d.endpointWait)
 	}
 	for {
+		waited, err := g.isolate(ctx)
+		if err != nil {
+			return err
+		}
+		if waited {
+			waitUntil = d.now().Add(d.endpointWait)
+		}
 		if d.parts.Strikes.Blocked(g.request.Fingerprint, d.now()) {
 			return flamingodoor.Errorf(flamingodoor.CodePoisonRequest, "request has crashed endpoints before")
 		}
@@ -133,6 +144,22 @@
 	}
 }
 
+// isolate waits until no other suspect of this host is in flight if this
+// request is one.
+func (g *generation) isolate(ctx context.Context) (waited bool, err error) {
+	d := g.dispatcher
+	if g.isolated || !d.parts.Strikes.MustRunAlone(g.request.Fingerprint, d.now()) {
+		return false, nil
+	}
+	select {
+	case d.suspects <- struct{}{}:
+		g.isolated = true
+		return true, nil
+	case <-ctx.Done():
+		return true, flamingodoor.NewError(flamingodoor.CodeDeadlineExceeded, flamingodoor.RunStateNotRun, context.Cause(ctx))
+	}
+}
+
 func (g *generation) mayRetry(ctx context.Context, err error) bool {
 	d := g.dispatcher
 	now := d.now()
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -16,9 +16,13 @@
 )
 
 const (
+	// blockedAt crashes block a request if other requests cannot explain one
+	// of them; provenAt crashes block it in any case, because from blockedAt
+	// on it runs without other suspects.
 	blockedAt = 2
+	provenAt  = 3
 	validity  = time.Hour
-	// Two block a request; more only help to tell them apart in a digest.
+	// More than provenAt only help to tell them apart in a digest.
 	maxIncarnations     = 4
 	maxFingerprints     = 10_000
 	defaultPushTimeout  = 300 * time.Millisecond
@@ -85,21 +89,55 @@
 	return l
 }
 
-// Blocked reports whether the request crashed two endpoints within an hour.
+// Blocked reports whether the request was in flight at three crashes within an
+// hour, or at two of which one struck no other request.
 func (l *Ledger) Blocked(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	s, ok := l.strikes[fingerprint]
-	return ok && now.Before(s.deadline) && len(s.incarnations) >= blockedAt
+	if !ok || !now.Before(s.deadline) || len(s.incarnations) < blockedAt {
+		return false
+	}
+	return len(s.incarnations) >= provenAt || !l.allShared(fingerprint, now)
+}
+
+// MustRunAlone reports whether the request was in flight at two crashes that struck
+// other requests as well. It has to run without other suspects, so that a
+// third crash proves which of them is at fault.
+func (l *Ledger) MustRunAlone(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	s, ok := l.strikes[fingerprint]
+	return ok && now.Before(s.deadline) && len(s.incarnations) == blockedAt && l.allShared(fingerprint, now)
+}
+
+// allShared reports whether every crash of the request struck another request.
+func (l *Ledger) allShared(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
+	shared := make(map[string]bool)
+	own := l.strikes[fingerprint].incarnations
+	for other, s := range l.strikes {
+		if other == fingerprint || !now.Before(s.deadline) {
+			continue
+		}
+		for incarnation := range s.incarnations {
+			if own[incarnation] {
+				shared[incarnation] = true
+			}
+		}
+	}
+	return len(shared) == len(own)
 }
 
 // Report records a crash and pushes it to the peers if it is new. The push
 // does not end with the caller's context, because a caller that goes away
-// often repeats the request elsewhere.
+// often repeats the request elsewhere. A report of the second crash returns
+// after the whole time of a push: by then the other requests in flight at the
+// crash have been reported too, and Blocked can tell them apart.
 func (l *Ledger) Report(ctx context.Context, fingerprint flamingodoor.Fingerprint, incarnation string) {
 	now := l.now()
 	l.mu.Lock()
 	added := l.add(fingerprint, []string{incarnation}, now, now)
+	settle := len(l.strikes[fingerprint].incarnations) == blockedAt
 	var message *peerv1.Strike
 	if added {
 		message = encode(fingerprint, l.strikes[fingerprint], now)
@@ -109,14 +147,18 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultPushTimeout)
+	defer cancel()
 	done := make(chan struct{})
 	go func() {
-		defer cancel()
 		defer close(done)
 		l.push(ctx, message)
 	}()
+	pushed := done
+	if settle {
+		pushed = nil
+	}
 	select {
-	case <-done:
+	case <-pushed:
 	case <-ctx.Done():
 	}
 }
