Send references to unchanged evidence in Exchange

At 6 hosts and 48 engines each host spent 23,187 bytes/s on peer connections, the largest part of its control traffic. Every response carried all entries of the digest with all their strings, although only their ages and loads change between two pulls.

A response now carries the full entries that changed since the digest version named in the request, and a numeric reference, age and load for the others. The caller keeps the full entries of each peer. The epoch in the version changes with the process, so a restarted peer starts with full entries; a lost response leaves the caller's version unchanged and is repeated. References are not reused within an epoch. Ages are rounded up, so evidence never looks younger than it is.

Compression of the responses, ruled out as the remedy: they were already compressed with gzip (523 bytes for an exchange of 25 entries).

--- /dev/null
+++ b/internal/peer/digest_test.go
@@ -0,0 +1,246 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1/peerv1connect"
+	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/health"
+	"flamingodoor.example/flamingodoor/internal/peer"
+)
+
+// puller is host a, which pulls the digest of host b's table and counts the
+// bytes that this takes.
+type puller struct {
+	exchanger *peer.Exchanger
+	handler   atomic.Pointer[http.Handler]
+	source    *health.Table // of b
+	merged    *health.Table // of a
+	evidence  []*peerv1.Evidence
+	start     time.Time
+	bytes     atomic.Int64
+	loses     atomic.Bool // b's responses do not arrive
+}
+
+func newPuller(t *testing.T) *puller {
+	t.Helper()
+	p := &puller{source: health.New(), merged: health.New()}
+	p.restart()
+	server := serve(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		(*p.handler.Load()).ServeHTTP(writer, request)
+	}))
+	hosts := &[]flamingodoor.EntryHost{
+		{ID: "host-a", Joined: 1},
+		{ID: "host-b", Joined: 2, PeerAddress: netip.MustParseAddrPort(server.Listener.Addr().String())},
+	}
+	a := &node{id: "host-a", hosts: hosts}
+	directory := peer.NewDirectory(peer.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countedConn{connection, &p.bytes}, err
+	}))
+	t.Cleanup(directory.Close)
+	lease := freshness.New(a.id, freshness.WithApplied(a.applied.Load))
+	p.exchanger = peer.NewExchanger(a.id, a, lease, directory,
+		peer.WithEvidence(func(start time.Time, response *peerv1.ExchangeResponse) {
+			p.start, p.evidence = start, response.GetEvidence()
+			p.merged.Merge(start, p.evidence)
+		}))
+	return p
+}
+
+// restart replaces b's process; its table of evidence is kept.
+func (p *puller) restart() {
+	b := &node{id: "host-b", hosts: &[]flamingodoor.EntryHost{}}
+	lease := freshness.New(b.id, freshness.WithApplied(b.applied.Load))
+	server := peer.NewServer(peer.Parts{
+		HostID: b.id, Store: b, Lease: lease,
+		Digest: func(now time.Time) []*peerv1.Evidence { return p.source.Digest(now, b.id) },
+	})
+	_, handler := peerv1connect.NewPeerServiceHandler(server, connect.WithInterceptors(connect.UnaryInterceptorFunc(
+		func(next connect.UnaryFunc) connect.UnaryFunc {
+			return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+				response, err := next(ctx, request)
+				if p.loses.Load() {
+					return nil, connect.NewError(connect.CodeUnavailable, context.DeadlineExceeded)
+				}
+				return response, err
+			}
+		})))
+	p.handler.Store(&handler)
+}
+
+// probe records evidence of b.
+func (p *puller) probe(endpoint int, change func(*flamingodoor.Report)) time.Time {
+	report := flamingodoor.Report{
+		Incarnation: fmt.Sprintf("5f0c8f1e-%08d", endpoint), State: flamingodoor.EndpointStateWarm,
+		GroupID: fmt.Sprintf("plan-%d", endpoint/4), FencingNumber: 1234, MemberIndex: endpoint % 4,
+		ModelID: "model-large", Version: "2026-11", Adapters: []string{"adapter"},
+	}
+	if change != nil {
+		change(&report)
+	}
+	now := time.Now()
+	p.source.Record(flamingodoor.Evidence{
+		EndpointID: fmt.Sprintf("engine-%d", endpoint), Watcher: "host-b", Report: report,
+		ProbedAt: now, Deadline: now.Add(health.Validity),
+	})
+	return now
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Guards against digests that alone exceed the control traffic of a host. At 7
+// hosts and 58 endpoints a host watches 58 x 3 / 7 = 25 endpoints. It takes
+// part in 6 pulls of its own and 6 of the others every 500 ms, 24 exchanges a
+// second, and makes 25 probes a second. The limit of 16 KB/s, less 500 bytes/s
+// for the platform and 25 x 320 bytes/s for probes, leaves 328 bytes for an
+// exchange.
+func TestExchangeBytes(t *testing.T) {
+	const (
+		endpoints   = 25
+		rounds      = 20
+		perExchange = (16<<10 - 500 - 25*320) / 24
+	)
+	p := newPuller(t)
+	probeAll := func(inFlight int) {
+		for endpoint := range endpoints {
+			p.probe(endpoint, func(r *flamingodoor.Report) { r.InFlight = inFlight })
+		}
+	}
+	probeAll(0)
+	p.exchanger.Round(t.Context()) // opens the connection and fetches the full entries
+	before := p.bytes.Load()
+	for round := range rounds {
+		if round%2 == 0 {
+			probeAll(round)
+		}
+		p.exchanger.Round(t.Context())
+		assert.Equal(t, len(p.evidence), endpoints)
+	}
+	mean := (p.bytes.Load() - before) / rounds
+	t.Logf("%d bytes for an exchange", mean)
+	assert.Assert(t, mean <= perExchange, "%d bytes for an exchange", mean)
+}
+
+// Guards against a reference that restores another content, another load or a
+// younger age than a full entry would have.
+func TestReferencesRestoreTheDigest(t *testing.T) {
+	p := newPuller(t)
+	probedAt := p.probe(0, nil)
+	p.probe(1, func(r *flamingodoor.Report) { r.InFlight = 3 })
+	p.exchanger.Round(t.Context())
+	full := p.evidence
+	p.exchanger.Round(t.Context())
+	assert.Equal(t, len(p.evidence), 2)
+	for i, e := range p.evidence {
+		assert.Assert(t, e != full[i])
+		assert.Equal(t, e.GetEndpointId(), full[i].GetEndpointId())
+		assert.Equal(t, e.GetWatcher(), "host-b")
+		assert.Equal(t, e.GetInFlight(), full[i].GetInFlight())
+	}
+	got, ok := p.merged.Endpoint("engine-0", time.Now())
+	want, _ := p.source.Endpoint("engine-0", time.Now())
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got.Report, want.Report)
+	age := p.evidence[0].GetAge().AsDuration()
+	assert.Assert(t, !p.start.Add(-age).After(probedAt), "evidence looks younger than it is")
+
+	for name, change := range map[string]func(*flamingodoor.Report){
+		"incarnation": func(r *flamingodoor.Report) { r.Incarnation = "next" },
+		"state":       func(r *flamingodoor.Report) { r.State = flamingodoor.EndpointStateCold },
+		"group":       func(r *flamingodoor.Report) { r.GroupID = "other" },
+		"fencing":     func(r *flamingodoor.Report) { r.FencingNumber++ },
+		"index":       func(r *flamingodoor.Report) { r.MemberIndex++ },
+		"model":       func(r *flamingodoor.Report) { r.ModelID = "other" },
+		"version":     func(r *flamingodoor.Report) { r.Version = "other" },
+		"adapters":    func(r *flamingodoor.Report) { r.Adapters = nil },
+		"load":        func(r *flamingodoor.Report) { r.InFlight = 9 },
+	} {
+		p.probe(0, nil)
+		p.exchanger.Round(t.Context())
+		p.probe(0, change)
+		p.exchanger.Round(t.Context())
+		got, _ := p.merged.Endpoint("engine-0", time.Now())
+		want, _ := p.source.Endpoint("engine-0", time.Now())
+		assert.DeepEqual(t, got.Report, want.Report)
+		assert.Equal(t, len(p.evidence), 2, name)
+	}
+}
+
+// Guards against references of an earlier process of the peer that restore
+// entries of the present one, and against a restart that loses entries.
+func TestRestartedPeerSendsFullEntries(t *testing.T) {
+	p := newPuller(t)
+	p.probe(0, nil)
+	p.probe(1, nil)
+	p.exchanger.Round(t.Context())
+	p.exchanger.Round(t.Context())
+	p.source = health.New()
+	p.probe(2, nil) // gets the reference that engine-0 had
+	p.probe(3, nil)
+	p.restart()
+	for range 2 {
+		p.exchanger.Round(t.Context())
+		assert.Equal(t, len(p.evidence), 2)
+		assert.Equal(t, p.evidence[0].GetEndpointId(), "engine-2")
+		assert.Equal(t, p.evidence[1].GetEndpointId(), "engine-3")
+	}
+}
+
+// Guards against a change that is lost with the response that carried it, and
+// against an endpoint that vanishes and returns while responses are lost.
+func TestLostResponseIsRepeated(t *testing.T) {
+	p := newPuller(t)
+	p.probe(0, nil)
+	p.exchanger.Round(t.Context())
+	p.loses.Store(true)
+	p.probe(0, func(r *flamingodoor.Report) { r.State = flamingodoor.EndpointStateCold })
+	p.exchanger.Round(t.Context())
+	p.source.Suspect("engine-0", time.Now())
+	p.exchanger.Round(t.Context())
+	p.probe(0, func(r *flamingodoor.Report) { r.State = flamingodoor.EndpointStateLoading })
+	p.exchanger.Round(t.Context())
+	p.loses.Store(false)
+	for range 2 {
+		p.exchanger.Round(t.Context())
+		assert.Equal(t, len(p.evidence), 1)
+		assert.Equal(t, p.evidence[0].GetState(), peerv1.EndpointState_ENDPOINT_STATE_LOADING)
+	}
+
+	p.source.Suspect("engine-0", time.Now())
+	p.exchanger.Round(t.Context())
+	assert.Equal(t, len(p.evidence), 0)
+	p.probe(0, nil)
+	for range 2 {
+		p.exchanger.Round(t.Context())
+		assert.Equal(t, len(p.evidence), 1)
+		assert.Equal(t, p.evidence[0].GetState(), peerv1.EndpointState_ENDPOINT_STATE_WARM)
+	}
+}
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -69,6 +69,8 @@
 
 	mu       sync.Mutex
 	contacts map[string]contact
+
+	digests digestCaches
 }
 
 // NewExchanger returns an exchanger of the host.
@@ -83,6 +85,7 @@
 		directory: directory,
 		logger:    log.NewNopLogger(),
 		contacts:  make(map[string]contact),
+		digests:   digestCaches{byHost: make(map[string]*digestCache)},
 	}
 	for _, option := range options {
 		option(e)
@@ -133,9 +136,12 @@
 func (e *Exchanger) pull(ctx context.Context, round *round, host flamingodoor.EntryHost) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	epoch, version := e.digests.held(host.ID)
 	response, err := e.directory.Peer(host).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{
-		HostId:  e.hostID,
-		Applied: round.configuration.Applied(),
+		HostId:        e.hostID,
+		Applied:       round.configuration.Applied(),
+		DigestEpoch:   epoch,
+		DigestVersion: version,
 	}))
 	if err == nil && response.Msg.GetHostId() != host.ID {
 		// An address can pass on to another host before the member list shows it.
@@ -145,6 +151,7 @@
 		e.failed(host.ID, err)
 		return
 	}
+	e.digests.expand(host.ID, response.Msg)
 	// Restrictions come before the lease that they accompany takes effect.
 	for _, r := range response.Msg.GetRestrictions() {
 		if e.verdictOf == nil || !e.verdictOf(r.GetCommandId()) {
@@ -239,6 +246,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.digests.retain(members)
 	if retainer, ok := e.directory.(interface {
 		Retain(hosts []flamingodoor.EntryHost)
 	}); ok && len(hosts) > 0 {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -53,14 +53,15 @@
 // Server answers the peer RPC.
 type Server struct {
 	peerv1connect.UnimplementedPeerServiceHandler
-	parts Parts
+	parts   Parts
+	digests *digestPublisher
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns a server that answers from the parts.
 func NewServer(parts Parts) *Server {
-	return &Server{parts: parts}
+	return &Server{parts: parts, digests: newDigestPublisher()}
 }
 
 // Exchange answers with this host's digest and a freshness grant. The
@@ -81,7 +82,7 @@
 		response.Restrictions = append(response.Restrictions, restrictionMessage(r))
 	}
 	if s.parts.Digest != nil {
-		response.Evidence = s.parts.Digest(now)
+		s.digests.answer(request.Msg, response, s.parts.Digest(now))
 	}
 	if s.parts.ClubUses != nil {
 		response.ClubUses = s.parts.ClubUses()
