--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"flamingodoor.example/flamingodoor/internal/health"
 	"flamingodoor.example/flamingodoor/internal/intent"
 	"flamingodoor.example/flamingodoor/internal/logstream"
+	"flamingodoor.example/flamingodoor/internal/member"
 	"flamingodoor.example/flamingodoor/internal/membership"
 	"flamingodoor.example/flamingodoor/internal/operator"
 	"flamingodoor.example/flamingodoor/internal/peer"
@@ -69,18 +70,20 @@
 	membership   *membership.Loop
 
 	// Endpoints.
-	table   *health.Table
-	watcher *watch.Watcher
-	permits *permit.Table
-	holder  *permit.Holder
-	ledger  *poison.Ledger
-	planner *plan.Planner
+	table    *health.Table
+	watchSet *member.WatchSet
+	watcher  *watch.Watcher
+	permits  *permit.Table
+	holder   *permit.Holder
+	ledger   *poison.Ledger
+	planner  *plan.Planner
 
 	// Requests.
 	uses       *clubUses
 	queue      *admission.Queue
 	chooser    *routing.Chooser
 	engine     *engine.Client
+	observing  *engine.Client // repeated reads of reports and cache events
 	dispatcher *dispatch.Dispatcher
 	runner     *intent.Runner
 	forwarder  *intent.Forwarder
--- a/internal/daemon/endpointplane.go
+++ b/internal/daemon/endpointplane.go
@@ -31,6 +31,7 @@
 // and plans their groups.
 func (d *Daemon) buildEndpointPlane() {
 	d.engine = engine.NewClient()
+	d.observing = engine.NewClient(engine.WithKeepAlive())
 	d.table = health.New()
 	d.permits = permit.NewTable(permit.WithFreshness(d.lease.Fresh))
 	d.holder = permit.NewHolder(permit.Parts{
@@ -42,9 +43,10 @@
 		MembersRevision: func() uint64 { return d.store.Current().MembersRevision() },
 		Peers:           d.directory,
 	})
+	d.watchSet = member.NewWatchSet(d.settings.HostID)
 	d.watcher = watch.New(watch.Parts{
 		HostID:   d.settings.HostID,
-		Engine:   d.engine,
+		Engine:   d.observing,
 		Recorder: d.table,
 		Watched:  d.watched,
 		Logger:   d.logger,
@@ -67,16 +69,7 @@
 
 // watched lists the endpoints that this host probes.
 func (d *Daemon) watched() []flamingodoor.Endpoint {
-	current := d.store.Current()
-	var endpoints []flamingodoor.Endpoint
-	for _, endpoint := range current.Endpoints() {
-		for _, watcher := range member.Watchers(current, endpoint) {
-			if watcher.ID == d.settings.HostID {
-				endpoints = append(endpoints, endpoint)
-			}
-		}
-	}
-	return endpoints
+	return d.watchSet.Endpoints(d.store.Current())
 }
 
 // pushStrike tells every reachable peer of a request that crashed an endpoint.
@@ -144,7 +137,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, cacheInterval)
 	defer cancel()
-	events, err := d.engine.CacheEvents(ctx, leader, from)
+	events, err := d.observing.CacheEvents(ctx, leader, from)
 	if err != nil {
 		_ = level.Debug(d.logger).Log("event", "cache_events_failed", "endpoint", leader.ID, "err", err)
 		return
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -12,6 +12,7 @@
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
 	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/member"
 )
 
 const (
@@ -69,6 +70,8 @@
 
 	mu       sync.Mutex
 	contacts map[string]contact
+
+	digests digestCaches
 }
 
 // NewExchanger returns an exchanger of the host.
@@ -83,6 +86,7 @@
 		directory: directory,
 		logger:    log.NewNopLogger(),
 		contacts:  make(map[string]contact),
+		digests:   digestCaches{byHost: make(map[string]*digestCache)},
 	}
 	for _, option := range options {
 		option(e)
@@ -110,6 +114,10 @@
 	round := &round{start: time.Now(), configuration: e.store.Current()}
 	hosts := round.configuration.EntryHosts()
 	e.forget(hosts)
+	round.voters = make(map[string]bool, member.MaxVoters)
+	for _, voter := range member.VotersOf(hosts) {
+		round.voters[voter.ID] = true
+	}
 	e.lease.Confirm(round.configuration, e.verdictOf)
 	e.renew(round, "")
 	var group sync.WaitGroup
@@ -125,17 +133,22 @@
 type round struct {
 	start         time.Time
 	configuration flamingodoor.Configuration
+	voters        map[string]bool
 
 	mu      sync.Mutex
 	granted []string
+	renewed bool
 }
 
 func (e *Exchanger) pull(ctx context.Context, round *round, host flamingodoor.EntryHost) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	epoch, version := e.digests.held(host.ID)
 	response, err := e.directory.Peer(host).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{
-		HostId:  e.hostID,
-		Applied: round.configuration.Applied(),
+		HostId:        e.hostID,
+		Applied:       round.configuration.Applied(),
+		DigestEpoch:   epoch,
+		DigestVersion: version,
 	}))
 	if err == nil && response.Msg.GetHostId() != host.ID {
 		// An address can pass on to another host before the member list shows it.
@@ -145,6 +158,7 @@
 		e.failed(host.ID, err)
 		return
 	}
+	e.digests.expand(host.ID, response.Msg)
 	// Restrictions come before the lease that they accompany takes effect.
 	for _, r := range response.Msg.GetRestrictions() {
 		if e.verdictOf == nil || !e.verdictOf(r.GetCommandId()) {
@@ -162,15 +176,19 @@
 
 // renew counts one more grant, if any, and extends the lease as soon as the
 // grants suffice, so that an unreachable peer does not delay it. A host whose
-// state machine has stopped does not renew.
+// state machine has stopped does not renew. Grants of hosts that do not vote,
+// and those after the renewal of the round, change nothing.
 func (e *Exchanger) renew(round *round, grantedBy string) {
 	round.mu.Lock()
 	defer round.mu.Unlock()
+	if round.renewed || grantedBy != "" && !round.voters[grantedBy] {
+		return
+	}
 	if grantedBy != "" {
 		round.granted = append(round.granted, grantedBy)
 	}
 	if e.store.Err() == nil {
-		e.lease.RenewFromVoters(round.start, round.granted, round.configuration)
+		round.renewed = e.lease.RenewFromVoters(round.start, round.granted, round.configuration)
 	}
 }
 
@@ -239,6 +257,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.digests.retain(members)
 	if retainer, ok := e.directory.(interface {
 		Retain(hosts []flamingodoor.EntryHost)
 	}); ok && len(hosts) > 0 {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -53,14 +54,30 @@
 // Server answers the peer RPC.
 type Server struct {
 	peerv1connect.UnimplementedPeerServiceHandler
-	parts Parts
+	parts   Parts
+	digests *digestPublisher
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns a server that answers from the parts.
 func NewServer(parts Parts) *Server {
-	return &Server{parts: parts}
+	return &Server{parts: parts, digests: newDigestPublisher()}
+}
+
+// NewHandler returns the HTTP handler of the peer RPC and its path. Responses
+// have no Date header, which would change each second and take more bytes than
+// all other headers of a response together.
+func NewHandler(server *Server, options ...connect.HandlerOption) (path string, handler http.Handler) {
+	options = append([]connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(compressMinBytes),
+	}, options...)
+	path, calls := peerv1connect.NewPeerServiceHandler(server, options...)
+	return path, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header()["Date"] = nil
+		calls.ServeHTTP(writer, request)
+	})
 }
 
 // Exchange answers with this host's digest and a freshness grant. The
@@ -81,7 +98,7 @@
 		response.Restrictions = append(response.Restrictions, restrictionMessage(r))
 	}
 	if s.parts.Digest != nil {
-		response.Evidence = s.parts.Digest(now)
+		s.digests.answer(request.Msg, response, s.parts.Digest(now))
 	}
 	if s.parts.ClubUses != nil {
 		response.ClubUses = s.parts.ClubUses()
