Hold requests that an overloaded engine did not take

Cause: a 429 of an engine drew on the retry budget, so when engines turned warm and every waiting request was sent at once, 58 of 280 were refused as overloaded although their deadlines were far away. Ruled out: admission (its queue was not full) and permits (at most 2 in flight while cold). TestRefusalsAreRetriedWithinTheLimit asserted a refusal after three sends; its successor bounds the sends by the budget and the time and also asserts that the request is served once there is room.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -54,6 +55,7 @@
 	search     *search
 	assembler  *stream.Assembler
 	attempts   int
+	refusals   int // attempts that an overloaded endpoint did not take
 	tokens     int
 	state      flamingodoor.RunState
 	last       error // failure of the latest attempt
@@ -117,10 +119,7 @@
 		}
 		chosen, err := d.acquire(ctx, g.search, waitUntil)
 		if err != nil {
-			if g.last != nil && flamingodoor.CodeOf(err) == flamingodoor.CodeNoEndpoint {
-				return g.last
-			}
-			return err
+			return g.explain(err)
 		}
 		if !d.maySend(g.search, chosen) {
 			d.releasePermit(ctx, chosen)
@@ -132,6 +131,11 @@
 			return nil
 		}
 		g.last = err
+		if flamingodoor.CodeOf(err) == flamingodoor.CodeOverloaded {
+			g.refusals++
+			waitUntil = g.waitForRoom(ctx)
+			continue
+		}
 		if !g.mayRetry(ctx, err) {
 			return err
 		}
@@ -144,6 +148,34 @@
 	}
 }
 
+// explain returns the failure of the latest attempt where it tells the caller
+// more than the end of the search.
+func (g *generation) explain(err error) error {
+	switch code := flamingodoor.CodeOf(err); {
+	case g.last == nil:
+		return err
+	case code == flamingodoor.CodeNoEndpoint,
+		code == flamingodoor.CodeDeadlineExceeded && flamingodoor.CodeOf(g.last) == flamingodoor.CodeOverloaded:
+		return g.last
+	default:
+		return err
+	}
+}
+
+// waitForRoom holds a request that an overloaded endpoint did not take, and
+// returns the time until which an endpoint may be missing. Without budget for a
+// retry it waits, so that held requests add little to the overload.
+func (g *generation) waitForRoom(ctx context.Context) (waitUntil time.Time) {
+	d := g.dispatcher
+	if !d.parts.RetryBudget.Retry(d.now()) {
+		select {
+		case <-time.After(d.avoidTime/2 + rand.N(max(d.avoidTime, 1))): //nolint:gosec // Spreads the repeats.
+		case <-ctx.Done():
+		}
+	}
+	return d.now().Add(d.endpointWait)
+}
+
 // isolate waits until no other suspect of this host is in flight if this
 // request is one.
 func (g *generation) isolate(ctx context.Context) (waited bool, err error) {
@@ -164,7 +196,7 @@
 	d := g.dispatcher
 	now := d.now()
 	switch {
-	case ctx.Err() != nil, errors.Is(err, errCallerGone), g.attempts >= d.maxAttempts:
+	case ctx.Err() != nil, errors.Is(err, errCallerGone), g.attempts-g.refusals >= d.maxAttempts:
 		return false
 	case d.parts.Strikes.Blocked(g.request.Fingerprint, now):
 		return true // the loop refuses the request with its own code
