Test a rolling restart of every entry host under load

Streams of 6 s and postings of 4 s run while each of three entry hosts gets SIGTERM and is replaced; callers follow /readyz.

--- /dev/null
+++ b/internal/integration/stop_test.go
@@ -0,0 +1,181 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+	standinendpoint "flamingodoor.example/flamingodoor/internal/standin/endpoint"
+)
+
+const (
+	stopDelay     = 3 * time.Second // the default of flamingodoord
+	stopStreams   = 12
+	stopPosters   = 8
+	longTokens    = 300 // 6 s, twice the stop delay
+	tokenInterval = 20 * time.Millisecond
+	serviceDelay  = 4 * time.Second
+)
+
+// stopLoad sends long streams and postings to the hosts that are ready.
+type stopLoad struct {
+	balancer harness.Balancer
+	callers  sync.Map // *harness.Entry to *harness.Caller
+	ended    chan struct{}
+	workers  sync.WaitGroup
+
+	streams, postings atomic.Int64
+	mutex             sync.Mutex
+	stoppedAt         map[*harness.Entry]time.Time
+	outlasting        map[*harness.Entry]int // requests that ended after the stop delay of their host
+}
+
+func (l *stopLoad) worker(work func(entry *harness.Entry, caller *harness.Caller)) {
+	l.workers.Go(func() {
+		for {
+			select {
+			case <-l.ended:
+				return
+			default:
+			}
+			entry, err := l.balancer.Choose()
+			if err != nil {
+				time.Sleep(tokenInterval)
+				continue
+			}
+			caller, _ := l.callers.LoadOrStore(entry, entry.NewCaller())
+			work(entry, caller.(*harness.Caller))
+		}
+	})
+}
+
+func (l *stopLoad) run(ctx context.Context, t *testing.T) {
+	t.Helper()
+	for range stopStreams {
+		l.worker(func(entry *harness.Entry, caller *harness.Caller) { l.stream(ctx, t, entry, caller, nil) })
+	}
+	for range stopPosters {
+		l.worker(func(entry *harness.Entry, caller *harness.Caller) { l.post(ctx, t, entry, caller) })
+	}
+}
+
+func (l *stopLoad) stream(ctx context.Context, t *testing.T, entry *harness.Entry, caller *harness.Caller, emit func(string)) {
+	t.Helper()
+	prompt := fmt.Sprintf("stream %d", l.streams.Add(1))
+	answer, err := caller.Stream(ctx, prompt, longTokens, emit)
+	whole := standinendpoint.Answer("user: "+prompt+"\n", longTokens)
+	if err != nil || !answer.Complete || answer.Text != whole {
+		t.Errorf("%s: stream failed after %d tokens: %v, code %q, run state %q", entry.Name, answer.Tokens, err, answer.Code, answer.RunState)
+	}
+	l.countOutlasting(entry)
+}
+
+func (l *stopLoad) post(ctx context.Context, t *testing.T, entry *harness.Entry, caller *harness.Caller) {
+	t.Helper()
+	body := fmt.Sprintf(`{"amount":%d}`, l.postings.Add(1))
+	reply, err := caller.Post(ctx, "/v1/services/ledger/payments", harness.NewKey(), body)
+	if err != nil || reply.Status != 200 {
+		t.Errorf("%s: posting failed: %v, status %d %s", entry.Name, err, reply.Status, reply.Body)
+	}
+	l.countOutlasting(entry)
+}
+
+func (l *stopLoad) countOutlasting(entry *harness.Entry) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if at := l.stoppedAt[entry]; !at.IsZero() && time.Since(at) > stopDelay {
+		l.outlasting[entry]++
+	}
+}
+
+// terminate stops a host just after a stream and a posting that take longer
+// than the stop delay have begun.
+func (l *stopLoad) terminate(ctx context.Context, t *testing.T, entry *harness.Entry) {
+	t.Helper()
+	begun := make(chan struct{})
+	var once sync.Once
+	l.workers.Go(func() { l.post(ctx, t, entry, entry.NewCaller()) })
+	l.workers.Go(func() {
+		l.stream(ctx, t, entry, entry.NewCaller(), func(string) { once.Do(func() { close(begun) }) })
+	})
+	select {
+	case <-begun:
+	case <-time.After(stopDelay):
+		t.Errorf("%s: no stream before the stop", entry.Name)
+	}
+	l.mutex.Lock()
+	l.stoppedAt[entry] = time.Now()
+	l.mutex.Unlock()
+	entry.Terminate()
+}
+
+// Guards against a planned stop that cuts a stream or a posting in flight, or
+// that refuses a caller who follows /readyz, while every entry host is
+// replaced in turn (I9).
+func TestRollingRestartInterruptsNothing(t *testing.T) {
+	t.Parallel()
+	seededRandom(t) // the load has no random part but the choice of host
+	ctx, scene := startScene(t, harness.Shape{
+		Entries: 3, Domains: 2, EnginesPerDomain: 2, HostsPerGroup: 2, Groups: 2,
+		EngineArguments: []string{"--answer-tokens=1000", "--token-interval=" + tokenInterval.String()},
+	})
+	slowLedger(ctx, t, scene)
+	load := &stopLoad{ended: make(chan struct{}), stoppedAt: map[*harness.Entry]time.Time{}, outlasting: map[*harness.Entry]int{}}
+	originals := scene.Deployment.Entries[:3:3]
+	for _, entry := range originals {
+		load.balancer.Add(ctx, entry)
+	}
+	load.run(ctx, t)
+	for n, entry := range originals {
+		time.Sleep(stopDelay) // lets streams start at the host
+		load.terminate(ctx, t, entry)
+		select {
+		case <-entry.Exited():
+		case <-time.After(45 * time.Second):
+			t.Errorf("%s has not stopped", entry.Name)
+		}
+		t.Logf("%s stopped in %v", entry.Name, time.Since(load.stoppedAt[entry]))
+		replacement, err := scene.Deployment.StartEntry(ctx, fmt.Sprintf("entry-%d-new", n+1), entry.DataCentre)
+		assert.NilError(t, err)
+		load.balancer.Add(ctx, replacement)
+		assert.NilError(t, harness.WaitFor(ctx, replacement.Name+" to be ready", func() bool { return load.balancer.IsReady(replacement) }))
+	}
+	time.Sleep(stopDelay) // the replacements alone carry the load
+	close(load.ended)
+	load.workers.Wait()
+	for _, entry := range originals {
+		t.Logf("%s: %d requests ended after the stop delay", entry.Name, load.outlasting[entry])
+		assert.Check(t, load.outlasting[entry] >= 2)
+	}
+	t.Logf("%d streams, %d postings", load.streams.Load(), load.postings.Load())
+	statistics, err := scene.Ledger.Statistics(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(statistics.RunsByBody), int(load.postings.Load()))
+	for body, runs := range statistics.RunsByBody {
+		assert.Check(t, runs == 1, "posting %s ran %d times", body, runs)
+	}
+}
+
+// slowLedger replaces the scene's ledger by one whose calls take a while.
+func slowLedger(ctx context.Context, t *testing.T, scene *harness.Scene) {
+	t.Helper()
+	ledger, err := scene.Deployment.StartService(ctx, "ledger-slow", scene.Ledger.DataCentre, harness.SceneService, "--service-delay="+serviceDelay.String())
+	assert.NilError(t, err)
+	for n := range scene.Manifest.Endpoints {
+		if endpoint := &scene.Manifest.Endpoints[n]; endpoint.EndpointID == scene.Ledger.Name {
+			endpoint.Leaving = true
+		}
+	}
+	scene.Manifest.Endpoints = append(scene.Manifest.Endpoints, ledger.Describe())
+	_, err = scene.Deployment.Apply(ctx, scene.Manifest)
+	assert.NilError(t, err)
+	scene.Ledger = ledger
+	// In force everywhere within 9 s (I10).
+	time.Sleep(9 * time.Second)
+}
