--- a/internal/member/watchset_test.go
+++ b/internal/member/watchset_test.go
@@ -44,3 +44,23 @@
 		}
 	}
 }
+
+// BenchmarkWatchSetAtScale computes the watch set anew, as after each record.
+func BenchmarkWatchSetAtScale(b *testing.B) {
+	for _, scale := range []struct{ hosts, engines int }{{7, 58}, {98, 375}, {390, 1500}} {
+		b.Run(fmt.Sprintf("%dx%d", scale.hosts, scale.engines), func(b *testing.B) {
+			var current fleet
+			for i := range scale.engines {
+				current.endpoints = append(current.endpoints, flamingodoor.Endpoint{ID: fmt.Sprintf("engine-%d", i)})
+			}
+			for i := range scale.hosts {
+				current.hosts = append(current.hosts, flamingodoor.EntryHost{ID: fmt.Sprintf("host-%d", i)})
+			}
+			set := member.NewWatchSet("host-0")
+			for b.Loop() {
+				current.applied++
+				_ = set.Endpoints(current)
+			}
+		})
+	}
+}
