Ask one voter set after a join that displaces no voter

Cause: VoterSets named the hosts from before the latest join as a second voter set whenever the latest change of the member list was a join. Among three hosts the two earlier ones then had to answer both, for as long as the member list stayed the same, so that one frozen or cut-off host of three kept every change and every drain from acceptance.

A second set is needed only if the join displaced a voter, which takes more than seven hosts. Otherwise the new set has one voter more than the earlier one, and their majorities always meet.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -86,21 +86,28 @@
 }
 
 // VoterSets returns the voter sets whose majorities must each acknowledge a
-// change. There are two while the latest change of the member list added a
-// host: a joining host can displace a live voter, and a host that has not yet
-// applied the join still renews its lease from the earlier set. A removed host
-// grants nothing, so after a removal one set is enough.
+// change. There are two while the latest change of the member list added a host
+// that displaced a live voter: a host that has not yet applied the join still
+// renews its lease from the earlier set, and the majorities of two sets of seven
+// that differ in one voter need not meet. A majority of a set with one voter
+// more meets every majority of the earlier set, so that one set is enough then.
+// It also is after a removal, because a removed host grants nothing.
 func VoterSets(configuration flamingodoor.Configuration) [][]flamingodoor.EntryHost {
 	hosts := configuration.EntryHosts()
-	sets := [][]flamingodoor.EntryHost{VotersOf(hosts)}
+	voters := VotersOf(hosts)
 	newest := slices.IndexFunc(hosts, func(host flamingodoor.EntryHost) bool {
 		return host.Joined == configuration.MembersRevision()
 	})
-	if newest >= 0 && len(hosts) > 1 {
-		earlier := slices.Delete(slices.Clone(hosts), newest, newest+1)
-		sets = append(sets, VotersOf(earlier))
+	if newest < 0 {
+		return [][]flamingodoor.EntryHost{voters}
 	}
-	return sets
+	earlier := VotersOf(slices.Delete(slices.Clone(hosts), newest, newest+1))
+	for _, voter := range earlier {
+		if !slices.ContainsFunc(voters, func(host flamingodoor.EntryHost) bool { return host.ID == voter.ID }) {
+			return [][]flamingodoor.EntryHost{voters, earlier}
+		}
+	}
+	return [][]flamingodoor.EntryHost{voters}
 }
 
 // rank orders hosts by descending rendezvous score for the key, those of the
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -102,6 +102,15 @@
 	assert.Equal(t, len(member.VoterSets(members{hosts: hosts, revision: 10})), 1)
 }
 
+// Guards against a drain that one unresponsive host of three blocks because
+// the host that joined last counts in one voter set only.
+func TestOneVoterSetAfterJoinWithoutDisplacement(t *testing.T) {
+	hosts := []flamingodoor.EntryHost{
+		{ID: "1", DataCentre: "a", Joined: 4}, {ID: "2", DataCentre: "b", Joined: 2}, {ID: "3", DataCentre: "c", Joined: 3},
+	}
+	assert.Equal(t, len(member.VoterSets(members{hosts: hosts, revision: 4})), 1)
+}
+
 // Guards against two hosts believing that they have the same planner rank.
 func TestPlannerRanksAreDistinct(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
