Let a new process serve only after a majority has answered it

Cause: a host that has just started renewed its lease from the log at once. A provisional drain that a majority of the voters holds is not in the log yet, so that the new host followed it only if it happened to exchange with a holder first. As a new voter it also granted leases without it.

Ruled out that the push could cover it: the accepting host does not know the new host, and the answer names only members.

The new process now renews from the log, and joins, after a majority of the voters that are not gone has answered its exchange once. Grants of a majority need no check, because they carry the restrictions.

--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -47,6 +47,13 @@
 	return func(l *Loop) { l.logger = logger }
 }
 
+// WithIntroduced sets the function that tells whether this process holds the
+// provisional restrictions that were accepted before it started. It joins, and
+// grants leases, only then.
+func WithIntroduced(introduced func() bool) Option {
+	return func(l *Loop) { l.introduced = introduced }
+}
+
 // Loop adds this host to the entry hosts, removes it on a planned stop and
 // removes hosts that are gone.
 type Loop struct {
@@ -60,6 +67,8 @@
 	joined   atomic.Uint64 // offset of the join of this process, or 0
 	leaving  atomic.Bool
 	changing sync.Mutex // held during one change; a join must not overtake Leave
+
+	introduced func() bool
 }
 
 // New returns the loop of the host. The lease starts to grant once this process
@@ -76,6 +85,8 @@
 		presence: presence,
 		lease:    lease,
 		logger:   log.NewNopLogger(),
+
+		introduced: func() bool { return true },
 	}
 	for _, option := range options {
 		option(l)
@@ -160,6 +171,9 @@
 // acknowledged, so that it counts as another voter.
 func (l *Loop) join(ctx context.Context, configuration flamingodoor.Configuration, stale bool) error {
 	l.lease.StopGranting()
+	if !l.introduced() {
+		return flamingodoor.Errorf(flamingodoor.CodeNoMajority, "no majority of the voters has answered this host yet")
+	}
 	if stale {
 		return l.remove(ctx, configuration, l.self.ID)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -54,10 +54,25 @@
 
 func (j *journal) Hosts(context.Context) ([]flamingodoor.PlatformHost, error) { return nil, nil }
 
-func newLoop(j *journal, presence *membership.Presence) (*membership.Loop, *freshness.Lease) {
+func newLoop(j *journal, presence *membership.Presence, options ...membership.Option) (*membership.Loop, *freshness.Lease) {
 	self := flamingodoor.EntryHost{ID: "self", PeerAddress: netip.MustParseAddrPort("127.0.0.1:9")}
 	lease := freshness.New(self.ID)
-	return membership.New(self, j, j, j, presence, lease), lease
+	return membership.New(self, j, j, j, presence, lease, options...), lease
+}
+
+// Guards against a new voter that grants leases without the provisional
+// restrictions that the other voters hold.
+func TestJoinWaitsForTheIntroduction(t *testing.T) {
+	j := &journal{}
+	introduced := false
+	loop, lease := newLoop(j, membership.NewPresence(j, j), membership.WithIntroduced(func() bool { return introduced }))
+	assert.Equal(t, flamingodoor.CodeOf(loop.Step(t.Context(), time.Now())), flamingodoor.CodeNoMajority)
+	granted, _ := lease.Grant(100)
+	assert.Assert(t, !granted && len(j.hosts) == 0)
+	introduced = true
+	assert.NilError(t, loop.Step(t.Context(), time.Now()))
+	granted, _ = lease.Grant(100)
+	assert.Assert(t, granted)
 }
 
 // Guards against a restarted process that votes under the entry of its earlier
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -43,6 +43,12 @@
 	return func(e *Exchanger) { e.logger = logger }
 }
 
+// WithAbsent sets the function that tells which members have stopped, as the
+// platform's host list shows. Without it every member counts as present.
+func WithAbsent(gone func(hostID string, now time.Time) bool) ExchangerOption {
+	return func(e *Exchanger) { e.gone = gone }
+}
+
 // ExchangeStore is the replica of the configuration that the exchange needs.
 type ExchangeStore interface {
 	flamingodoor.ConfigurationSource
@@ -65,10 +71,12 @@
 	directory flamingodoor.PeerDirectory
 	take      func(time.Time, *peerv1.ExchangeResponse)
 	verdictOf func(string) bool
+	gone      func(string, time.Time) bool
 	logger    log.Logger
 
-	mu       sync.Mutex
-	contacts map[string]contact
+	mu         sync.Mutex
+	contacts   map[string]contact
+	introduced bool
 }
 
 // NewExchanger returns an exchanger of the host.
@@ -81,6 +89,7 @@
 		store:     store,
 		lease:     lease,
 		directory: directory,
+		gone:      func(string, time.Time) bool { return false },
 		logger:    log.NewNopLogger(),
 		contacts:  make(map[string]contact),
 	}
@@ -174,6 +183,37 @@
 	}
 }
 
+// Introduce reports whether a majority of the voters that are not gone has
+// answered this process at least once. It then holds every provisional
+// restriction that was accepted before it started, which the log does not show
+// yet. The configuration must be that of a read that reached the log's tail. An
+// entry of this host is one of an earlier process, so that it does not count.
+func (e *Exchanger) Introduce(now time.Time) bool {
+	if e.Introduced() {
+		return true
+	}
+	introduced := freshness.Accepted(e.store.Current(),
+		func(hostID string) bool { return hostID != e.hostID && e.hasAnswered(hostID) },
+		func(hostID string) bool { return hostID == e.hostID || e.gone(hostID, now) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.introduced = e.introduced || introduced
+	return e.introduced
+}
+
+// Introduced reports whether Introduce has returned true before.
+func (e *Exchanger) Introduced() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.introduced
+}
+
+func (e *Exchanger) hasAnswered(hostID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.contacts[hostID].answered.IsZero()
+}
+
 // Reachable reports whether the peer has answered within the last 3 s. This
 // host always reaches itself.
 func (e *Exchanger) Reachable(hostID string, now time.Time) bool {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -123,6 +123,30 @@
 	assert.Assert(t, !late.Fresh(time.Now()))
 }
 
+// Guards against a host that counts as introduced to the provisional
+// restrictions before a majority of the voters has answered it, or because its
+// own earlier process is listed, and against gone voters that block it.
+func TestIntroductionNeedsAMajority(t *testing.T) {
+	nodes := cluster(t, 3, nil)
+	now := time.Now()
+	gone := false
+	exchanger := peer.NewExchanger("a", nodes[0], nodes[0].lease, nodes[0].directory,
+		peer.WithAbsent(func(id string, _ time.Time) bool { return gone && id == "c" }))
+	assert.Assert(t, !exchanger.Introduce(now))
+
+	nodes[2].server.Close()
+	exchanger.Round(t.Context())
+	assert.Assert(t, !exchanger.Introduce(now))
+	assert.Assert(t, !exchanger.Introduced())
+	gone = true
+	assert.Assert(t, exchanger.Introduce(now))
+	gone = false
+	assert.Assert(t, exchanger.Introduced())
+
+	alone := cluster(t, 1, nil)
+	assert.Assert(t, peer.NewExchanger("a", alone[0], alone[0].lease, alone[0].directory).Introduce(now))
+}
+
 // Guards against acceptance before a majority has applied the change, and
 // against gone voters that block every change.
 func TestAcceptNeedsAMajority(t *testing.T) {
