Connect to endpoints from the peer listener's address

Probes, orders and requests to engines left from any address of the host, so that a test, or a network rule, could not cut one entry host off from an engine. They now leave from the peer listener's address unless it is unspecified, as connections to peers already do.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -141,7 +141,7 @@
 	if err := d.buildConfigPlane(addressOf(peerListener)); err != nil {
 		return err
 	}
-	d.buildEndpointPlane()
+	d.buildEndpointPlane(addressOf(peerListener).Addr())
 	d.buildRequestPath()
 	if err := d.registerGauges(); err != nil {
 		return err
--- a/internal/daemon/endpointplane.go
+++ b/internal/daemon/endpointplane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -29,8 +30,10 @@
 
 // buildEndpointPlane creates what observes endpoints, gives out their permits
 // and plans their groups.
-func (d *Daemon) buildEndpointPlane() {
-	d.engine = engine.NewClient()
+func (d *Daemon) buildEndpointPlane(source netip.Addr) {
+	// Like connections to peers, those to engines leave from the peer
+	// listener's address, so that the network can tell entry hosts apart.
+	d.engine = engine.NewClient(engine.WithSource(source))
 	d.table = health.New()
 	d.permits = permit.NewTable(permit.WithFreshness(d.lease.Fresh))
 	d.holder = permit.NewHolder(permit.Parts{
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -89,6 +90,9 @@
 
 func newHTTPClient(s settings) *http.Client {
 	dialer := &net.Dialer{Timeout: s.dialTimeout}
+	if s.source.IsValid() && !s.source.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.source, 0))
+	}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Defaults of the clients.
 const (
@@ -15,6 +18,7 @@
 )
 
 type settings struct {
+	source            netip.Addr
 	dialTimeout       time.Duration
 	firstChunkTimeout time.Duration
 	chunkGapTimeout   time.Duration
@@ -45,6 +49,12 @@
 	return s
 }
 
+// WithSource sets the address to connect from. An invalid or unspecified
+// address leaves the choice to the operating system.
+func WithSource(source netip.Addr) Option {
+	return func(s *settings) { s.source = source }
+}
+
 // WithDialTimeout bounds the time to open a connection.
 func WithDialTimeout(timeout time.Duration) Option {
 	return func(s *settings) { s.dialTimeout = timeout }
