Record orders and requests at the endpoint stand-in

GET /v1/records lists each order and request with its arrival, so that tests need not rely on the system's own view.

--- a/internal/harness/deployment.go
+++ b/internal/harness/deployment.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"flamingodoor.example/flamingodoor"
@@ -135,7 +136,9 @@
 
 // StartEngine starts a model engine.
 func (d *Deployment) StartEngine(ctx context.Context, name, dataCentre, fabricDomain string, arguments ...string) (*Endpoint, error) {
-	return d.startEndpoint(ctx, &Endpoint{DataCentre: dataCentre, FabricDomain: fabricDomain}, name, arguments)
+	return d.startEndpoint(ctx, &Endpoint{
+		DataCentre: dataCentre, FabricDomain: fabricDomain, ChecksFencing: slices.Contains(arguments, "--checks-fencing"),
+	}, name, arguments)
 }
 
 // StartService starts a plain service.
--- a/internal/standin/endpoint/generate.go
+++ b/internal/standin/endpoint/generate.go
@@ -103,6 +103,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.received(now)
+	s.recordWork(now, body.FencingNumber)
 	snap := s.current()
 	state := s.state(now)
 	key := attemptKey{body.RequestID, body.Attempt}
--- /dev/null
+++ b/internal/standin/endpoint/records.go
@@ -0,0 +1,65 @@
+package standinendpoint
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// maxRecords bounds the memory of each kind of record; later ones are dropped
+// and counted.
+const maxRecords = 200_000
+
+// Records are what the endpoint received, in the order of arrival.
+type Records struct {
+	Orders  []OrderRecord `json:"orders"`
+	Work    []WorkRecord  `json:"work"`
+	Dropped int           `json:"dropped"`
+}
+
+// OrderRecord is an order that the engine received.
+type OrderRecord struct {
+	At            time.Time        `json:"at"`
+	GroupID       string           `json:"group_id"`
+	FencingNumber uint64           `json:"fencing_number"`
+	MemberIndex   int              `json:"member_index"`
+	Members       []netip.AddrPort `json:"members"`
+	Accepted      bool             `json:"accepted"`
+}
+
+// WorkRecord is a request or call that the endpoint received, whether it ran
+// or not. The fencing number is the one in the request.
+type WorkRecord struct {
+	At            time.Time `json:"at"`
+	FencingNumber uint64    `json:"fencing_number"`
+}
+
+// Records returns a copy of the records.
+func (s *Server) Records() Records {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Records{
+		Orders: slices.Clone(s.records.Orders), Work: slices.Clone(s.records.Work), Dropped: s.records.Dropped,
+	}
+}
+
+// recordOrder keeps an order. The caller holds the lock.
+func (s *Server) recordOrder(order *orderBody, accepted bool) {
+	if len(s.records.Orders) >= maxRecords {
+		s.records.Dropped++
+		return
+	}
+	s.records.Orders = append(s.records.Orders, OrderRecord{
+		At: time.Now(), GroupID: order.GroupID, FencingNumber: order.FencingNumber,
+		MemberIndex: order.MemberIndex, Members: order.Members, Accepted: accepted,
+	})
+}
+
+// recordWork keeps the arrival of a request. The caller holds the lock.
+func (s *Server) recordWork(now time.Time, fencingNumber uint64) {
+	if len(s.records.Work) >= maxRecords {
+		s.records.Dropped++
+		return
+	}
+	s.records.Work = append(s.records.Work, WorkRecord{At: now, FencingNumber: fencingNumber})
+}
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -79,6 +79,7 @@
 	leavingSince  time.Time
 	cache         cache
 	statistics    Statistics
+	records       Records
 }
 
 // New returns an endpoint that has no group.
@@ -98,11 +99,12 @@
 }
 
 // Handler serves the formats of section 9 of docs/design.md, the counts at
-// /v1/statistics, and changes of state at POST /v1/control/{cold,leaving,returning}.
+// /v1/statistics, the records at /v1/records, and changes of state at POST /v1/control/{cold,leaving,returning}.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.report(time.Now())) })
 	mux.HandleFunc("GET /v1/statistics", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Statistics()) })
+	mux.HandleFunc("GET /v1/records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Records()) })
 	mux.HandleFunc("POST /v1/control/cold", func(http.ResponseWriter, *http.Request) { s.MakeCold() })
 	mux.HandleFunc("POST /v1/control/leaving", func(http.ResponseWriter, *http.Request) { s.SetLeaving(true) })
 	mux.HandleFunc("POST /v1/control/returning", func(http.ResponseWriter, *http.Request) { s.SetLeaving(false) })
@@ -138,9 +140,11 @@
 	s.statistics.Orders++
 	if s.settings.checksFencing && order.FencingNumber < s.highest {
 		s.statistics.RefusedOrders++
+		s.recordOrder(&order, false)
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
+	s.recordOrder(&order, true)
 	s.highest = max(s.highest, order.FencingNumber)
 	previous := s.current().order
 	repeated := previous.GroupID == order.GroupID && previous.FencingNumber == order.FencingNumber
@@ -166,6 +170,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	s.received(now)
+	s.recordWork(now, 0)
 	cold := s.begin(now)
 	s.statistics.RunsByBody[hex.EncodeToString(hash[:])]++
 	s.statistics.RunsByRequest[r.Header.Get("X-Request-Id")]++
