--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +78,11 @@
 	if err != nil {
 		return
 	}
+	// One line for each request would hide the others.
+	lines := slices.DeleteFunc(strings.SplitAfter(string(data), "\n"), func(line string) bool {
+		return strings.Contains(line, "event=request_finished")
+	})
+	data = []byte(strings.Join(lines, ""))
 	if len(data) > logTailBytes {
 		data = data[len(data)-logTailBytes:]
 	}
