Prove that leaving endpoints receive no new work

TestLeavingEngine and TestLeavingService make a leader, a member and a plain service leave by their own report and by the configuration, under load. The endpoints' records show the last request after that, and answers of 15 s that were in flight must arrive whole.

--- /dev/null
+++ b/internal/integration/leaving_test.go
@@ -0,0 +1,179 @@
+package integration_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/harness"
+	standinendpoint "flamingodoor.example/flamingodoor/internal/standin/endpoint"
+)
+
+const leavingBound = 5 * time.Second
+
+var leavingShape = harness.Shape{
+	Entries: 3, Domains: 2, EnginesPerDomain: 3, HostsPerGroup: 2, Groups: 2,
+	EngineArguments: []string{"--token-interval=50ms", "--answer-tokens=400"},
+}
+
+// leave makes an endpoint leave by its own report or by the configuration, and
+// returns the time from which the bound counts.
+func leave(ctx context.Context, t *testing.T, scene *harness.Scene, endpoint *harness.Endpoint, byReport bool) time.Time {
+	t.Helper()
+	if byReport {
+		assert.NilError(t, endpoint.Control(ctx, "leaving"))
+		return time.Now()
+	}
+	for index := range scene.Manifest.Endpoints {
+		if scene.Manifest.Endpoints[index].EndpointID == endpoint.Name {
+			scene.Manifest.Endpoints[index].Leaving = true
+		}
+	}
+	_, err := scene.Deployment.Apply(ctx, scene.Manifest)
+	assert.NilError(t, err)
+	return time.Now()
+}
+
+// checkNoLateWork fails if the endpoint received work of the group (or any, for
+// 0) after the bound, and if it received none before.
+func checkNoLateWork(ctx context.Context, t *testing.T, endpoint *harness.Endpoint, fencing uint64, left time.Time) {
+	t.Helper()
+	records, err := endpoint.Records(ctx)
+	assert.NilError(t, err)
+	before, late, last := 0, 0, time.Duration(0)
+	for _, work := range records.Work {
+		switch after := work.At.Sub(left); {
+		case fencing != 0 && work.FencingNumber != fencing:
+		case after <= 0:
+			before++
+		default:
+			last = max(last, after)
+			if after > leavingBound {
+				late++
+			}
+		}
+	}
+	t.Logf("%s: %d requests before it left, the last one %v after, %d after the bound", endpoint.Name, before, last, late)
+	assert.Assert(t, before > 0)
+	assert.Equal(t, late, 0)
+}
+
+// Guards against new work at a group with a leaving member, and against streams
+// that break because of it. The engine records what it receives.
+func TestLeavingEngine(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name     string
+		member   int
+		byReport bool
+	}{
+		{"leader by report", 0, true},
+		{"member by report", 1, true},
+		{"leader by configuration", 0, false},
+		{"member by configuration", 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			run := startGroupsRun(t, leavingShape)
+			group := run.anyGroup()
+			long := startLongStreams(run)
+			more := run.StartLoad(run.ctx, 4, 4, 10*time.Millisecond)
+			defer more.Stop()
+			time.Sleep(2 * time.Second)
+			left := leave(run.ctx, t, run.Scene, group.members[test.member], test.byReport)
+			long.Wait()
+			time.Sleep(10 * time.Second)
+			checkNoLateWork(run.ctx, t, group.members[0], group.fencing, left)
+			if test.byReport {
+				statistics, err := group.members[test.member].Statistics(run.ctx)
+				assert.NilError(t, err)
+				assert.Assert(t, statistics.LastWhileLeavingMS <= leavingBound.Milliseconds(), "%d ms", statistics.LastWhileLeavingMS)
+			}
+			for _, load := range []*harness.Load{run.load, more} {
+				load.Stop()
+				t.Logf("answers: %d complete, %d broken, %d refused", load.Complete.Load(), load.Broken.Load(), load.Refused.Load())
+				assert.Equal(t, load.Broken.Load(), int64(0))
+			}
+		})
+	}
+}
+
+// startLongStreams starts answers of 15 s, some of them on each group, and
+// fails the test if one is not whole.
+func startLongStreams(run *groupsRun) *sync.WaitGroup {
+	var streams sync.WaitGroup
+	for number := range 12 {
+		streams.Go(func() {
+			const tokens = 300
+			prompt := "long " + strconv.Itoa(number)
+			answer, err := run.Caller(number%len(run.Deployment.Entries)).Stream(run.ctx, prompt, tokens, nil)
+			if err != nil || !answer.Complete || answer.Text != standinendpoint.Answer("user: "+prompt+"\n", tokens) {
+				run.t.Errorf("stream %d of %d tokens is not whole: code %q, %v", number, answer.Tokens, answer.Code, err)
+			}
+		})
+	}
+	return &streams
+}
+
+// Guards against calls to a leaving plain service, and against calls that fail
+// because it leaves.
+func TestLeavingService(t *testing.T) {
+	t.Parallel()
+	for name, byReport := range map[string]bool{"by report": true, "by configuration": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, scene := startScene(t, harness.SmallShape)
+			second, err := scene.Deployment.StartService(ctx, "ledger-2", harness.SceneDataCentres[1], harness.SceneService, "--service-delay=300ms")
+			assert.NilError(t, err)
+			scene.Manifest.Endpoints = append(scene.Manifest.Endpoints, second.Describe())
+			_, err = scene.Deployment.Apply(ctx, scene.Manifest)
+			assert.NilError(t, err)
+
+			calls, stop := startCalls(ctx, t, scene)
+			defer stop()
+			assert.NilError(t, harness.WaitFor(ctx, "calls of the second endpoint", func() bool {
+				records, err := second.Records(ctx)
+				return err == nil && len(records.Work) > 20
+			}))
+			left := leave(ctx, t, scene, second, byReport)
+			time.Sleep(3 * leavingBound)
+			stop()
+			calls.Wait()
+			checkNoLateWork(ctx, t, second, 0, left)
+		})
+	}
+}
+
+// startCalls sends lookups and postings at every entry host, and fails the
+// test if one is not answered.
+func startCalls(ctx context.Context, t *testing.T, scene *harness.Scene) (*sync.WaitGroup, func()) {
+	t.Helper()
+	var calls sync.WaitGroup
+	stopped := make(chan struct{})
+	stop := sync.OnceFunc(func() { close(stopped) })
+	for entry := range scene.Deployment.Entries {
+		caller := scene.Caller(entry)
+		calls.Go(func() {
+			for number := 0; ; number++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				reply, err := caller.Get(ctx, "/v1/services/ledger/balance")
+				if number%2 == 0 {
+					reply, err = caller.Post(ctx, "/v1/services/ledger/payments", harness.NewKey(), strconv.Itoa(number))
+				}
+				if err != nil || reply.Status != 200 {
+					t.Errorf("call %d: status %d, %s, %v", number, reply.Status, reply.Body, err)
+				}
+			}
+		})
+	}
+	return &calls, stop
+}
