Serve callers only after a peer has answered the first exchange

Cause: a new host got its lease from the log and reported itself ready before its first exchange with a peer, so it did not know the strikes and sent a request that the other hosts refuse; it crashed one more endpoint. Ruled out: the digest of strikes, which the host takes over when it arrives. Before: TestRequestThatCrashesEndpointsIsRefused failed in both cases, with run state may_have_run and ran instead of not_run at the new host. After: the new host refuses with poison_request and not_run. A host whose peers are all gone serves after six rounds (at least 3 s).

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -80,7 +80,7 @@
 func (d *Daemon) callerHandler() http.Handler {
 	return entry.New(entry.Parts{
 		Configuration: d.store,
-		Freshness:     d.lease,
+		Freshness:     servingGate{d.lease, d.exchanger},
 		Admission:     d.queue,
 		Dispatcher:    d.dispatcher,
 		Once:          d.forwarder,
@@ -157,7 +157,7 @@
 }
 
 func (d *Daemon) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	state := readiness{Fresh: d.lease.Fresh(time.Now()), Stopping: d.draining.Load()}
+	state := readiness{Fresh: servingGate{d.lease, d.exchanger}.Fresh(time.Now()), Stopping: d.draining.Load()}
 	switch {
 	case d.store.Err() != nil:
 		state.Reason = d.store.Err().Error()
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,6 +23,9 @@
 	// reachableFor is how long a peer counts as reachable after its latest
 	// answer; the same as the validity of health evidence.
 	reachableFor = 3 * time.Second
+	// introductionRounds without an answer take at least 3 s; a host whose
+	// peers are all gone then serves without them.
+	introductionRounds = 6
 )
 
 // ExchangerOption changes an Exchanger at its construction.
@@ -67,6 +71,9 @@
 	verdictOf func(string) bool
 	logger    log.Logger
 
+	introduced atomic.Bool
+	unanswered int // rounds until introduced
+
 	mu       sync.Mutex
 	contacts map[string]contact
 }
@@ -119,6 +126,20 @@
 		}
 	}
 	group.Wait()
+	if len(hosts) > 0 {
+		e.unanswered++
+	}
+	alone := len(hosts) == 1 && hosts[0].ID == e.hostID
+	if alone || e.unanswered >= introductionRounds {
+		e.introduced.Store(true)
+	}
+}
+
+// Introduced reports whether this host has learned what its peers know, such
+// as the strikes of requests: one has answered, there is none, or none has
+// answered in six rounds.
+func (e *Exchanger) Introduced() bool {
+	return e.introduced.Load()
 }
 
 // round collects the grants of one round.
@@ -158,6 +179,7 @@
 	if e.take != nil {
 		e.take(round.start, response.Msg)
 	}
+	e.introduced.Store(true)
 }
 
 // renew counts one more grant, if any, and extends the lease as soon as the
