--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -174,13 +174,15 @@
 			e.lease.AddRestriction(restrictionFrom(r))
 		}
 	}
+	// A new host must know the strikes before it holds a lease, or it would send
+	// a request that the other hosts refuse.
+	if e.take != nil {
+		e.take(round.start, response.Msg)
+	}
 	e.answered(host.ID, response.Msg)
 	if response.Msg.GetGranted() {
 		e.renew(round, host.ID)
 	}
-	if e.take != nil {
-		e.take(round.start, response.Msg)
-	}
 }
 
 // renew counts one more grant, if any, and extends the lease as soon as the
