Give a read of a slow log time for its wait at the tail

Cause: a read waited up to 1 s at the tail and was given 2 s more. A log that delays each call by 2 s answers after 3 s, just when the read gave up, so that no read of an idle log reached the tail: the lease was not renewed from the log, and records came from peers only.

Before: TestFollowASlowLog saw no read that reached the tail within 10 s.

Ruled out that a longer limit hides a silent connection: the pings of the connection to the platform end it after 2.5 s.

--- a/internal/logstream/logstream_test.go
+++ b/internal/logstream/logstream_test.go
@@ -280,3 +280,19 @@
 	f.wait(stores[0], 515)
 	assert.Equal(t, stores[0].CheckpointStatus().Accepted.GetOffset(), uint64(515))
 }
+
+// Guards against a log that answers each call after 2 s and therefore never
+// counts as read to its tail, because the wait at the tail comes on top.
+func TestFollowASlowLog(t *testing.T) {
+	f := newFixture(t)
+	f.set(&platformv1.SetRequest{Delay: durationpb.New(2 * time.Second)})
+	reached := make(chan time.Time, 100)
+	f.follow(logstream.WithTailReached(func(start time.Time) { reached <- start }))
+	for range 2 {
+		select {
+		case <-reached:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the tail was not reached")
+		}
+	}
+}
--- a/internal/logstream/option.go
+++ b/internal/logstream/option.go
@@ -16,7 +16,9 @@
 	// A freshness lease lasts 3 s from the start of a read, so a read must
 	// not wait longer at the tail.
 	defaultPollWait = time.Second
-	readMargin      = 2 * time.Second
+	// readMargin covers a log that delays each call by 2 s and then waits at
+	// the tail. A silent connection ends earlier, by its pings.
+	readMargin      = 4 * time.Second
 	pageRecords     = 500
 
 	defaultAppendTimeout = 3 * time.Second
