--- a/internal/integration/drain_test.go
+++ b/internal/integration/drain_test.go
@@ -18,6 +18,8 @@
 const (
 	// drainBound is the bound of I4.
 	drainBound = 5 * time.Second
+	// failureWatch is how long arrivals are counted while the failure goes on.
+	failureWatch = time.Second
 	// drainWatch is how long after the bound arrivals are counted, longer than
 	// a lease and than the wait for an endpoint.
 	drainWatch = 4 * time.Second
@@ -187,6 +189,8 @@
 	time.Sleep(time.Until(accepted.Add(drainBound)))
 	atBound := received(ctx, t, scene, drained)
 	elsewhere := received(ctx, t, scene, "dc-b")
+	time.Sleep(failureWatch)
+	assert.Equal(t, received(ctx, t, scene, drained), atBound, "requests arrived more than %s after the drain", drainBound)
 	c.checkService(ctx, t, running)
 	assert.Equal(t, received(ctx, t, scene, drained), atBound, "requests arrived more than %s after the drain", drainBound)
 
