--- a/internal/logstream/option.go
+++ b/internal/logstream/option.go
@@ -18,8 +18,8 @@
 	defaultPollWait = time.Second
 	// readMargin covers a log that delays each call by 2 s and then waits at
 	// the tail. A silent connection ends earlier, by its pings.
-	readMargin      = 4 * time.Second
-	pageRecords     = 500
+	readMargin  = 4 * time.Second
+	pageRecords = 500
 
 	defaultAppendTimeout = 3 * time.Second
 	defaultRepeatAfter   = 500 * time.Millisecond
