--- a/internal/integration/answers_test.go
+++ b/internal/integration/answers_test.go
@@ -18,6 +18,7 @@
 )
 
 const (
+	answersSeed = 1
 	// retryFloor and retryWindow are those of the dispatcher's retry budget:
 	// a tenth of the requests and 10 more in 10 s, for each host.
 	retryFloor  = 10
@@ -99,7 +100,7 @@
 // silent for good, and entry hosts stop or crash (I5).
 func TestAnswersAreWholeOrEndWithAnError(t *testing.T) {
 	t.Parallel()
-	random := newRandom(t)
+	random := newRandom(t, answersSeed)
 	ctx, scene := startScene(t, harness.Shape{
 		Entries: 3, Domains: 3, EnginesPerDomain: 2, HostsPerGroup: 2, Groups: 3,
 		EngineArguments: []string{"--answer-tokens=1000", "--token-interval=25ms"},
--- a/internal/integration/combined_test.go
+++ b/internal/integration/combined_test.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	combinedSeed       = 1
 	combinedRounds     = 2
 	combinedFaults     = 2 // drawn together in each round
 	combinedHold       = 6 * time.Second
@@ -61,7 +62,7 @@
 	}
 	ctx, scene := startScene(t, shape)
 	c := &combination{
-		scene: scene, random: newRandom(t), keys: make(map[string][]string),
+		scene: scene, random: newRandom(t, combinedSeed), keys: make(map[string][]string),
 	}
 	loadContext, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
@@ -138,15 +139,26 @@
 	c.problems = append(c.problems, fmt.Sprintf(format, arguments...))
 }
 
+// callers returns a caller of each host, which keeps its connections.
+func (c *combination) callers(key string, timeout time.Duration) []*harness.Caller {
+	callers := make([]*harness.Caller, len(c.scene.Deployment.Entries))
+	for entry := range callers {
+		callers[entry] = c.scene.Caller(entry)
+		callers[entry].Key, callers[entry].Timeout = key, timeout
+	}
+	return callers
+}
+
 // stream asks for answers through all hosts in turn. Each must be right and
 // whole, or end with a typed error after a right beginning.
 func (c *combination) stream(ctx context.Context, index int) {
+	key := harness.SceneKey
+	if index%2 == 1 {
+		key = harness.OtherKey
+	}
+	callers := c.callers(key, 20*time.Second)
 	for request := 0; ctx.Err() == nil; request++ {
-		caller := c.scene.Caller((index + request) % len(c.scene.Deployment.Entries))
-		caller.Timeout = 20 * time.Second
-		if index%2 == 1 {
-			caller.Key = harness.OtherKey
-		}
+		caller := callers[(index+request)%len(callers)]
 		prompt := fmt.Sprintf("caller %d request %d", index, request)
 		answer, err := caller.Stream(ctx, prompt, combinedTokens, nil)
 		if ctx.Err() != nil {
@@ -173,12 +185,12 @@
 // post repeats each posting through all hosts until its outcome is known, or
 // gives it up.
 func (c *combination) post(ctx context.Context, index int) {
+	callers := c.callers(harness.SceneKey, 5*time.Second)
 	for posting := 0; ctx.Err() == nil; posting++ {
 		key := harness.NewKey()
 		body := fmt.Sprintf(`{"caller":%d,"posting":%d}`, index, posting)
-		for try := range len(c.scene.Deployment.Entries) {
-			caller := c.scene.Caller((index + posting + try) % len(c.scene.Deployment.Entries))
-			caller.Timeout = 5 * time.Second
+		for try := range callers {
+			caller := callers[(index+posting+try)%len(callers)]
 			reply, err := caller.Post(context.WithoutCancel(ctx), "/v1/services/ledger/payments", key, body)
 			state := reply.RunState
 			if err != nil || state == "" {
--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -32,7 +32,7 @@
 // whose answer is lost or that take effect late, and against a slow log.
 func TestConfigurationRaces(t *testing.T) {
 	t.Parallel()
-	random := newRandom(t)
+	random := newRandom(t, configSeed)
 	ctx, scene := startScene(t, harness.SmallShape)
 	entries := scene.Deployment.Entries
 	watched := watchRevisions(ctx, t, scene)
--- a/internal/integration/main_test.go
+++ b/internal/integration/main_test.go
@@ -91,13 +91,11 @@
 	t.Logf("processes:\n%s", data)
 }
 
-const defaultSeed = 1
-
-// newRandom returns a source with the seed FLAMINGODOOR_SEED, or a fixed one so
+// newRandom returns a source with the seed FLAMINGODOOR_SEED, or the fixed one so
 // that every run of CI gives the same verdict. It prints the seed.
-func newRandom(t *testing.T) *rand.Rand {
+func newRandom(t *testing.T, fixed uint64) *rand.Rand {
 	t.Helper()
-	seed := uint64(defaultSeed)
+	seed := fixed
 	if text := os.Getenv("FLAMINGODOOR_SEED"); text != "" {
 		var err error
 		seed, err = strconv.ParseUint(text, 10, 64)
--- a/internal/integration/membership_test.go
+++ b/internal/integration/membership_test.go
@@ -19,6 +19,7 @@
 
 const (
 	// defaultSeed makes every run of CI choose the same members and times.
+	groupsSeed = 20260101
 	// evidenceBound is the age at which evidence no longer counts.
 	evidenceBound = 3 * time.Second
 	// sendMargin is the time from the last check of an entry host to the
@@ -43,7 +44,7 @@
 
 func startGroupsRun(t *testing.T, shape harness.Shape) *groupsRun {
 	t.Helper()
-	random := newRandom(t)
+	random := newRandom(t, groupsSeed)
 	ctx, scene := startScene(t, shape)
 	time.Sleep(firstQuarantine)
 	run := &groupsRun{
--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
-	"gotest.tools/v3/assert"
 
 	operatorv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/operator/v1"
 	"flamingodoor.example/flamingodoor/gen/flamingodoor/operator/v1/operatorv1connect"
@@ -22,26 +18,12 @@
 
 const (
 	// inForceBound is the bound of I10.
+	configSeed     = 20261204
 	inForceBound   = 9 * time.Second
 	repeatPause    = 100 * time.Millisecond
 	sampleInterval = 20 * time.Millisecond
-	defaultSeed    = 20261204
 )
 
-// newRandom returns the random source of a test. FLAMINGODOOR_SEED replaces the
-// fixed seed.
-func newRandom(t *testing.T) *rand.Rand {
-	t.Helper()
-	seed := uint64(defaultSeed)
-	if text := os.Getenv("FLAMINGODOOR_SEED"); text != "" {
-		given, err := strconv.ParseUint(text, 10, 64)
-		assert.NilError(t, err)
-		seed = given
-	}
-	t.Logf("FLAMINGODOOR_SEED=%d", seed)
-	return rand.New(rand.NewPCG(seed, 0))
-}
-
 // operatorAt is an operator's connection to one entry host.
 type operatorAt struct {
 	operatorv1connect.CommandServiceClient
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -120,7 +120,6 @@
 // replaced in turn (I9).
 func TestRollingRestartInterruptsNothing(t *testing.T) {
 	t.Parallel()
-	newRandom(t) // the load has no random part but the choice of host
 	ctx, scene := startScene(t, harness.Shape{
 		Entries: 3, Domains: 2, EnginesPerDomain: 2, HostsPerGroup: 2, Groups: 2,
 		EngineArguments: []string{"--answer-tokens=1000", "--token-interval=" + tokenInterval.String()},
