Send suspects of different hosts to different endpoints

Cause: hosts run one suspect at a time each, but suspects of two hosts could meet at one endpoint, and the crash of one refused the other. Each suspect now goes to the endpoint of its rank among the suspects, which all hosts work out alike from the strikes they share.

--- a/interfaces.go
+++ b/interfaces.go
@@ -169,13 +169,20 @@
 	DispatchOnce(ctx context.Context, call ServiceCall) (ServiceAnswer, error)
 }
 
+// Suspicion lets hosts send suspects of the same crashes to different
+// endpoints without asking each other.
+type Suspicion struct {
+	Rank    int      // among the suspects that share a crash
+	Crashed []string // incarnations
+}
+
 // Strikes counts the endpoints that a request crashed.
 type Strikes interface {
 	// Blocked reports whether the request has crashed too many endpoints.
 	Blocked(fingerprint Fingerprint, now time.Time) bool
 	// MustRunAlone reports whether the request is a suspect that has to run
-	// without other suspects.
-	MustRunAlone(fingerprint Fingerprint, now time.Time) bool
+	// without other suspects, and what all hosts know of it alike.
+	MustRunAlone(fingerprint Fingerprint, now time.Time) (Suspicion, bool)
 	// Report records a crash and tells the peers before it returns.
 	Report(ctx context.Context, fingerprint Fingerprint, incarnation string)
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -148,9 +148,11 @@
 // request is one.
 func (g *generation) isolate(ctx context.Context) (waited bool, err error) {
 	d := g.dispatcher
-	if g.isolated || !d.parts.Strikes.MustRunAlone(g.request.Fingerprint, d.now()) {
+	suspicion, suspect := d.parts.Strikes.MustRunAlone(g.request.Fingerprint, d.now())
+	if g.isolated || !suspect {
 		return false, nil
 	}
+	g.search.suspicion = &suspicion
 	select {
 	case d.suspects <- struct{}{}:
 		g.isolated = true
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -209,8 +209,11 @@
 	return len(w.strikes) >= 2
 }
 
-func (w *world) MustRunAlone(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
-	return w.ledger != nil && w.ledger.MustRunAlone(fingerprint, now)
+func (w *world) MustRunAlone(fingerprint flamingodoor.Fingerprint, now time.Time) (flamingodoor.Suspicion, bool) {
+	if w.ledger == nil {
+		return flamingodoor.Suspicion{}, false
+	}
+	return w.ledger.MustRunAlone(fingerprint, now)
 }
 
 func (w *world) Report(ctx context.Context, fingerprint flamingodoor.Fingerprint, incarnation string) {
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -26,6 +27,25 @@
 	find    func(now time.Time) []routing.Candidate
 	request routing.Request
 	avoid   map[string]time.Time // until, by endpoint
+	// suspicion is not nil while the request runs without other suspects.
+	suspicion *flamingodoor.Suspicion
+}
+
+// separate leaves a suspect one candidate. Every host has the same list
+// without the crashed endpoints, so suspects of different ranks seldom meet.
+func (s *search) separate(candidates []routing.Candidate) []routing.Candidate {
+	if s.suspicion == nil {
+		return candidates
+	}
+	candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
+		return slices.Contains(s.suspicion.Crashed, c.Report.Incarnation)
+	})
+	if len(candidates) == 0 {
+		return nil
+	}
+	slices.SortFunc(candidates, func(a, b routing.Candidate) int { return strings.Compare(a.Leader.ID, b.Leader.ID) })
+	n := s.suspicion.Rank % len(candidates)
+	return candidates[n : n+1]
 }
 
 // target is a chosen endpoint with its permit if it is cold.
@@ -138,7 +158,7 @@
 // choose tries the candidates in the order of the chooser. A cold one needs a
 // permit; denied reports that one was refused.
 func (d *Dispatcher) choose(ctx context.Context, s *search, now time.Time) (chosen target, denied, ok bool) {
-	candidates := slices.DeleteFunc(s.find(now), func(c routing.Candidate) bool { return now.Before(s.avoid[c.Leader.ID]) })
+	candidates := slices.DeleteFunc(s.separate(s.find(now)), func(c routing.Candidate) bool { return now.Before(s.avoid[c.Leader.ID]) })
 	for {
 		candidate, found := d.parts.Chooser.Choose(now, s.request, candidates)
 		if !found {
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -2,6 +2,7 @@
 package poison
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"maps"
@@ -98,34 +99,44 @@
 	if !ok || !now.Before(s.deadline) || len(s.incarnations) < blockedAt {
 		return false
 	}
-	return len(s.incarnations) >= provenAt || !l.allShared(fingerprint, now)
+	_, shared := l.companions(fingerprint, now)
+	return len(s.incarnations) >= provenAt || !shared
 }
 
 // MustRunAlone reports whether the request was in flight at two crashes that struck
 // other requests as well. It has to run without other suspects, so that a
 // third crash proves which of them is at fault.
-func (l *Ledger) MustRunAlone(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
+func (l *Ledger) MustRunAlone(fingerprint flamingodoor.Fingerprint, now time.Time) (flamingodoor.Suspicion, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	s, ok := l.strikes[fingerprint]
-	return ok && now.Before(s.deadline) && len(s.incarnations) == blockedAt && l.allShared(fingerprint, now)
+	if !ok || !now.Before(s.deadline) || len(s.incarnations) != blockedAt {
+		return flamingodoor.Suspicion{}, false
+	}
+	rank, shared := l.companions(fingerprint, now)
+	return flamingodoor.Suspicion{Rank: rank, Crashed: slices.Sorted(maps.Keys(s.incarnations))}, shared
 }
 
-// allShared reports whether every crash of the request struck another request.
-func (l *Ledger) allShared(fingerprint flamingodoor.Fingerprint, now time.Time) bool {
+// companions reports whether every crash of the request struck another request,
+// and how many of those with two crashes or more come before it by fingerprint.
+func (l *Ledger) companions(fingerprint flamingodoor.Fingerprint, now time.Time) (rank int, allShared bool) {
 	shared := make(map[string]bool)
 	own := l.strikes[fingerprint].incarnations
 	for other, s := range l.strikes {
 		if other == fingerprint || !now.Before(s.deadline) {
 			continue
 		}
+		common := false
 		for incarnation := range s.incarnations {
 			if own[incarnation] {
-				shared[incarnation] = true
+				shared[incarnation], common = true, true
 			}
 		}
+		if common && len(s.incarnations) >= blockedAt && bytes.Compare(other[:], fingerprint[:]) < 0 {
+			rank++
+		}
 	}
-	return len(shared) == len(own)
+	return rank, len(shared) == len(own)
 }
 
 // Report records a crash and pushes it to the peers if it is new. The push
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -101,8 +101,14 @@
 			peer.Merge(ledger.Digest(start), start)
 			for _, l := range []*poison.Ledger{ledger, peer} {
 				assert.Equal(t, l.Blocked(request, start), test.blocked)
-				assert.Equal(t, l.MustRunAlone(request, start), test.alone)
-				assert.Assert(t, !l.MustRunAlone(request, start.Add(time.Hour)))
+				suspicion, alone := l.MustRunAlone(request, start)
+				assert.Equal(t, alone, test.alone)
+				if companion, both := l.MustRunAlone(harmless, start); alone && both {
+					assert.DeepEqual(t, companion.Crashed, suspicion.Crashed)
+					assert.Assert(t, companion.Rank == 1 && suspicion.Rank == 0)
+				}
+				_, alone = l.MustRunAlone(request, start.Add(time.Hour))
+				assert.Assert(t, !alone)
 			}
 		})
 	}
