--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -180,9 +180,11 @@
 // request is one.
 func (g *generation) isolate(ctx context.Context) (waited bool, err error) {
 	d := g.dispatcher
-	if g.isolated || !d.parts.Strikes.MustRunAlone(g.request.Fingerprint, d.now()) {
+	suspicion, suspect := d.parts.Strikes.MustRunAlone(g.request.Fingerprint, d.now())
+	if g.isolated || !suspect {
 		return false, nil
 	}
+	g.search.suspicion = &suspicion
 	select {
 	case d.suspects <- struct{}{}:
 		g.isolated = true
