Compute watch sets and voters once instead of each second

The watcher ranked all hosts for all endpoints every second, and every grant of a round sorted the member list again for the voters.

The watch set is now computed once for each applied offset, and the exchange ignores grants of hosts that do not vote and grants after the renewal of the round, which cannot extend the lease further.

Now the first is done after each record, the second at most 9 times a round.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"flamingodoor.example/flamingodoor/internal/health"
 	"flamingodoor.example/flamingodoor/internal/intent"
 	"flamingodoor.example/flamingodoor/internal/logstream"
+	"flamingodoor.example/flamingodoor/internal/member"
 	"flamingodoor.example/flamingodoor/internal/membership"
 	"flamingodoor.example/flamingodoor/internal/operator"
 	"flamingodoor.example/flamingodoor/internal/peer"
@@ -69,12 +70,13 @@
 	membership   *membership.Loop
 
 	// Endpoints.
-	table   *health.Table
-	watcher *watch.Watcher
-	permits *permit.Table
-	holder  *permit.Holder
-	ledger  *poison.Ledger
-	planner *plan.Planner
+	table    *health.Table
+	watchSet *member.WatchSet
+	watcher  *watch.Watcher
+	permits  *permit.Table
+	holder   *permit.Holder
+	ledger   *poison.Ledger
+	planner  *plan.Planner
 
 	// Requests.
 	uses       *clubUses
--- a/internal/daemon/endpointplane.go
+++ b/internal/daemon/endpointplane.go
@@ -43,6 +43,7 @@
 		MembersRevision: func() uint64 { return d.store.Current().MembersRevision() },
 		Peers:           d.directory,
 	})
+	d.watchSet = member.NewWatchSet(d.settings.HostID)
 	d.watcher = watch.New(watch.Parts{
 		HostID:   d.settings.HostID,
 		Engine:   d.observing,
@@ -68,16 +69,7 @@
 
 // watched lists the endpoints that this host probes.
 func (d *Daemon) watched() []flamingodoor.Endpoint {
-	current := d.store.Current()
-	var endpoints []flamingodoor.Endpoint
-	for _, endpoint := range current.Endpoints() {
-		for _, watcher := range member.Watchers(current, endpoint) {
-			if watcher.ID == d.settings.HostID {
-				endpoints = append(endpoints, endpoint)
-			}
-		}
-	}
-	return endpoints
+	return d.watchSet.Endpoints(d.store.Current())
 }
 
 // pushStrike tells every reachable peer of a request that crashed an endpoint.
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -12,6 +12,7 @@
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
 	"flamingodoor.example/flamingodoor/internal/freshness"
+	"flamingodoor.example/flamingodoor/internal/member"
 )
 
 const (
@@ -113,6 +114,10 @@
 	round := &round{start: time.Now(), configuration: e.store.Current()}
 	hosts := round.configuration.EntryHosts()
 	e.forget(hosts)
+	round.voters = make(map[string]bool, member.MaxVoters)
+	for _, voter := range member.VotersOf(hosts) {
+		round.voters[voter.ID] = true
+	}
 	e.lease.Confirm(round.configuration, e.verdictOf)
 	e.renew(round, "")
 	var group sync.WaitGroup
@@ -128,9 +133,11 @@
 type round struct {
 	start         time.Time
 	configuration flamingodoor.Configuration
+	voters        map[string]bool
 
 	mu      sync.Mutex
 	granted []string
+	renewed bool
 }
 
 func (e *Exchanger) pull(ctx context.Context, round *round, host flamingodoor.EntryHost) {
@@ -169,15 +176,19 @@
 
 // renew counts one more grant, if any, and extends the lease as soon as the
 // grants suffice, so that an unreachable peer does not delay it. A host whose
-// state machine has stopped does not renew.
+// state machine has stopped does not renew. Grants of hosts that do not vote,
+// and those after the renewal of the round, change nothing.
 func (e *Exchanger) renew(round *round, grantedBy string) {
 	round.mu.Lock()
 	defer round.mu.Unlock()
+	if round.renewed || grantedBy != "" && !round.voters[grantedBy] {
+		return
+	}
 	if grantedBy != "" {
 		round.granted = append(round.granted, grantedBy)
 	}
 	if e.store.Err() == nil {
-		e.lease.RenewFromVoters(round.start, round.granted, round.configuration)
+		round.renewed = e.lease.RenewFromVoters(round.start, round.granted, round.configuration)
 	}
 }
 
