Leave out the Date header between hosts

HPACK sends an unchanged header as one byte, but the Date of a response changes each second and is then sent in full. The peer handler, now made by peer.NewHandler with its size limits, leaves it out. User-Agent and the encodings were ruled out as a cost: they are constant and take a byte each.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -13,7 +13,6 @@
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/gen/flamingodoor/operator/v1/operatorv1connect"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
-	"flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1/peerv1connect"
 	"flamingodoor.example/flamingodoor/internal/entry"
 	"flamingodoor.example/flamingodoor/internal/operator"
 	"flamingodoor.example/flamingodoor/internal/peer"
@@ -25,8 +24,6 @@
 	metricsConnections  = 64
 	// maxOperatorBytes holds a configuration of the largest deployment.
 	maxOperatorBytes = 16 << 20
-	// maxPeerBytes holds a snapshot or a call with its whole body.
-	maxPeerBytes = 64 << 20
 )
 
 func newRequest[M any](message *M) *connect.Request[M] {
@@ -132,8 +129,7 @@
 		},
 	})
 	router := http.NewServeMux()
-	router.Handle(peerv1connect.NewPeerServiceHandler(server,
-		connect.WithReadMaxBytes(maxPeerBytes), connect.WithCompressMinBytes(peer.CompressMinBytes)))
+	router.Handle(peer.NewHandler(server))
 	return router
 }
 
--- a/internal/peer/digest_test.go
+++ b/internal/peer/digest_test.go
@@ -15,7 +15,6 @@
 
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
-	"flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1/peerv1connect"
 	"flamingodoor.example/flamingodoor/internal/freshness"
 	"flamingodoor.example/flamingodoor/internal/health"
 	"flamingodoor.example/flamingodoor/internal/peer"
@@ -68,7 +67,7 @@
 		HostID: b.id, Store: b, Lease: lease,
 		Digest: func(now time.Time) []*peerv1.Evidence { return p.source.Digest(now, b.id) },
 	})
-	_, handler := peerv1connect.NewPeerServiceHandler(server, connect.WithCompressMinBytes(peer.CompressMinBytes), connect.WithInterceptors(connect.UnaryInterceptorFunc(
+	_, handler := peer.NewHandler(server, connect.WithInterceptors(connect.UnaryInterceptorFunc(
 		func(next connect.UnaryFunc) connect.UnaryFunc {
 			return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 				response, err := next(ctx, request)
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -28,10 +28,10 @@
 	maxMessageBytes  = 64 << 20 // snapshots are the largest messages
 )
 
-// CompressMinBytes is the size from which messages between hosts are
+// compressMinBytes is the size from which messages between hosts are
 // compressed. Snapshots exceed it. Compression of the small answers of
 // Exchange costs more processor time and memory than it saves in traffic.
-const CompressMinBytes = 16 << 10
+const compressMinBytes = 16 << 10
 
 // DirectoryOption changes a Directory at its construction.
 type DirectoryOption func(*Directory)
@@ -73,7 +73,7 @@
 	d := &Directory{
 		options: []connect.ClientOption{
 			connect.WithReadMaxBytes(maxMessageBytes),
-			connect.WithCompressMinBytes(CompressMinBytes),
+			connect.WithCompressMinBytes(compressMinBytes),
 		},
 		dial:    (&net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}).DialContext,
 		remotes: make(map[netip.AddrPort]remote),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -64,6 +65,21 @@
 	return &Server{parts: parts, digests: newDigestPublisher()}
 }
 
+// NewHandler returns the HTTP handler of the peer RPC and its path. Responses
+// have no Date header, which would change each second and take more bytes than
+// all other headers of a response together.
+func NewHandler(server *Server, options ...connect.HandlerOption) (path string, handler http.Handler) {
+	options = append([]connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithCompressMinBytes(compressMinBytes),
+	}, options...)
+	path, calls := peerv1connect.NewPeerServiceHandler(server, options...)
+	return path, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header()["Date"] = nil
+		calls.ServeHTTP(writer, request)
+	})
+}
+
 // Exchange answers with this host's digest and a freshness grant. The
 // restrictions are read after the grant is decided, so that a granted lease
 // covers every restriction that this host held at that time.
