Fix the flaky test of digest references

TestReferencesRestoreTheDigest probed an endpoint twice within less than the duration of a pull and failed at least 3 of 10 runs: ages count back from the start of each pull, so the later probe could look older than the earlier one and was then rightly ignored. Probes of an endpoint are one second apart in a host; the test now uses that distance, and a new table for each field, so that every field is checked against a known state as before.

Mutations of digest.go showed three gaps, closed here: an age rounded down, a publisher that keeps references of vanished entries, and a caller that does not start anew after an unknown reference.

--- a/internal/peer/digest_test.go
+++ b/internal/peer/digest_test.go
@@ -15,6 +15,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	peerv1 "flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/peer/v1/peerv1connect"
 	"flamingodoor.example/flamingodoor/internal/freshness"
 	"flamingodoor.example/flamingodoor/internal/health"
 	"flamingodoor.example/flamingodoor/internal/peer"
@@ -26,6 +27,7 @@
 	exchanger *peer.Exchanger
 	handler   atomic.Pointer[http.Handler]
 	source    *health.Table // of b
+	served    atomic.Pointer[[]*peerv1.Evidence]
 	merged    *health.Table // of a
 	evidence  []*peerv1.Evidence
 	start     time.Time
@@ -65,7 +67,11 @@
 	lease := freshness.New(b.id, freshness.WithApplied(b.applied.Load))
 	server := peer.NewServer(peer.Parts{
 		HostID: b.id, Store: b, Lease: lease,
-		Digest: func(now time.Time) []*peerv1.Evidence { return p.source.Digest(now, b.id) },
+		Digest: func(now time.Time) []*peerv1.Evidence {
+			digest := p.source.Digest(now, b.id)
+			p.served.Store(&digest)
+			return digest
+		},
 	})
 	_, handler := peer.NewHandler(server, connect.WithInterceptors(connect.UnaryInterceptorFunc(
 		func(next connect.UnaryFunc) connect.UnaryFunc {
@@ -80,8 +86,19 @@
 	p.handler.Store(&handler)
 }
 
-// probe records evidence of b.
+// watchPeriod is the time between two probes of an endpoint. Ages are exact to
+// the duration of a pull only, so the order of probes that follow each other
+// faster can be lost.
+const watchPeriod = time.Second
+
+// probe records evidence of b from a probe that began now.
 func (p *puller) probe(endpoint int, change func(*flamingodoor.Report)) time.Time {
+	now := time.Now()
+	p.probeAt(now, endpoint, change)
+	return now
+}
+
+func (p *puller) probeAt(at time.Time, endpoint int, change func(*flamingodoor.Report)) {
 	report := flamingodoor.Report{
 		Incarnation: fmt.Sprintf("5f0c8f1e-%08d", endpoint), State: flamingodoor.EndpointStateWarm,
 		GroupID: fmt.Sprintf("plan-%d", endpoint/4), FencingNumber: 1234, MemberIndex: endpoint % 4,
@@ -90,12 +107,10 @@
 	if change != nil {
 		change(&report)
 	}
-	now := time.Now()
 	p.source.Record(flamingodoor.Evidence{
 		EndpointID: fmt.Sprintf("engine-%d", endpoint), Watcher: "host-b", Report: report,
-		ProbedAt: now, Deadline: now.Add(health.Validity),
+		ProbedAt: at, Deadline: at.Add(health.Validity),
 	})
-	return now
 }
 
 type countedConn struct {
@@ -163,6 +178,7 @@
 		assert.Equal(t, e.GetEndpointId(), full[i].GetEndpointId())
 		assert.Equal(t, e.GetWatcher(), "host-b")
 		assert.Equal(t, e.GetInFlight(), full[i].GetInFlight())
+		assert.Assert(t, e.GetAge().AsDuration() >= (*p.served.Load())[i].GetAge().AsDuration())
 	}
 	got, ok := p.merged.Endpoint("engine-0", time.Now())
 	want, _ := p.source.Endpoint("engine-0", time.Now())
@@ -182,7 +198,9 @@
 		"adapters":    func(r *flamingodoor.Report) { r.Adapters = nil },
 		"load":        func(r *flamingodoor.Report) { r.InFlight = 9 },
 	} {
-		p.probe(0, nil)
+		p := newPuller(t)
+		p.probeAt(time.Now().Add(-watchPeriod), 0, nil)
+		p.probe(1, nil)
 		p.exchanger.Round(t.Context())
 		p.probe(0, change)
 		p.exchanger.Round(t.Context())
@@ -236,10 +254,42 @@
 	p.source.Suspect("engine-0", time.Now())
 	p.exchanger.Round(t.Context())
 	assert.Equal(t, len(p.evidence), 0)
-	p.probe(0, nil)
+	p.probe(0, func(r *flamingodoor.Report) { r.State = flamingodoor.EndpointStateLoading })
+	for range 2 {
+		p.exchanger.Round(t.Context())
+		assert.Equal(t, len(p.evidence), 1)
+		assert.Equal(t, p.evidence[0].GetState(), peerv1.EndpointState_ENDPOINT_STATE_LOADING)
+	}
+}
+
+// forgetful answers with a reference to an entry that it never sent.
+type forgetful struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	requests []*peerv1.ExchangeRequest
+}
+
+func (f *forgetful) Exchange(
+	_ context.Context, request *connect.Request[peerv1.ExchangeRequest],
+) (*connect.Response[peerv1.ExchangeResponse], error) {
+	f.requests = append(f.requests, request.Msg)
+	return connect.NewResponse(&peerv1.ExchangeResponse{
+		HostId: "host-b", DigestEpoch: 7, DigestVersion: 9,
+		Evidence:  []*peerv1.Evidence{{EndpointId: "engine-0", Watcher: "host-b", Incarnation: "1", Reference: 1}},
+		Unchanged: []uint32{2}, UnchangedAgesMs: []uint32{100},
+	}), nil
+}
+
+// Guards against a caller that keeps asking for changes to entries which it
+// does not hold, and so never sees their endpoints.
+func TestUnknownReferenceStartsAnew(t *testing.T) {
+	p, service := newPuller(t), &forgetful{}
+	_, handler := peerv1connect.NewPeerServiceHandler(service)
+	p.handler.Store(&handler)
 	for range 2 {
 		p.exchanger.Round(t.Context())
 		assert.Equal(t, len(p.evidence), 1)
-		assert.Equal(t, p.evidence[0].GetState(), peerv1.EndpointState_ENDPOINT_STATE_WARM)
 	}
+	assert.Equal(t, len(service.requests), 2)
+	assert.Equal(t, service.requests[1].GetDigestEpoch(), uint64(0))
+	assert.Equal(t, service.requests[1].GetDigestVersion(), uint64(0))
 }
