--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -66,8 +66,7 @@
 }
 
 // NewHandler returns the HTTP handler of the peer RPC and its path. Responses
-// have no Date header, which would change each second and take more bytes than
-// all other headers of a response together.
+// have no Date header: it changes each second, so HPACK sends it in full.
 func NewHandler(server *Server, options ...connect.HandlerOption) (path string, handler http.Handler) {
 	options = append([]connect.HandlerOption{
 		connect.WithReadMaxBytes(maxMessageBytes),
