--- a/internal/integration/cold_test.go
+++ b/internal/integration/cold_test.go
@@ -51,7 +51,7 @@
 		for _, test := range tests {
 			t.Run(fmt.Sprintf("%s with allowance %d", test.name, allowance), func(t *testing.T) {
 				t.Parallel()
-				random := newRandom(t)
+				random := newRandom(t, groupsSeed)
 				shape := coldShape
 				if test.name == "unannounced" {
 					shape.EngineArguments = []string{"--cold-time=9s", "--cold-grace=" + coldNotice.String(), "--token-interval=30ms", "--run-after-disconnect"}
@@ -70,9 +70,9 @@
 				defer short.Stop()
 				time.Sleep(4 * time.Second)
 				test.fail(ctx, t, scene, random)
-				middle := received(ctx, t, scene)
+				middle := received(ctx, t, scene, scene.Engines[0].DataCentre)
 				time.Sleep(coldRun / 2)
-				last := received(ctx, t, scene)
+				last := received(ctx, t, scene, scene.Engines[0].DataCentre)
 				load.Stop()
 				short.Stop()
 
@@ -92,17 +92,6 @@
 	}
 }
 
-func received(ctx context.Context, t *testing.T, scene *harness.Scene) int {
-	t.Helper()
-	total := 0
-	for _, engine := range scene.Engines {
-		statistics, err := engine.Statistics(ctx)
-		assert.NilError(t, err)
-		total += statistics.Received
-	}
-	return total
-}
-
 // watcherOf picks an entry host of the engines' data centre. These are their
 // preferred watchers, and hold permits as well.
 func watcherOf(scene *harness.Scene, random *rand.Rand) *harness.Entry {
