--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -28,10 +28,11 @@
 
 // Reply is the answer to one request.
 type Reply struct {
-	Status   int
-	RunState string // of a refusal
-	Code     string // of a refusal
-	Body     string
+	Status    int
+	RequestID string
+	RunState  string
+	Code      string // of a refusal
+	Body      string
 }
 
 // Answer is a streamed answer.
@@ -41,6 +42,7 @@
 	Complete   bool // ended with the end marker
 	Code       string
 	RunState   string
+	RequestID  string
 	Status     int
 	FirstToken time.Duration
 	LongestGap time.Duration
@@ -100,7 +102,7 @@
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer := Answer{Status: response.StatusCode}
+	answer := Answer{Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id")}
 	if response.StatusCode != http.StatusOK {
 		reply, err := readReply(response)
 		answer.Code, answer.RunState = reply.Code, reply.RunState
@@ -207,7 +209,10 @@
 
 func readReply(response *http.Response) (Reply, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-	reply := Reply{Status: response.StatusCode, RunState: response.Header.Get("X-Run-State"), Body: string(body)}
+	reply := Reply{
+		Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id"),
+		RunState: response.Header.Get("X-Run-State"), Body: string(body),
+	}
 	var refused struct {
 		Error refusal `json:"error"`
 	}
--- a/internal/harness/scene.go
+++ b/internal/harness/scene.go
@@ -50,6 +50,7 @@
 	HostsPerGroup     int
 	Groups            int
 	EngineArguments   []string
+	ServiceArguments  []string
 	PlatformArguments []string
 	EntryArguments    []string
 }
@@ -86,7 +87,7 @@
 		}
 	}
 	var err error
-	if scene.Ledger, err = deployment.StartService(ctx, "ledger-1", SceneDataCentres[0], SceneService); err != nil {
+	if scene.Ledger, err = deployment.StartService(ctx, "ledger-1", SceneDataCentres[0], SceneService, shape.ServiceArguments...); err != nil {
 		return nil, err
 	}
 	scene.describe(shape)
--- a/internal/standin/endpoint/generate.go
+++ b/internal/standin/endpoint/generate.go
@@ -126,6 +126,7 @@
 		s.statistics.Resumes++
 	}
 	s.running[key] = run
+	s.statistics.RunsByRequest[body.RequestID]++
 	counted = s.begin(now)
 	s.cache.add(routing.PrefixHashes(body.Model, body.Version, body.Adapter, body.Prompt), now)
 	s.change(func(snap *snapshot) {
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -60,7 +60,7 @@
 	// request received since.
 	LastWhileLeavingMS int64 `json:"last_while_leaving_ms"`
 	// Runs of a plain service by SHA-256 of the body, by X-Request-Id and by
-	// X-Call-Key.
+	// X-Call-Key. An engine counts the attempts that it accepted by request.
 	RunsByBody    map[string]int `json:"runs_by_body"`
 	RunsByRequest map[string]int `json:"runs_by_request"`
 	RunsByKey     map[string]int `json:"runs_by_key"`
