Give no strike for a crash that was known before the attempt

Ruled out: the bound of engines, which held in every run. The ledger now keeps when each incarnation was reported, and an attempt that began later gets no strike for it.

--- a/interfaces.go
+++ b/interfaces.go
@@ -183,6 +183,9 @@
 	// MustRunAlone reports whether the request is a suspect that has to run
 	// without other suspects, and what all hosts know of it alike.
 	MustRunAlone(fingerprint Fingerprint, now time.Time) (Suspicion, bool)
+	// CrashedBefore reports whether the incarnation is known to have crashed
+	// before the given time.
+	CrashedBefore(incarnation string, at time.Time) bool
 	// Report records a crash and tells the peers before it returns.
 	Report(ctx context.Context, fingerprint Fingerprint, incarnation string)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -61,6 +61,21 @@
 	assert.Equal(t, w.servers["c"].Statistics().WrongResumes, 0)
 }
 
+// Guards against a strike for a crash that happened before the request was
+// sent: a host with old evidence still sends to the dead process.
+func TestKnownCrashIsNoStrike(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		w := newWorld(t)
+		w.add(t, "a", standinendpoint.WithCrash("boom", 0, w.stop("a")))
+		if known {
+			w.crashed = []string{"i-a"}
+		}
+		_, _, err := w.generate(t, "boom", time.Second)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(w.strikes) == 0, known)
+	}
+}
+
 // Guards against sending work where it must not go.
 func TestNothingIsSentToAnIneligibleGroup(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -225,7 +225,8 @@
 			}
 		}()
 	}
-	d.loads.add(t.Leader.ID, d.now(), 1)
+	started := d.now()
+	d.loads.add(t.Leader.ID, started, 1)
 	err := g.exchange(ctx, t)
 	d.loads.add(t.Leader.ID, d.now(), -1)
 	if err == nil {
@@ -235,7 +236,7 @@
 	if cause := context.Cause(ctx); parent.Err() == nil && errors.Is(cause, errPermitLost) {
 		err = flamingodoor.NewError(flamingodoor.CodeStreamLost, flamingodoor.RunStateOf(err), cause)
 	}
-	g.settle(parent, t, err)
+	g.settle(parent, t, started, err)
 	return err
 }
 
@@ -277,7 +278,7 @@
 
 // settle deals with the endpoint of a failed attempt before the request is
 // retried or answered.
-func (g *generation) settle(ctx context.Context, t target, err error) {
+func (g *generation) settle(ctx context.Context, t target, started time.Time, err error) {
 	d := g.dispatcher
 	mayHaveRun := flamingodoor.RunStateOf(err) != flamingodoor.RunStateNotRun
 	if mayHaveRun {
@@ -295,7 +296,10 @@
 	if ownFault || flamingodoor.CodeOf(err) == flamingodoor.CodeOverloaded {
 		return
 	}
-	if mayHaveRun && !errors.Is(err, errRestarted) && d.crashed(ctx, t, err) {
+	// A host with old evidence can send to a process that others saw crash; the
+	// request had no part in that crash.
+	suspect := mayHaveRun && !errors.Is(err, errRestarted) && !d.parts.Strikes.CrashedBefore(t.Report.Incarnation, started)
+	if suspect && d.crashed(ctx, t, err) {
 		strikeContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), strikeTimeout)
 		d.parts.Strikes.Report(strikeContext, g.request.Fingerprint, t.Report.Incarnation)
 		cancel()
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -34,6 +34,7 @@
 	reports                    map[string]flamingodoor.Report
 	suspects                   []string
 	strikes                    []string
+	crashed                    []string // incarnations that peers reported
 	ledger                     *poison.Ledger // decides instead of strikes if set
 	slots                      int
 	lost                       chan struct{}
@@ -216,6 +217,12 @@
 	return w.ledger.MustRunAlone(fingerprint, now)
 }
 
+func (w *world) CrashedBefore(incarnation string, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Contains(w.crashed, incarnation) || w.ledger != nil && w.ledger.CrashedBefore(incarnation, at)
+}
+
 func (w *world) Report(ctx context.Context, fingerprint flamingodoor.Fingerprint, incarnation string) {
 	w.mu.Lock()
 	w.strikes = append(w.strikes, incarnation)
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -70,7 +70,7 @@
 var _ flamingodoor.Strikes = (*Ledger)(nil)
 
 type strike struct {
-	incarnations map[string]bool
+	incarnations map[string]time.Time // of the report of each crash
 	struckAt     time.Time // of the latest crash
 	deadline     time.Time
 }
@@ -128,7 +128,7 @@
 		}
 		common := false
 		for incarnation := range s.incarnations {
-			if own[incarnation] {
+			if _, both := own[incarnation]; both {
 				shared[incarnation], common = true, true
 			}
 		}
@@ -139,6 +139,19 @@
 	return rank, len(shared) == len(own)
 }
 
+// CrashedBefore reports whether the incarnation is known to have crashed before
+// the given time.
+func (l *Ledger) CrashedBefore(incarnation string, at time.Time) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, s := range l.strikes {
+		if reported, ok := s.incarnations[incarnation]; ok && reported.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Report records a crash and pushes it to the peers if it is new. The push
 // does not end with the caller's context, because a caller that goes away
 // often repeats the request elsewhere. A report of the second crash returns
@@ -212,15 +225,15 @@
 	if !ok || !now.Before(s.deadline) {
 		delete(l.strikes, fingerprint)
 		l.makeRoom()
-		s = &strike{incarnations: make(map[string]bool)}
+		s = &strike{incarnations: make(map[string]time.Time)}
 		l.strikes[fingerprint] = s
 	}
 	added := false
 	for _, incarnation := range incarnations {
-		if s.incarnations[incarnation] || len(s.incarnations) >= maxIncarnations {
+		if _, known := s.incarnations[incarnation]; known || len(s.incarnations) >= maxIncarnations {
 			continue
 		}
-		s.incarnations[incarnation] = true
+		s.incarnations[incarnation] = struckAt
 		added = true
 	}
 	if struckAt.After(s.struckAt) {
--- a/internal/poison/ledger_test.go
+++ b/internal/poison/ledger_test.go
@@ -37,6 +37,16 @@
 	here.Merge([]*peerv1.Strike{{Fingerprint: []byte("short"), Incarnations: []string{"a", "b"}}}, start)
 }
 
+// Guards against taking a crash for an earlier one, or missing an earlier one.
+func TestCrashedBefore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	ledger := poison.New(poison.WithClock(func() time.Time { return start }))
+	ledger.Report(t.Context(), request, "a")
+	assert.Assert(t, ledger.CrashedBefore("a", start.Add(time.Millisecond)))
+	assert.Assert(t, !ledger.CrashedBefore("a", start))
+	assert.Assert(t, !ledger.CrashedBefore("b", start.Add(time.Millisecond)))
+}
+
 // Guards against memory that grows with the number of crashed requests.
 func TestOldestFingerprintIsDropped(t *testing.T) {
 	start := time.Unix(1000, 0)
