Resume a begun answer once without retry budget

Cause: after all engine connections were reset, a resume drew on the retry budget of 10%, so 12 of 25 begun answers at each host were completed and 13 ended with stream_lost, although the engines served on. Ruled out: the engines' capacity and the resume itself (no wrong resumes). Breaking off makes the caller run the whole answer again, which costs more than the resume; later retries still need budget.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -57,6 +57,7 @@
 	attempts   int
 	refusals   int // attempts that an overloaded endpoint did not take
 	tokens     int
+	resumed    bool // has used the resume that needs no retry budget
 	state      flamingodoor.RunState
 	last       error // failure of the latest attempt
 	isolated   bool  // is the only suspect in flight of this host
@@ -202,6 +203,11 @@
 		return false
 	case d.parts.Strikes.Blocked(g.request.Fingerprint, now):
 		return true // the loop refuses the request with its own code
+	case g.tokens > 0 && !g.resumed:
+		// Breaking off an answer that has begun makes its caller run all of it
+		// again, which costs more than one resume.
+		g.resumed = true
+		return true
 	default:
 		return d.parts.RetryBudget.Retry(now)
 	}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -34,7 +34,7 @@
 	reports                    map[string]flamingodoor.Report
 	suspects                   []string
 	strikes                    []string
-	crashed                    []string // incarnations that peers reported
+	crashed                    []string       // incarnations that peers reported
 	ledger                     *poison.Ledger // decides instead of strikes if set
 	slots                      int
 	lost                       chan struct{}
--- a/internal/integration/answers_test.go
+++ b/internal/integration/answers_test.go
@@ -150,7 +150,7 @@
 				continue
 			}
 			assert.Check(t, ended.broken == 0, "%s: broken connections", round.name)
-			assert.Check(t, ended.complete >= min(opened, retryFloor+opened/10), "%s: fewer than the retry budget allows", round.name)
+			assert.Check(t, ended.complete == opened, "%s: an answer that has begun resumes once without retry budget", round.name)
 		}
 		if round.name == "entry host stops" {
 			<-scene.Deployment.Entries[2].Exited()
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -71,7 +71,7 @@
 
 type strike struct {
 	incarnations map[string]time.Time // of the report of each crash
-	struckAt     time.Time // of the latest crash
+	struckAt     time.Time            // of the latest crash
 	deadline     time.Time
 }
 
