--- a/gen/flamingodoor/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/flamingodoor/peer/v1/peerv1connect/peer.connect.go
@@ -66,7 +66,7 @@
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
 	// FetchRecords returns records of the config stream that the peer has kept.
 	FetchRecords(context.Context, *connect.Request[v1.FetchRecordsRequest]) (*connect.Response[v1.FetchRecordsResponse], error)
-	// FetchSnapshot returns the peer's folded state.
+	// FetchSnapshot returns the peer's encoded state.
 	FetchSnapshot(context.Context, *connect.Request[v1.FetchSnapshotRequest]) (*connect.Response[v1.FetchSnapshotResponse], error)
 	// Restrict gives the peer a provisional restriction.
 	Restrict(context.Context, *connect.Request[v1.RestrictRequest]) (*connect.Response[v1.RestrictResponse], error)
@@ -214,7 +214,7 @@
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
 	// FetchRecords returns records of the config stream that the peer has kept.
 	FetchRecords(context.Context, *connect.Request[v1.FetchRecordsRequest]) (*connect.Response[v1.FetchRecordsResponse], error)
-	// FetchSnapshot returns the peer's folded state.
+	// FetchSnapshot returns the peer's encoded state.
 	FetchSnapshot(context.Context, *connect.Request[v1.FetchSnapshotRequest]) (*connect.Response[v1.FetchSnapshotResponse], error)
 	// Restrict gives the peer a provisional restriction.
 	Restrict(context.Context, *connect.Request[v1.RestrictRequest]) (*connect.Response[v1.RestrictResponse], error)
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -5,57 +5,42 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"path/filepath"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"flamingodoor.example/flamingodoor/internal/harness"
 )
 
 type options struct {
-	Sizes  []string      `long:"size" default:"3x48" default:"6x48" default:"12x48" default:"24x48" default:"6x96" default:"6x192" description:"entry hosts and engines, as 6x48; may be repeated"`
+	Sizes  []string      `long:"size" description:"entry hosts and engines, as 6x48; may be repeated (default: the sizes of docs/CAPACITY.md)"`
 	Group  int           `long:"group" default:"4" description:"hosts of a group"`
 	Settle time.Duration `long:"settle" default:"25s" description:"time before the measurement"`
 	Window time.Duration `long:"window" default:"20s" description:"length of the measurement"`
 	Load   int           `long:"load" default:"0" description:"streams in flight through every host during the measurement"`
 }
 
+// defaultSizes are those of docs/CAPACITY.md.
+var defaultSizes = []string{"7x58", "3x48", "6x48", "12x48", "24x48", "6x96", "6x192"}
+
 func main() {
-	if err := run(); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "capacity:", err)
-		os.Exit(1)
-	}
+	args := options{Sizes: defaultSizes}
+	os.Exit(harness.Main("capacity", &args, func(ctx context.Context, programs string, log io.Writer) error {
+		return measureSizes(ctx, args, programs, log)
+	}))
 }
 
-func run() error {
-	var args options
-	if _, err := flags.Parse(&args); err != nil {
-		if flags.WroteHelp(err) {
-			return nil
-		}
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	directory, err := os.MkdirTemp("", "flamingodoor-capacity-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	if err := harness.Build(ctx, ".", directory, false); err != nil {
-		return err
-	}
+func measureSizes(ctx context.Context, args options, programs string, log io.Writer) error {
 	_, _ = fmt.Fprintln(os.Stdout, "hosts engines groups  cpu_percent  resident_mb  peer_bytes_s  platform_bytes_s  probe_bytes_s  streams  tokens_s")
 	for _, size := range args.Sizes {
 		var hosts, engines int
 		if _, err := fmt.Sscanf(size, "%dx%d", &hosts, &engines); err != nil {
 			return err
 		}
-		if err := measureSize(ctx, args, directory, hosts, engines); err != nil {
+		deployment := &harness.Deployment{Programs: programs, Log: log}
+		err := measureSize(ctx, args, deployment, hosts, engines)
+		deployment.Close()
+		if err != nil {
 			return err
 		}
 	}
@@ -63,16 +48,9 @@
 }
 
 // measureSize prints the mean use of a host over the window.
-func measureSize(ctx context.Context, args options, programs string, hosts, engines int) error {
-	log, err := os.Create(filepath.Join(programs, "processes.log")) //nolint:gosec // Own directory.
-	if err != nil {
-		return err
-	}
-	defer func() { _ = log.Close() }()
+func measureSize(ctx context.Context, args options, deployment *harness.Deployment, hosts, engines int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	deployment := &harness.Deployment{Programs: programs, Log: log}
-	defer deployment.Close()
 	scene, farm, err := startFarmScene(ctx, deployment, args, hosts, engines)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -188,7 +189,7 @@
 	for _, running := range d.servers {
 		group.Go(func() error {
 			err := serve(running.server, running.listener)
-			if err != nil && err != http.ErrServerClosed { //nolint:errorlint // Serve returns this value itself.
+			if err != nil && !errors.Is(err, http.ErrServerClosed) {
 				return flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
 			}
 			return nil
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -7,9 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"path/filepath"
-	"syscall"
 	"time"
 
 	"flamingodoor.example/flamingodoor/internal/harness"
@@ -21,38 +18,14 @@
 )
 
 func main() {
-	if err := run(); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
-}
-
-func run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
-	defer cancel()
-	directory, err := os.MkdirTemp("", "flamingodoor-demo-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-
-	say("building the programs")
-	if err := harness.Build(ctx, ".", directory, false); err != nil {
-		return err
-	}
-	logPath := filepath.Join(os.TempDir(), "flamingodoor-demo.log")
-	log, err := os.Create(logPath) //nolint:gosec // Fixed name in the temporary directory.
-	if err != nil {
-		return err
-	}
-	defer func() { _ = log.Close() }()
-	say("logs of all processes: %s", logPath)
-
-	deployment := &harness.Deployment{Programs: directory, Log: log}
-	defer deployment.Close()
-	return show(ctx, deployment, os.Stdout)
+	var noOptions struct{}
+	os.Exit(harness.Main("demo", &noOptions, func(ctx context.Context, programs string, log io.Writer) error {
+		ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+		defer cancel()
+		deployment := &harness.Deployment{Programs: programs, Log: log}
+		defer deployment.Close()
+		return show(ctx, deployment, os.Stdout)
+	}))
 }
 
 // show walks through the deployment's life.
--- a/internal/departure/main.go
+++ b/internal/departure/main.go
@@ -6,16 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
-	"os/signal"
-	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"flamingodoor.example/flamingodoor/internal/faultproxy"
 	"flamingodoor.example/flamingodoor/internal/harness"
 )
@@ -40,38 +36,16 @@
 )
 
 func main() {
-	if err := run(); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "departure:", err)
-		os.Exit(1)
-	}
+	var args options
+	os.Exit(harness.Main("departure", &args, func(ctx context.Context, programs string, log io.Writer) error {
+		return comparePolicies(ctx, args, programs, log)
+	}))
 }
 
-func run() error {
-	var args options
-	if _, err := flags.Parse(&args); err != nil {
-		if flags.WroteHelp(err) {
-			return nil
-		}
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	directory, err := os.MkdirTemp("", "flamingodoor-departure-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
-	if err := harness.Build(ctx, ".", directory, false); err != nil {
-		return err
-	}
-	log, err := os.Create(filepath.Join(directory, "processes.log")) //nolint:gosec // Own directory.
-	if err != nil {
-		return err
-	}
-	defer func() { _ = log.Close() }()
+func comparePolicies(ctx context.Context, args options, programs string, log io.Writer) error {
 	_, _ = fmt.Fprintln(os.Stdout, "policy  phase     requests  complete  in_time  gaps_in_time  cold_in_flight_max  failures")
 	for _, policy := range []string{"plain", "entry"} {
-		deployment := &harness.Deployment{Programs: directory, Log: log}
+		deployment := &harness.Deployment{Programs: programs, Log: log}
 		err := measure(ctx, args, deployment, policy)
 		deployment.Close()
 		if err != nil {
--- a/internal/intent/index.go
+++ b/internal/intent/index.go
@@ -12,7 +12,7 @@
 // dispatches it.
 const maxAbandoned = 32
 
-// Index folds the records of one shard in log order.
+// Index applies the records of one shard in log order.
 type Index struct {
 	keys map[Hash]*keyState
 }
@@ -45,7 +45,7 @@
 	return &Index{keys: make(map[Hash]*keyState)}
 }
 
-// Apply folds the entries of the record at the offset.
+// Apply takes in the entries of the record at the offset.
 func (x *Index) Apply(offset uint64, record *recordv1.IntentRecord, now time.Time) {
 	for _, entry := range record.GetEntries() {
 		if len(entry.GetKeyHash()) != len(Hash{}) || entry.GetAttemptId() == "" {
--- a/internal/intent/index_test.go
+++ b/internal/intent/index_test.go
@@ -10,7 +10,7 @@
 	"flamingodoor.example/flamingodoor/internal/intent"
 )
 
-// Guards against a fold in which a loser's, late or repeated record changes
+// Guards against an index in which a loser's, late or repeated record changes
 // which attempt may dispatch.
 func TestIndexFollowsLogOrder(t *testing.T) {
 	index, hash, offset := intent.NewIndex(), intent.Hash{1}, uint64(0)
