--- a/internal/daemon/endpointplane.go
+++ b/internal/daemon/endpointplane.go
@@ -163,14 +163,8 @@
 	o.daemon.collector.StrandedAccelerators(count)
 }
 
-// ChangeRecorded logs a change of a group.
-func (o *planObserver) ChangeRecorded(kind string, code recordv1.VerdictCode) {
-	_ = level.Info(o.daemon.logger).Log("event", "group_change", "kind", kind, "verdict", code)
-}
+// ChangeRecorded does nothing: the planner logs its changes itself.
+func (o *planObserver) ChangeRecorded(string, recordv1.VerdictCode) {}
 
-// OrderSent logs an order that failed.
-func (o *planObserver) OrderSent(err error) {
-	if err != nil {
-		_ = level.Warn(o.daemon.logger).Log("event", "order_failed", "code", flamingodoor.CodeOf(err), "err", err)
-	}
-}
+// OrderSent does nothing: the planner logs its orders itself.
+func (o *planObserver) OrderSent(error) {}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/engine"
 	"flamingodoor.example/flamingodoor/internal/routing"
@@ -296,8 +298,8 @@
 	if g.tokens > 0 {
 		g.state = flamingodoor.RunStateRan
 	}
-	_ = d.parts.Logger.Log("event", "attempt_failed", "request_id", g.request.RequestID, "attempt", g.attempts,
-		"endpoint", t.Leader.ID, "group", t.Group.ID, "run_state", g.state, "error", err)
+	_ = level.Warn(d.parts.Logger).Log("event", "attempt_failed", "request_id", g.request.RequestID, "attempt", g.attempts,
+		"endpoint", t.Leader.ID, "group", t.Group.ID, "run_state", g.state, "err", err)
 	ownFault := ctx.Err() != nil || errors.Is(err, errCallerGone) || errors.Is(err, errPermitLost)
 	if ownFault || flamingodoor.CodeOf(err) == flamingodoor.CodeOverloaded {
 		return
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/routing"
 )
@@ -112,8 +114,8 @@
 	} else {
 		t.abandonPermit()
 	}
-	_ = d.parts.Logger.Log("event", "call_failed", "request_id", c.RequestID, "service", c.Service,
-		"endpoint", t.Leader.ID, "run_state", flamingodoor.RunStateOf(err), "error", err)
+	_ = level.Warn(d.parts.Logger).Log("event", "call_failed", "request_id", c.RequestID, "service", c.Service,
+		"endpoint", t.Leader.ID, "run_state", flamingodoor.RunStateOf(err), "err", err)
 	// A slow call does not show that its endpoint failed.
 	if parent.Err() == nil && flamingodoor.CodeOf(err) == flamingodoor.CodeEndpointFailed {
 		d.parts.HealthRecorder.Suspect(t.Leader.ID, d.now())
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/go-kit/log/level"
+
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/routing"
 )
@@ -253,7 +255,7 @@
 			return struct{}{}, d.parts.Engine.Cancel(ctx, t.Leader, requestID, attempt)
 		}, backoff.WithMaxTries(cancelTries))
 		if err != nil {
-			_ = d.parts.Logger.Log("event", "cancel_failed", "endpoint", t.Leader.ID, "request_id", requestID, "attempt", attempt, "error", err)
+			_ = level.Warn(d.parts.Logger).Log("event", "cancel_failed", "endpoint", t.Leader.ID, "request_id", requestID, "attempt", attempt, "err", err)
 			t.abandonPermit()
 			return
 		}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,6 +11,8 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"github.com/go-kit/log/level"
+
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/admission"
 	"flamingodoor.example/flamingodoor/internal/dispatch"
@@ -163,9 +165,9 @@
 		"duration", x.observation.Duration, "tokens", x.observation.Tokens,
 	}
 	if err != nil {
-		fields = append(fields, "code", x.observation.Code, "run_state", x.observation.RunState, "error", err)
+		fields = append(fields, "code", x.observation.Code, "run_state", x.observation.RunState, "err", err)
 	}
-	_ = h.parts.Logger.Log(fields...)
+	_ = level.Info(h.parts.Logger).Log(fields...)
 }
 
 // prepare refuses requests that this host may not take, finds the caller's
--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -138,7 +138,7 @@
 	if err == nil {
 		return true
 	}
-	_ = level.Warn(s.logger).Log("msg", "append of intents failed", "stream", s.stream, "entries", len(batch), "err", err)
+	_ = level.Warn(s.logger).Log("event", "intent_append_failed", "stream", s.stream, "entries", len(batch), "err", err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	again := make([]*pending, 0, len(batch))
--- a/internal/intent/shard.go
+++ b/internal/intent/shard.go
@@ -119,7 +119,7 @@
 	if err != nil && (flamingodoor.CodeOf(err) != flamingodoor.CodeTrimmed || page.First <= next) {
 		s.failures++
 		if s.failures == failedReads && s.ctx.Err() == nil {
-			_ = level.Warn(s.logger).Log("msg", "intent stream cannot be read", "stream", s.stream, "err", err)
+			_ = level.Warn(s.logger).Log("event", "intent_read_failed", "stream", s.stream, "err", err)
 		}
 		return false
 	}
@@ -151,7 +151,7 @@
 		}
 		if record.GetVersion() > recordVersion {
 			s.future = true
-			_ = level.Error(s.logger).Log("msg", "intent stream has a record of a future version", "stream", s.stream, "offset", entry.Offset)
+			_ = level.Error(s.logger).Log("event", "future_intent_record", "stream", s.stream, "offset", entry.Offset)
 			return
 		}
 		s.index.Apply(entry.Offset, record, now)
--- a/internal/logstream/checkpointer.go
+++ b/internal/logstream/checkpointer.go
@@ -115,7 +115,7 @@
 func (c *Checkpointer) append(ctx context.Context) {
 	checkpoint, err := c.store.Checkpoint()
 	if err != nil {
-		_ = level.Error(c.logger).Log("msg", "failed to encode a checkpoint", "err", err)
+		_ = level.Error(c.logger).Log("event", "checkpoint_encoding_failed", "err", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.appendTimeout+maxRepeatAfter)
@@ -126,9 +126,9 @@
 		Body:       &recordv1.Record_Checkpoint{Checkpoint: checkpoint},
 	})
 	if err != nil {
-		_ = level.Warn(c.logger).Log("msg", "failed to append a checkpoint", "offset", checkpoint.GetOffset(), "err", err)
+		_ = level.Warn(c.logger).Log("event", "checkpoint_append_failed", "offset", checkpoint.GetOffset(), "err", err)
 		return
 	}
-	_ = level.Info(c.logger).Log("msg", "checkpoint appended", "offset", checkpoint.GetOffset(),
+	_ = level.Info(c.logger).Log("event", "checkpoint_appended", "offset", checkpoint.GetOffset(),
 		"verdict", verdict.GetCode(), "reason", verdict.GetReason())
 }
--- a/internal/logstream/follower.go
+++ b/internal/logstream/follower.go
@@ -44,7 +44,7 @@
 			delays.Reset()
 			f.noteSuccess()
 		case f.store.Err() != nil:
-			_ = level.Error(f.logger).Log("msg", "stopped at a record of a future version", "err", f.store.Err())
+			_ = level.Error(f.logger).Log("event", "future_record", "err", f.store.Err())
 			<-ctx.Done()
 		case ctx.Err() == nil:
 			f.noteFailure(err)
@@ -111,7 +111,7 @@
 		if err != nil {
 			return err
 		}
-		_ = level.Debug(f.logger).Log("msg", "record applied", "offset", entry.Offset,
+		_ = level.Debug(f.logger).Log("event", "record_applied", "offset", entry.Offset,
 			"command_id", verdict.GetCommandId(), "verdict", verdict.GetCode(), "reason", verdict.GetReason())
 	}
 	return nil
@@ -159,13 +159,13 @@
 		return err
 	}
 	f.started = true
-	_ = level.Info(f.logger).Log("msg", "snapshot installed", "applied", state.Applied())
+	_ = level.Info(f.logger).Log("event", "snapshot_installed", "applied", state.Applied())
 	return nil
 }
 
 func (f *Follower) report(action string, err error) {
 	if err != nil {
-		_ = level.Warn(f.logger).Log("msg", "failed to "+action, "err", err)
+		_ = level.Warn(f.logger).Log("event", "restore_failed", "action", action, "err", err)
 	}
 }
 
@@ -173,14 +173,14 @@
 // and one that cannot.
 func (f *Follower) noteFailure(err error) {
 	if !f.failing {
-		_ = level.Warn(f.logger).Log("msg", "read of the log failed", "code", flamingodoor.CodeOf(err), "err", err)
+		_ = level.Warn(f.logger).Log("event", "log_read_failed", "code", flamingodoor.CodeOf(err), "err", err)
 	}
 	f.failing = true
 }
 
 func (f *Follower) noteSuccess() {
 	if f.failing {
-		_ = level.Info(f.logger).Log("msg", "log can be read again", "applied", f.store.Current().Applied())
+		_ = level.Info(f.logger).Log("event", "log_reachable_again", "applied", f.store.Current().Applied())
 	}
 	f.failing = false
 }
--- a/internal/logstream/recorder.go
+++ b/internal/logstream/recorder.go
@@ -54,7 +54,7 @@
 			verdict, err := r.store.WaitVerdict(ctx, commandID)
 			return verdict, mayHaveRun(err)
 		}
-		_ = level.Warn(r.logger).Log("msg", "append failed; waiting for the record to appear",
+		_ = level.Warn(r.logger).Log("event", "append_unconfirmed",
 			"command_id", commandID, "err", appendErr)
 		verdict, err := r.waitBeforeRepeat(ctx, commandID, delays.NextBackOff())
 		switch {
--- a/internal/logstream/restore.go
+++ b/internal/logstream/restore.go
@@ -44,7 +44,7 @@
 	if state.Applied() <= f.store.Current().Applied() {
 		return nil
 	}
-	_ = level.Info(f.logger).Log("msg", "checkpoint installed", "applied", state.Applied(), "offset", chosen.recordOffset)
+	_ = level.Info(f.logger).Log("event", "checkpoint_installed", "applied", state.Applied(), "offset", chosen.recordOffset)
 	return f.store.Install(state)
 }
 
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -103,7 +103,7 @@
 		pause := checkInterval
 		if err := l.Step(ctx, time.Now()); err != nil {
 			pause = wait.NextBackOff()
-			_ = level.Info(l.logger).Log("msg", "member list not changed, will retry",
+			_ = level.Info(l.logger).Log("event", "member_change_failed",
 				"code", flamingodoor.CodeOf(err), "err", err)
 		} else {
 			wait.Reset()
@@ -190,7 +190,7 @@
 	}
 	l.joined.Store(verdict.GetOffset())
 	l.lease.StartGranting(verdict.GetOffset())
-	_ = level.Info(l.logger).Log("msg", "joined the entry hosts", "offset", verdict.GetOffset())
+	_ = level.Info(l.logger).Log("event", "joined", "offset", verdict.GetOffset())
 	return nil
 }
 
@@ -201,7 +201,7 @@
 	if err != nil {
 		return err
 	}
-	_ = level.Info(l.logger).Log("msg", "removed an entry host", "host", hostID, "offset", verdict.GetOffset())
+	_ = level.Info(l.logger).Log("event", "entry_host_removed", "removed", hostID, "offset", verdict.GetOffset())
 	return nil
 }
 
--- a/internal/membership/presence.go
+++ b/internal/membership/presence.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	shown, err := p.list.Hosts(ctx)
 	if err != nil {
-		_ = level.Warn(p.logger).Log("msg", "reading the platform's host list failed", "err", err)
+		_ = level.Warn(p.logger).Log("event", "host_list_read_failed", "err", err)
 		return
 	}
 	p.Observe(shown, time.Now())
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -155,7 +155,7 @@
 			Acceptance: result.acceptance, Revision: result.revision, InForceAt: result.inForceAt,
 		}), nil
 	}
-	_ = level.Warn(c.logger).Log("msg", "log unavailable; data centre is taken out provisionally",
+	_ = level.Warn(c.logger).Log("event", "provisional_drain",
 		"data_centre", restriction.DataCentre, "command_id", restriction.CommandID, "err", err)
 	unconfirmed, err := c.accepter.Restrict(ctx, restriction)
 	if err != nil {
@@ -233,7 +233,7 @@
 			continue
 		}
 		if err := c.confirm(ctx, restriction); err != nil {
-			_ = level.Info(c.logger).Log("msg", "provisional restriction not recorded yet",
+			_ = level.Info(c.logger).Log("event", "restriction_not_recorded",
 				"command_id", restriction.CommandID, "err", err)
 		}
 	}
@@ -252,7 +252,7 @@
 		return err
 	}
 	c.lease.Confirm(c.store.Current(), func(commandID string) bool { return commandID == restriction.CommandID })
-	_ = level.Info(c.logger).Log("msg", "provisional restriction recorded",
+	_ = level.Info(c.logger).Log("event", "restriction_recorded",
 		"command_id", restriction.CommandID, "verdict", verdict.GetCode(), "offset", verdict.GetOffset())
 	if verdict.GetCode() != recordv1.VerdictCode_VERDICT_CODE_ACCEPTED {
 		return nil
@@ -301,11 +301,11 @@
 		return result{}, rejection(verdict)
 	}
 	if err := c.accepter.Accept(ctx, verdict.GetOffset()); err != nil {
-		_ = level.Warn(c.logger).Log("msg", "change recorded but not accepted",
+		_ = level.Warn(c.logger).Log("event", "change_not_accepted",
 			"command_id", verdict.GetCommandId(), "offset", verdict.GetOffset(), "err", err)
 		return result{acceptance: operatorv1.Acceptance_ACCEPTANCE_RECORDED, revision: verdict.GetOffset()}, nil
 	}
-	_ = level.Info(c.logger).Log("msg", "change accepted", "command_id", verdict.GetCommandId(),
+	_ = level.Info(c.logger).Log("event", "change_accepted", "command_id", verdict.GetCommandId(),
 		"author", verdict.GetAuthor(), "object", verdict.GetObject(), "offset", verdict.GetOffset())
 	return result{
 		acceptance: operatorv1.Acceptance_ACCEPTANCE_ACCEPTED,
--- a/internal/peer/exchanger.go
+++ b/internal/peer/exchanger.go
@@ -270,7 +270,7 @@
 	}
 	e.mu.Unlock()
 	if known.failing {
-		_ = level.Info(e.logger).Log("msg", "peer answers again", "peer", hostID)
+		_ = level.Info(e.logger).Log("event", "peer_reachable_again", "peer", hostID)
 	}
 }
 
@@ -282,7 +282,7 @@
 	e.contacts[hostID] = known
 	e.mu.Unlock()
 	if !logged {
-		_ = level.Warn(e.logger).Log("msg", "exchange with peer failed", "peer", hostID, "err", err)
+		_ = level.Warn(e.logger).Log("event", "peer_unreachable", "peer", hostID, "err", err)
 	}
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -150,10 +150,10 @@
 	w.failing[endpoint.ID] = err != nil
 	w.mu.Unlock()
 	if err != nil && !known {
-		_ = level.Warn(w.parts.Logger).Log("msg", "endpoint does not answer probes", "endpoint", endpoint.ID, "err", err)
+		_ = level.Warn(w.parts.Logger).Log("event", "endpoint_unreachable", "endpoint", endpoint.ID, "err", err)
 	}
 	if err == nil && known {
-		_ = level.Info(w.parts.Logger).Log("msg", "endpoint answers probes again", "endpoint", endpoint.ID)
+		_ = level.Info(w.parts.Logger).Log("event", "endpoint_reachable_again", "endpoint", endpoint.ID)
 	}
 }
 
