--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -61,6 +62,36 @@
 	assert.Equal(t, w.servers["c"].Statistics().WrongResumes, 0)
 }
 
+// Guards against a retry storm: with one of two endpoints gone, sends stay
+// within the retry budget of a tenth of the requests and 10 more in 10 s, and
+// requests beyond it are refused truthfully.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	const (
+		requests  = 100
+		mostSends = requests + requests/10 + 10
+	)
+	w := newWorld(t, dispatch.WithEndpointWait(time.Second, time.Second))
+	w.add(t, "a", standinendpoint.WithTokenTimes(0, 0))
+	w.add(t, "b", standinendpoint.WithTokenTimes(0, 0))
+	w.stop("a")()
+	sends, refused := 0, 0
+	for n := range requests {
+		// The worst case: the evidence does not show that the endpoint is gone.
+		w.mu.Lock()
+		w.reports["a"] = flamingodoor.Report{Incarnation: "i-a", State: flamingodoor.EndpointStateWarm}
+		w.mu.Unlock()
+		_, result, err := w.generate(t, strconv.Itoa(n), time.Second)
+		sends += result.Attempts
+		if err != nil {
+			refused++
+			assert.Equal(t, flamingodoor.RunStateOf(err), flamingodoor.RunStateNotRun)
+		}
+	}
+	t.Logf("%d requests: %d sends, %d refused", requests, sends, refused)
+	assert.Assert(t, sends <= mostSends, "%d sends", sends)
+	assert.Equal(t, w.servers["b"].Statistics().Completed, requests-refused)
+}
+
 // Guards against a strike for a crash that happened before the request was
 // sent: a host with old evidence still sends to the dead process.
 func TestKnownCrashIsNoStrike(t *testing.T) {
