--- a/internal/departure/main.go
+++ b/internal/departure/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 }
 
 func comparePolicies(ctx context.Context, args options, programs string, log io.Writer) error {
-	_, _ = fmt.Fprintln(os.Stdout, "policy  phase     requests  complete  in_time  gaps_in_time  cold_in_flight_max  failures")
+	_, _ = fmt.Fprintln(os.Stdout, "policy  phase     requests  complete  in_time  gaps_in_time  cold_in_flight_max  first_p50_ms  first_p99_ms  failures")
 	for _, policy := range []string{"plain", "entry"} {
 		deployment := &harness.Deployment{Programs: programs, Log: log}
 		err := measure(ctx, args, deployment, policy)
@@ -136,6 +137,7 @@
 	gaps     int
 	gapsSlow int
 	failures map[string]int // by code
+	first    []time.Duration
 }
 
 func (r *phaseResult) add(answer harness.Answer) {
@@ -144,6 +146,7 @@
 	r.requests++
 	if answer.Complete {
 		r.complete++
+		r.first = append(r.first, answer.FirstToken)
 		if answer.FirstToken <= firstTokenTarget {
 			r.inTime++
 		}
@@ -169,11 +172,21 @@
 		cold = max(cold, statistics.ColdInFlightMax)
 	}
 	share := func(part, whole int) float64 { return float64(part) / float64(max(1, whole)) }
-	_, err := fmt.Fprintf(os.Stdout, "%-6s  %-8s  %8d  %8.4f  %7.4f  %12.4f  %18d  %v\n", policy, phase, r.requests,
-		share(r.complete, r.requests), share(r.inTime, r.requests), 1-share(r.gapsSlow, r.gaps), cold, r.failures)
+	_, err := fmt.Fprintf(os.Stdout, "%-6s  %-8s  %8d  %8.4f  %7.4f  %12.4f  %18d  %12.1f  %12.1f  %v\n", policy, phase, r.requests,
+		share(r.complete, r.requests), share(r.inTime, r.requests), 1-share(r.gapsSlow, r.gaps), cold, r.percentile(50), r.percentile(99), r.failures)
 	return err
 }
 
+// percentile returns a percentile of the time to the first token, in
+// milliseconds.
+func (r *phaseResult) percentile(percent int) float64 {
+	if len(r.first) == 0 {
+		return 0
+	}
+	slices.Sort(r.first)
+	return float64(r.first[(len(r.first)-1)*percent/100].Microseconds()) / 1000
+}
+
 // runPhase sends requests at random times of the given mean rate.
 func runPhase(ctx context.Context, args options, random *rand.Rand, sender *sender) *phaseResult {
 	result := &phaseResult{failures: make(map[string]int)}
