--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 
 ## bench: prints the benchmarks and measurements; takes about 15 minutes
 bench:
-	$(GO) test -v -run "Policy|Added|Share|Stranded|Bytes" ./internal/routing ./internal/dispatch ./internal/admission ./internal/placement ./internal/peer ./internal/engine
+	$(GO) test -v -run "Policy|Added|Share|Stranded|Bytes|RetriesStay" ./internal/routing ./internal/dispatch ./internal/admission ./internal/placement ./internal/peer ./internal/engine
 	$(GO) test -run xxx -bench . -benchtime 1s ./internal/dispatch ./internal/engine ./internal/registry ./internal/member ./internal/intent
 	$(GO) test -run xxx -bench Stranded -benchtime 8x ./internal/placement
 	$(GO) run ./internal/departure
