End the demo's processes when its output is closed early

Cause: make demo | head ended the demo by SIGPIPE before its deferred clean-up, and the platform and the endpoints ran on. Found as left-over processes after a run. Ruled out: the clean-up itself, which ends all of them otherwise.

--- a/internal/harness/program.go
+++ b/internal/harness/program.go
@@ -34,6 +34,9 @@
 }
 
 func runTask(name string, task Task) error {
+	// A reader that closes the output early must not end the program before it
+	// has ended its processes.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	directory, err := os.MkdirTemp("", "flamingodoor-"+name+"-")
