--- a/error.go
+++ b/error.go
@@ -50,6 +50,9 @@
 	CodeOrderRefused
 	CodeNoMajority
 	CodeTrimmed
+	CodeStoreUnavailable
+	CodeInvalidSettings
+	CodeProtocol
 )
 
 // Error is an error with a code and, for requests, a run state.
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -33,6 +33,13 @@
 	return &RetryBudget{ratio: ratio, floor: floor}
 }
 
+// SetFloor changes the floor, which is a share of one budget of all hosts.
+func (b *RetryBudget) SetFloor(floor int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.floor = floor
+}
+
 // Request counts a first attempt.
 func (b *RetryBudget) Request(now time.Time) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,279 @@
+// Package exchange tells the other entry hosts this host's work in flight, the
+// instances that it found lost and the demand that it sees.
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1/exchangev1connect"
+)
+
+const (
+	// shareEvery is the age that uses of other hosts have at most.
+	shareEvery = 200 * time.Millisecond
+	// shareTimeout lets a lost packet be sent again once.
+	shareTimeout = 500 * time.Millisecond
+	dialTimeout  = 300 * time.Millisecond
+	// peerLife is how long a peer counts as an entry host without news.
+	peerLife = 3 * time.Second
+	// listEvery is how often the list of hosts is read: new hosts announce
+	// themselves by sharing, so that it serves the first contact alone.
+	listEvery = 10 * time.Second
+	// listPause separates two attempts to read the list.
+	listPause = time.Second
+	// maxPeers is how many peers a round reaches. Larger deployments take
+	// turns.
+	maxPeers = 12
+)
+
+// Source gives what this host tells the others.
+type Source interface {
+	Describe(request *exchangev1.ShareRequest, now time.Time)
+}
+
+// Sink takes what another host told.
+type Sink interface {
+	Learn(request *exchangev1.ShareRequest, now time.Time)
+}
+
+// Exchanger shares with the other entry hosts.
+type Exchanger struct {
+	self      flamingodoor.EntryPeer
+	started   int64
+	directory flamingodoor.HostDirectory
+	source    Source
+	sink      Sink
+	client    *http.Client
+	logger    log.Logger
+	now       func() time.Time
+	wake      chan struct{}
+
+	mu       sync.Mutex
+	peers    map[string]*peer
+	sequence uint64
+	refresh  bool
+	leaving  bool
+	turn     int
+}
+
+type peer struct {
+	flamingodoor.EntryPeer
+	client   exchangev1connect.ExchangeServiceClient
+	heard    time.Time
+	started  int64
+	sequence uint64
+}
+
+// New returns an exchanger.
+func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, source Source, sink Sink, logger log.Logger) *Exchanger {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Exchanger{
+		self: self, started: time.Now().UnixMilli(), directory: directory, source: source, sink: sink,
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
+		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peer),
+	}
+}
+
+// Handler serves the other hosts.
+func (e *Exchanger) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(exchangev1connect.NewExchangeServiceHandler(e))
+	return mux
+}
+
+// Share takes what another host told.
+func (e *Exchanger) Share(_ context.Context, request *connect.Request[exchangev1.ShareRequest]) (*connect.Response[exchangev1.ShareResponse], error) {
+	now := e.now()
+	if e.accept(request.Msg, now) {
+		e.sink.Learn(request.Msg, now)
+	}
+	return connect.NewResponse(&exchangev1.ShareResponse{}), nil
+}
+
+// accept drops messages that arrive after newer ones.
+func (e *Exchanger) accept(message *exchangev1.ShareRequest, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known, ok := e.peers[message.GetHostId()]
+	if !ok {
+		address, err := netip.ParseAddrPort(message.GetAddress())
+		if err != nil {
+			_ = level.Warn(e.logger).Log("event", "peer_unreadable", "peer", message.GetHostId(), "err", err)
+			return false
+		}
+		known = e.add(flamingodoor.EntryPeer{ID: message.GetHostId(), Address: address})
+	}
+	if message.GetStartedMs() < known.started ||
+		(message.GetStartedMs() == known.started && message.GetSequence() <= known.sequence) {
+		return false
+	}
+	known.started, known.sequence, known.heard = message.GetStartedMs(), message.GetSequence(), now
+	if message.GetLeaving() {
+		known.heard = time.Time{}
+	}
+	return true
+}
+
+func (e *Exchanger) add(host flamingodoor.EntryPeer) *peer {
+	made := &peer{EntryPeer: host, client: exchangev1connect.NewExchangeServiceClient(e.client, "http://"+host.Address.String())}
+	e.peers[host.ID] = made
+	return made
+}
+
+// Hosts returns the number of entry hosts that were heard lately, this one
+// included.
+func (e *Exchanger) Hosts() int {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 1
+	for _, each := range e.peers {
+		if now.Sub(each.heard) < peerLife {
+			count++
+		}
+	}
+	return count
+}
+
+// Hurry shares at once.
+func (e *Exchanger) Hurry() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// RefreshAll makes all hosts read the registrations at once.
+func (e *Exchanger) RefreshAll() {
+	e.mu.Lock()
+	e.refresh = true
+	e.mu.Unlock()
+	e.Hurry()
+}
+
+// Leave tells the others that this host stops.
+func (e *Exchanger) Leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.Hurry()
+}
+
+// Run shares until the context ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	ticker := time.NewTicker(shareEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-e.wake:
+		}
+		e.round(ctx)
+	}
+}
+
+func (e *Exchanger) round(ctx context.Context) {
+	request, peers := e.prepare()
+	var calls errgroup.Group
+	for _, each := range peers {
+		calls.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			if _, err := each.client.Share(ctx, connect.NewRequest(request)); err != nil {
+				_ = level.Debug(e.logger).Log("event", "share_failed", "peer", each.ID, "err", err)
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // the next round replaces a lost one
+}
+
+func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer) {
+	now := e.now()
+	e.mu.Lock()
+	e.sequence++
+	request := &exchangev1.ShareRequest{
+		HostId: e.self.ID, Address: e.self.Address.String(), StartedMs: e.started, Sequence: e.sequence,
+		Leaving: e.leaving, Refresh: e.refresh,
+	}
+	e.refresh = false
+	var peers []*peer
+	for _, each := range e.peers {
+		// One that was never heard is tried until it is.
+		if each.heard.IsZero() || now.Sub(each.heard) < peerLife {
+			peers = append(peers, each)
+		}
+	}
+	e.mu.Unlock()
+	e.source.Describe(request, now)
+	return request, e.choose(peers)
+}
+
+// choose takes turns among many peers.
+func (e *Exchanger) choose(peers []*peer) []*peer {
+	if len(peers) <= maxPeers {
+		return peers
+	}
+	sortPeers(peers)
+	chosen := make([]*peer, 0, maxPeers)
+	for i := range maxPeers {
+		chosen = append(chosen, peers[(e.turn+i)%len(peers)])
+	}
+	e.turn = (e.turn + maxPeers) % len(peers)
+	return chosen
+}
+
+// RunDirectory announces this host and reads the list of the others.
+func (e *Exchanger) RunDirectory(ctx context.Context) {
+	announced := false
+	for ctx.Err() == nil {
+		wait := listEvery
+		if err := e.list(ctx, &announced); err != nil {
+			_ = level.Warn(e.logger).Log("event", "host_list_failed", "err", err)
+			wait = listPause
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (e *Exchanger) list(ctx context.Context, announced *bool) error {
+	if !*announced {
+		if err := e.directory.Announce(ctx, e.self); err != nil {
+			return err
+		}
+		*announced = true
+	}
+	hosts, err := e.directory.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, host := range hosts {
+		known, ok := e.peers[host.ID]
+		if host.ID == e.self.ID || (ok && known.Address == host.Address) {
+			continue
+		}
+		e.add(host)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/relay"
+	"flamingodoor.example/flamingodoor/internal/roster"
+	"flamingodoor.example/flamingodoor/internal/stall"
+)
+
+// demandLife is how long the demand that a peer told counts.
+const demandLife = 3 * time.Second
+
+// lossShare is how long a loss is told to the peers: several rounds.
+const lossShare = time.Second
+
+// Instances passes registrations on to the roster and wakes waiting requests.
+type Instances struct {
+	*roster.Roster
+	changed func()
+}
+
+// Publish makes the changes visible.
+func (i *Instances) Publish(now time.Time) {
+	before := i.View()
+	i.Roster.Publish(now)
+	if i.View() != before {
+		i.changed()
+	}
+}
+
+// fleet is what the entry hosts tell each other.
+type fleet struct {
+	gateway *Gateway
+
+	mu      sync.Mutex
+	demands map[string]peerDemand // by host
+	losses  []ownLoss
+}
+
+type peerDemand struct {
+	rates    map[relay.DemandKey]float64
+	deadline time.Time
+}
+
+// ownLoss is an instance or a group that this host found lost.
+type ownLoss struct {
+	instanceID string
+	born       time.Time
+	group      roster.GroupKey
+	at         time.Time
+}
+
+func newFleet(gateway *Gateway) *fleet {
+	return &fleet{gateway: gateway, demands: make(map[string]peerDemand)}
+}
+
+// Describe fills a message to the peers.
+func (f *fleet) Describe(request *exchangev1.ShareRequest, now time.Time) {
+	for id, used := range f.gateway.tracker.Own() {
+		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(used)}) //nolint:gosec // a count of requests
+	}
+	for key, rate := range f.gateway.demand.Rates(now) {
+		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
+	}
+	request.Strikes = f.gateway.strikes.Digest(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	recent := f.losses[:0]
+	for _, loss := range f.losses {
+		if now.Sub(loss.at) > lossShare {
+			continue
+		}
+		recent = append(recent, loss)
+		message := &exchangev1.Loss{
+			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
+		}
+		if !loss.born.IsZero() {
+			message.BornMs = loss.born.UnixMilli()
+		}
+		request.Losses = append(request.Losses, message)
+	}
+	f.losses = recent
+}
+
+// Learn takes a message of a peer.
+func (f *fleet) Learn(request *exchangev1.ShareRequest, now time.Time) {
+	g := f.gateway
+	if request.GetLeaving() {
+		g.tracker.DropPeer(request.GetHostId(), now)
+	} else {
+		uses := make(map[string]int, len(request.GetUses()))
+		for _, use := range request.GetUses() {
+			uses[use.GetInstanceId()] = int(use.GetRequests())
+		}
+		g.tracker.SetPeer(request.GetHostId(), uses, now)
+	}
+	g.strikes.Merge(request.GetStrikes(), now)
+	f.learnDemand(request, now)
+	f.learnLosses(request, now)
+	if request.GetRefresh() {
+		g.platform.Watcher.Refresh()
+	}
+}
+
+func (f *fleet) learnDemand(request *exchangev1.ShareRequest, now time.Time) {
+	rates := make(map[relay.DemandKey]float64, len(request.GetDemands()))
+	for _, demand := range request.GetDemands() {
+		rates[relay.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = demand.GetEngineSeconds()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demands[request.GetHostId()] = peerDemand{rates: rates, deadline: now.Add(demandLife)}
+}
+
+func (f *fleet) learnLosses(request *exchangev1.ShareRequest, now time.Time) {
+	g := f.gateway
+	lost := false
+	for _, loss := range request.GetLosses() {
+		if loss.GetGroup() != "" {
+			key := roster.GroupKey{Name: loss.GetGroup(), Epoch: loss.GetEpoch()}
+			g.roster.MarkStalled(key, now)
+			lost = true
+			continue
+		}
+		var born time.Time
+		if loss.GetBornMs() > 0 {
+			born = time.UnixMilli(loss.GetBornMs())
+		}
+		g.roster.MarkLost(loss.GetInstanceId(), born, now)
+		lost = true
+	}
+	if !lost {
+		return
+	}
+	g.roster.Publish(now)
+	g.endLostWaits(now)
+	g.tracker.Wake()
+}
+
+// endLostWaits ends the streams of groups that lost a member.
+func (g *Gateway) endLostWaits(now time.Time) {
+	view := g.roster.View()
+	for _, group := range view.Groups {
+		if view.Stalled(group.Key(), now) {
+			g.monitor.Lose(group.Key(), stall.ErrStalled)
+			continue
+		}
+		for _, member := range group.Members {
+			if member.ID != "" && view.Lost(member.Instance, now) {
+				g.monitor.Lose(group.Key(), stall.ErrLost)
+				break
+			}
+		}
+	}
+}
+
+// work is the demand for a model at all hosts.
+func (f *fleet) work(service, modelID string) float64 {
+	now := time.Now()
+	key := relay.DemandKey{Service: service, Model: modelID}
+	total := f.gateway.demand.Rates(now)[key]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for host, demand := range f.demands {
+		if now.After(demand.deadline) {
+			delete(f.demands, host)
+			continue
+		}
+		total += demand.rates[key]
+	}
+	return total
+}
+
+// quiet reports that no host has seen a request for a model.
+func (f *fleet) quiet() bool {
+	if len(f.gateway.demand.Rates(time.Now())) > 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, demand := range f.demands {
+		if len(demand.rates) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inspect asks the members of a silent group and tells the peers of those
+// that do not answer.
+func (g *Gateway) inspect(ctx context.Context, group *roster.Group) stall.Verdict {
+	var mu sync.Mutex
+	verdict := stall.Verdict{Pace: slowPace}
+	var probes errgroup.Group
+	for _, member := range group.Members {
+		if member.ID == "" {
+			continue
+		}
+		probes.Go(func() error {
+			pace, alive := g.probe(ctx, member.Instance)
+			mu.Lock()
+			defer mu.Unlock()
+			verdict.Pace = max(verdict.Pace, pace)
+			if !alive {
+				verdict.Lost = append(verdict.Lost, member.ID)
+			}
+			return nil
+		})
+	}
+	_ = probes.Wait() // probes report through the verdict
+	if len(verdict.Lost) > 0 {
+		g.loseMembers(group, verdict.Lost)
+	}
+	_ = level.Info(g.logger).Log("event", "group_inspected", "group", group.Name, "epoch", group.Epoch,
+		"lost", len(verdict.Lost), "pace", verdict.Pace)
+	return verdict
+}
+
+func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (pace float64, alive bool) {
+	for _, limit := range []time.Duration{firstProbeTime, secondProbeTime} {
+		report, err := g.ask(ctx, instance, limit)
+		if err == nil {
+			same := report.Born.IsZero() || instance.Born.IsZero() || report.Born.Equal(instance.Born)
+			return report.Pace, same
+		}
+		_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", err)
+		if connectionRefused(err) {
+			return 0, false
+		}
+	}
+	return 0, false
+}
+
+func (g *Gateway) ask(ctx context.Context, instance flamingodoor.Instance, limit time.Duration) (flamingodoor.InstanceReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return g.platform.Instances.Report(ctx, instance.Address)
+}
+
+func (g *Gateway) loseMembers(group *roster.Group, lost []string) {
+	now := time.Now()
+	f := g.fleet
+	for _, member := range group.Members {
+		for _, id := range lost {
+			if member.ID != id {
+				continue
+			}
+			g.roster.MarkLost(id, member.Born, now)
+			f.mu.Lock()
+			f.losses = append(f.losses, ownLoss{instanceID: id, born: member.Born, at: now})
+			f.mu.Unlock()
+		}
+	}
+	g.roster.Publish(now)
+	g.exchanger.Hurry()
+	g.tracker.Wake()
+}
+
+// groupStalled tells the peers of a group that stands still.
+func (g *Gateway) groupStalled(key roster.GroupKey) {
+	now := time.Now()
+	_ = level.Info(g.logger).Log("event", "group_stalled", "group", key.Name, "epoch", key.Epoch)
+	g.roster.MarkStalled(key, now)
+	g.roster.Publish(now)
+	g.fleet.mu.Lock()
+	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, at: now})
+	g.fleet.mu.Unlock()
+	g.exchanger.Hurry()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,298 @@
+// Package gateway runs the serving path of an entry host: it wires the
+// decisions, serves callers and peers, and stops gracefully.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/balance"
+	"flamingodoor.example/flamingodoor/internal/catalogue"
+	"flamingodoor.example/flamingodoor/internal/exchange"
+	"flamingodoor.example/flamingodoor/internal/planner"
+	"flamingodoor.example/flamingodoor/internal/poison"
+	"flamingodoor.example/flamingodoor/internal/relay"
+	"flamingodoor.example/flamingodoor/internal/roster"
+	"flamingodoor.example/flamingodoor/internal/stall"
+	"flamingodoor.example/flamingodoor/internal/telemetry"
+	"flamingodoor.example/flamingodoor/internal/upstream"
+)
+
+const (
+	// followWait is how long one wait for changes of the configuration takes;
+	// its end confirms the configuration.
+	followWait = 1500 * time.Millisecond
+	// instancesEvery is how often the registrations are read. An instance
+	// that leaves must get nothing 2 s after the store knows.
+	instancesEvery = 500 * time.Millisecond
+	// electionRenewals in one lease leave room for two lost calls.
+	electionRenewals = 3
+	// minElectionLease bounds how often the lease is renewed.
+	minElectionLease = 1500 * time.Millisecond
+	expireEvery      = time.Second
+	// listenOn is how long a stopping host takes connections: the load
+	// balancer needs two questions, a second apart.
+	listenOn = 2500 * time.Millisecond
+	// stopReserve of the grace period is left for closing.
+	stopReserve = 700 * time.Millisecond
+	// sayLeaving is how long the last messages may take.
+	sayLeaving = 500 * time.Millisecond
+	// probeTimes are the limits of the two questions to a silent member; the
+	// second allows for a lost opening packet.
+	firstProbeTime  = 200 * time.Millisecond
+	secondProbeTime = 350 * time.Millisecond
+	// slowPace is the pace from which a member is called slow.
+	slowPace = 1.0
+)
+
+// Settings of a gateway.
+type Settings struct {
+	HostID      string
+	DataCentre  string
+	Front       netip.AddrPort
+	Ready       netip.AddrPort
+	Peer        netip.AddrPort
+	Metrics     netip.AddrPort
+	StopGrace   time.Duration
+	Limits      relay.Limits
+	ElectionTTL time.Duration
+}
+
+// Platform gives access to what the platform holds and to the instances.
+type Platform struct {
+	Watcher   Watcher
+	Instances flamingodoor.InstanceClient
+	Epochs    flamingodoor.EpochLog
+	Election  func(ttl time.Duration) flamingodoor.Election
+	Directory flamingodoor.HostDirectory
+	Headers   relay.Headers
+}
+
+// Watcher follows the configuration and the registrations.
+type Watcher interface {
+	FollowOperators(ctx context.Context, wait time.Duration, book *catalogue.Book)
+	FollowInstances(ctx context.Context, every time.Duration, instances *Instances)
+	Refresh()
+}
+
+// Gateway is the serving path of one entry host.
+type Gateway struct {
+	settings  Settings
+	platform  Platform
+	logger    log.Logger
+	metrics   *telemetry.Metrics
+	book      *catalogue.Book
+	roster    *roster.Roster
+	tracker   *balance.Tracker
+	pool      *upstream.Pool
+	monitor   *stall.Monitor
+	strikes   *poison.Ledger
+	demand    *relay.Demand
+	relay     *relay.Relay
+	exchanger *exchange.Exchanger
+	planner   *planner.Planner
+	fleet     *fleet
+	front     *frontServer
+}
+
+// New wires a gateway.
+func New(settings Settings, platform Platform, metrics *telemetry.Metrics, logger log.Logger) *Gateway {
+	g := &Gateway{
+		settings: settings, platform: platform, logger: logger, metrics: metrics,
+		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
+		strikes: poison.New(), demand: relay.NewDemand(),
+	}
+	g.book = catalogue.New(g.configured)
+	g.monitor = stall.New(g.inspect, g.groupStalled, time.Now)
+	g.relay = relay.New(relay.Parts{
+		Headers: platform.Headers, Limits: settings.Limits, DataCentre: settings.DataCentre, Book: g.book,
+		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, Strikes: g.strikes,
+		Demand: g.demand, Logger: logger,
+	}, relay.WithObserver(metrics))
+	g.fleet = newFleet(g)
+	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre}
+	g.exchanger = exchange.New(self, platform.Directory, g.fleet, g.fleet, logger)
+	g.planner = planner.New(planner.Parts{
+		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs,
+		Election:  platform.Election(g.electionLease()),
+		Refresher: &refresher{watcher: platform.Watcher, exchanger: g.exchanger},
+		InFlight:  g.tracker.InFlight, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
+	}, time.Now)
+	g.front = newFrontServer(g.relay)
+	return g
+}
+
+type refresher struct {
+	watcher   Watcher
+	exchanger *exchange.Exchanger
+}
+
+// Refresh reads the registrations on this host.
+func (r *refresher) Refresh() {
+	r.watcher.Refresh()
+}
+
+// RefreshAll makes all hosts read the registrations.
+func (r *refresher) RefreshAll() {
+	r.watcher.Refresh()
+	r.exchanger.RefreshAll()
+}
+
+func (g *Gateway) electionLease() time.Duration {
+	return max(g.settings.ElectionTTL, minElectionLease)
+}
+
+func (g *Gateway) configured(configuration *flamingodoor.Catalogue) {
+	_ = level.Info(g.logger).Log("event", "configured", "version", configuration.Version,
+		"routes", len(configuration.Routes), "workspaces", len(configuration.Workspaces))
+	g.tracker.Wake()
+}
+
+// Run serves until the context ends, and then finishes what is in flight.
+func (g *Gateway) Run(ctx context.Context) error {
+	// Background work goes on while the last requests finish.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer stop()
+	instances := &Instances{Roster: g.roster, changed: g.tracker.Wake}
+	leases := g.electionLease() / electionRenewals
+	planning, stopPlanning := context.WithCancel(background)
+	defer stopPlanning()
+	for _, run := range []func(){
+		func() { g.platform.Watcher.FollowOperators(background, followWait, g.book) },
+		func() { g.platform.Watcher.FollowInstances(background, instancesEvery, instances) },
+		func() { g.monitor.Run(background) },
+		func() { g.exchanger.Run(background) },
+		func() { g.exchanger.RunDirectory(background) },
+		func() { g.planner.RunElection(planning, leases) },
+		func() { g.planner.Run(planning) },
+		func() { g.expire(background) },
+	} {
+		work.Go(run)
+	}
+	servers, err := g.listen(background)
+	if err != nil {
+		return err
+	}
+	_ = level.Info(g.logger).Log("event", "started", "front", g.settings.Front, "ready", g.settings.Ready, "peer", g.settings.Peer)
+	<-ctx.Done()
+	g.stop(background, stopPlanning)
+	for _, server := range servers {
+		_ = server.Close() // nothing is in flight any more
+	}
+	return nil
+}
+
+// stop refuses new connections after the load balancer had time to notice,
+// and waits for the requests in flight.
+func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc) {
+	deadline := time.Now().Add(g.settings.StopGrace - stopReserve)
+	_ = level.Info(g.logger).Log("event", "stopping", "deadline", deadline.UTC())
+	g.relay.Stop()
+	stopPlanning()
+	go g.farewell(ctx)
+	waited, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	timer := time.NewTimer(min(listenOn, time.Until(deadline)))
+	defer timer.Stop()
+	<-timer.C
+	if err := g.front.Shutdown(waited); err != nil {
+		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "err", err)
+	}
+	_ = level.Info(g.logger).Log("event", "stopped")
+}
+
+// farewell tells the platform and the peers that this host leaves.
+func (g *Gateway) farewell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sayLeaving)
+	defer cancel()
+	if err := g.planner.Election.Resign(ctx); err != nil {
+		_ = level.Warn(g.logger).Log("event", "resign_failed", "err", err)
+	}
+	if err := g.platform.Directory.Withdraw(ctx, g.settings.HostID); err != nil {
+		_ = level.Warn(g.logger).Log("event", "withdraw_failed", "err", err)
+	}
+	g.exchanger.Leave()
+}
+
+func (g *Gateway) listen(ctx context.Context) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, each := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{g.settings.Ready, g.readyHandler()},
+		{g.settings.Peer, g.exchanger.Handler()},
+		{g.settings.Metrics, g.metricsHandler()},
+	} {
+		listener, err := listenOnAddress(ctx, each.address)
+		if err != nil {
+			return nil, err
+		}
+		server := &http.Server{Handler: each.handler, ReadHeaderTimeout: time.Second}
+		servers = append(servers, server)
+		go g.serve(server, listener)
+	}
+	listener, err := listenOnAddress(ctx, g.settings.Front)
+	if err != nil {
+		return nil, err
+	}
+	go g.serve(&g.front.Server, listener)
+	return append(servers, &g.front.Server), nil
+}
+
+func listenOnAddress(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeInternal, flamingodoor.RunStateNotRun, err)
+	}
+	return listener, nil
+}
+
+func (g *Gateway) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = level.Error(g.logger).Log("event", "listener_failed", "address", listener.Addr(), "err", err)
+	}
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/ready", func(writer http.ResponseWriter, _ *http.Request) {
+		if !g.relay.Ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	return router
+}
+
+func (g *Gateway) metricsHandler() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", g.metrics.Handler()).Methods(http.MethodGet)
+	return router
+}
+
+func (g *Gateway) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pool.Expire()
+			g.relay.SetHosts(g.exchanger.Hosts())
+			g.front.apply(g.book.Index())
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/form.go
@@ -0,0 +1,365 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/catalogue"
+	"flamingodoor.example/flamingodoor/internal/formation"
+	"flamingodoor.example/flamingodoor/internal/roster"
+)
+
+// planRecord is the content of a claim in the coordination log.
+type planRecord struct {
+	Groups []planGroup `json:"groups"`
+}
+
+type planGroup struct {
+	Service string   `json:"service"`
+	ModelID string   `json:"model_id"`
+	Members []string `json:"members"`
+}
+
+// choice is a group that is about to be claimed.
+type choice struct {
+	service   string
+	model     flamingodoor.ModelSpec
+	instances []flamingodoor.Instance
+	delay     time.Duration
+}
+
+// form claims an epoch for the groups that are worth forming and orders their
+// members to join.
+func (p *Planner) form(ctx context.Context, index *catalogue.Index, view *roster.View, now time.Time) {
+	var choices []choice
+	for _, service := range index.Services {
+		if service.Engine != nil {
+			choices = append(choices, p.chooseFor(ctx, service, view, now)...)
+		}
+	}
+	if len(choices) == 0 {
+		return
+	}
+	epoch, ok := p.claim(ctx, choices)
+	if !ok {
+		return
+	}
+	p.join(ctx, choices, epoch, now)
+}
+
+// chooseFor chooses the groups of all domains of a service, and stages weights
+// on instances that no group can use yet.
+func (p *Planner) chooseFor(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, now time.Time) []choice {
+	counts := p.groupCounts(view, service.Name, now)
+	total := len(view.ByService[service.Name])
+	var choices []choice
+	var idle []flamingodoor.Instance
+	for _, domain := range domainsOf(p.free(view, service.Name, now)) {
+		models := p.models(service, counts, total)
+		candidates := make([]formation.Candidate, 0, len(domain))
+		byID := make(map[string]flamingodoor.Instance, len(domain))
+		for _, instance := range domain {
+			byID[instance.ID] = instance
+			candidates = append(candidates, formation.Candidate{ID: instance.ID, Delays: p.delays(service.Engine, instance, now)})
+		}
+		for _, group := range formation.Choose(candidates, models) {
+			made := choice{service: service.Name, delay: group.Delay}
+			for _, spec := range service.Engine.Models {
+				if spec.ID == group.ModelID {
+					made.model = spec
+				}
+			}
+			for _, id := range group.Members {
+				made.instances = append(made.instances, byID[id])
+				delete(byID, id)
+			}
+			counts[group.ModelID]++
+			choices = append(choices, made)
+		}
+		for _, instance := range domain {
+			if _, left := byID[instance.ID]; left {
+				idle = append(idle, instance)
+			}
+		}
+	}
+	p.stage(ctx, service, view, idle, counts, total, now)
+	return choices
+}
+
+// groupCounts counts the groups that serve or form, by model.
+func (p *Planner) groupCounts(view *roster.View, service string, now time.Time) map[string]float64 {
+	counts := make(map[string]float64)
+	for _, group := range view.Groups {
+		if group.Service != service || p.dissolving[group.Key()] != nil || p.pending[group.Key()] != nil || p.Book.Evacuated(group.DataCentre) {
+			continue
+		}
+		if view.Serving(group, len(group.Members), now) {
+			counts[group.ModelID]++
+		}
+	}
+	for _, group := range p.pending {
+		if group.service == service {
+			counts[group.model]++
+		}
+	}
+	return counts
+}
+
+// free lists the instances that may join a group.
+func (p *Planner) free(view *roster.View, service string, now time.Time) []flamingodoor.Instance {
+	busy := make(map[string]bool)
+	for key, group := range p.pending {
+		for _, member := range group.members {
+			busy[member.ID] = true
+		}
+		_ = key
+	}
+	for _, group := range view.Groups {
+		ending := p.dissolving[group.Key()]
+		head := group.Head()
+		if ending != nil && ending.done {
+			continue
+		}
+		if ending == nil && head.ID == "" && p.headless(group, now) {
+			continue
+		}
+		for _, member := range group.Members {
+			busy[member.ID] = true
+		}
+	}
+	var free []flamingodoor.Instance
+	for _, entry := range view.ByService[service] {
+		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
+			continue
+		}
+		free = append(free, entry.Instance)
+	}
+	return free
+}
+
+// headless reports whether a group has had no head for long enough that its
+// head's entry is not merely late.
+func (p *Planner) headless(group *roster.Group, now time.Time) bool {
+	seen, ok := p.firstSeen[group.Key()]
+	if !ok {
+		p.firstSeen[group.Key()] = now
+		return false
+	}
+	return now.Sub(seen) > adoptAfter
+}
+
+func domainsOf(instances []flamingodoor.Instance) [][]flamingodoor.Instance {
+	byDomain := make(map[string][]flamingodoor.Instance)
+	for _, instance := range instances {
+		byDomain[instance.FabricDomain] = append(byDomain[instance.FabricDomain], instance)
+	}
+	names := make([]string, 0, len(byDomain))
+	for name := range byDomain {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	domains := make([][]flamingodoor.Instance, 0, len(names))
+	for _, name := range names {
+		domains = append(domains, byDomain[name])
+	}
+	return domains
+}
+
+// delays returns how soon an instance is ready for each model that it can
+// join without loading weights during traffic.
+func (p *Planner) delays(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
+	state := p.member(instance)
+	quiet := p.Quiet()
+	delays := make(map[string]time.Duration, len(engine.Models))
+	for _, model := range engine.Models {
+		delay := model.LoadTime
+		switch {
+		case state.lastModel == model.ID || (instance.Membership.Group != "" && instance.Membership.ModelID == model.ID):
+			delay = rejoinDelay
+		case slices.Contains(instance.Staged, model.ID):
+			delay = model.WarmTime
+		case state.staging == model.ID && now.Before(state.stagedBy):
+			delay = state.stagedBy.Sub(now) + model.WarmTime
+		case quiet:
+			delay = model.LoadTime / quietLoadShare
+		}
+		if delay <= quickDelay {
+			delays[model.ID] = delay
+		}
+	}
+	return delays
+}
+
+// claim appends the plan to the coordination log. A conflict means that
+// another host planned since: its groups show in the next step.
+func (p *Planner) claim(ctx context.Context, choices []choice) (int64, bool) {
+	var record planRecord
+	for _, made := range choices {
+		group := planGroup{Service: made.service, ModelID: made.model.ID}
+		for _, instance := range made.instances {
+			group.Members = append(group.Members, instance.ID)
+		}
+		record.Groups = append(record.Groups, group)
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		_ = level.Error(p.Logger).Log("event", "plan_unencodable", "err", err)
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	epoch, claimed, err := p.Epochs.Claim(ctx, p.epoch, data)
+	if err != nil {
+		_ = level.Warn(p.Logger).Log("event", "claim_failed", "after", p.epoch, "err", err)
+		return 0, false
+	}
+	_ = level.Info(p.Logger).Log("event", "claim", "after", p.epoch, "epoch", epoch, "claimed", claimed, "groups", len(choices))
+	p.epoch = epoch
+	if !claimed {
+		p.hold()
+	}
+	return epoch, claimed
+}
+
+func (p *Planner) join(ctx context.Context, choices []choice, epoch int64, now time.Time) {
+	var orders errgroup.Group
+	for i, made := range choices {
+		key := roster.GroupKey{Name: fmt.Sprintf("g%d-%d", epoch, i), Epoch: epoch}
+		p.pending[key] = &pendingGroup{
+			service: made.service, model: made.model.ID, members: made.instances,
+			deadline: now.Add(made.delay + formSlack),
+		}
+		ids := make([]string, 0, len(made.instances))
+		for _, instance := range made.instances {
+			ids = append(ids, instance.ID)
+		}
+		_ = level.Info(p.Logger).Log("event", "group_forms", "group", key.Name, "epoch", epoch, "model", made.model.ID,
+			"delay_ms", made.delay.Milliseconds(), "head", ids[0], "members", len(ids))
+		for _, instance := range made.instances {
+			state := p.member(instance)
+			orders.Go(func() error {
+				p.joinOne(ctx, instance, state, key, made.model.ID, ids)
+				return nil
+			})
+		}
+	}
+	_ = orders.Wait() // results show in the members' entries
+}
+
+func (p *Planner) joinOne(ctx context.Context, instance flamingodoor.Instance, state *memberState, key roster.GroupKey, modelID string, ids []string) {
+	order := flamingodoor.InstanceOrder{
+		Kind: flamingodoor.OrderKindJoin, Group: key.Name, Epoch: key.Epoch, ModelID: modelID, Members: ids,
+	}
+	result := p.order(ctx, instance, state, order)
+	if result == flamingodoor.OrderResultConflict || result == flamingodoor.OrderResultUnknown {
+		// The number of orders was out of date, or the answer was lost: the
+		// second order names the present number, and one of them is refused.
+		result = p.order(ctx, instance, state, order)
+	}
+	if result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds {
+		state.mu.Lock()
+		state.lastModel = modelID
+		state.mu.Unlock()
+	}
+}
+
+// stage loads weights onto hosts ahead of need: idle instances get the model
+// that is short of groups, and before the first request all get the model
+// that they do not serve, so that they can serve either.
+func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle []flamingodoor.Instance, counts map[string]float64, total int, now time.Time) {
+	models := p.models(service, counts, total)
+	quiet := p.Quiet()
+	var orders errgroup.Group
+	targets := make(map[string]string)
+	for _, instance := range idle {
+		if model, ok := neediest(models); ok && len(instance.Staged) == 0 {
+			targets[instance.ID] = model
+		}
+	}
+	if quiet && len(p.pending) == 0 {
+		for _, entry := range view.ByService[service.Name] {
+			if other, ok := otherModel(service.Engine, entry.Membership); ok && !slices.Contains(entry.Staged, other) {
+				targets[entry.ID] = other
+			}
+		}
+	}
+	for id, modelID := range targets {
+		instance := view.Entries[id].Instance
+		state := p.member(instance)
+		if now.Before(state.stagedBy) || (!quiet && !p.mayLoad(service.Engine, now)) {
+			continue
+		}
+		length := loadTime(service.Engine, modelID)
+		if quiet {
+			length /= quietLoadShare
+		}
+		state.staging, state.stagedBy = modelID, now.Add(length+formSlack)
+		orders.Go(func() error {
+			p.order(ctx, instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: modelID})
+			return nil
+		})
+	}
+	_ = orders.Wait() // results show in the members' entries
+}
+
+// mayLoad takes a load from the rate and the number at once that the weight
+// store bears.
+func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, now time.Time) bool {
+	longest := time.Duration(0)
+	for _, model := range engine.Models {
+		longest = max(longest, model.LoadTime)
+	}
+	p.loads = slices.DeleteFunc(p.loads, func(begun time.Time) bool { return now.Sub(begun) > longest })
+	recent := 0
+	for _, begun := range p.loads {
+		if now.Sub(begun) < time.Second {
+			recent++
+		}
+	}
+	if len(p.loads) >= max(1, engine.LoadsAtOnce) || float64(recent+1) > max(1, engine.LoadsPerS) {
+		return false
+	}
+	p.loads = append(p.loads, now)
+	return true
+}
+
+func neediest(models []formation.Model) (string, bool) {
+	best, gain := "", 0.0
+	for _, model := range models {
+		// An instance is the part of a group.
+		added := (formation.Value(model.Work, model.Groups+1) - formation.Value(model.Work, model.Groups)) / float64(max(1, model.Size))
+		if added > gain {
+			best, gain = model.ID, added
+		}
+	}
+	return best, best != ""
+}
+
+// otherModel names the model that an instance of a group does not serve.
+func otherModel(engine *flamingodoor.EngineSpec, held flamingodoor.Membership) (string, bool) {
+	if held.Group == "" {
+		return "", false
+	}
+	for _, model := range engine.Models {
+		if model.ID != held.ModelID {
+			return model.ID, true
+		}
+	}
+	return "", false
+}
+
+func loadTime(engine *flamingodoor.EngineSpec, modelID string) time.Duration {
+	for _, model := range engine.Models {
+		if model.ID == modelID {
+			return model.LoadTime
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,331 @@
+// Package planner keeps replica groups whole: the leading entry host forms
+// groups of free instances, opens them when all members are ready and
+// dissolves those that lost a member.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/catalogue"
+	"flamingodoor.example/flamingodoor/internal/formation"
+	"flamingodoor.example/flamingodoor/internal/roster"
+)
+
+const (
+	// stepEvery is the planner's resolution, well below the time that a group
+	// takes to form.
+	stepEvery = 100 * time.Millisecond
+	// renewShare of the election's lease passes between two renewals.
+	renewShare = 3
+	// orderTimeout is several times the delay between data centres.
+	orderTimeout = 400 * time.Millisecond
+	// adoptAfter is how long a group of another planner may stay incomplete.
+	adoptAfter = 1500 * time.Millisecond
+	// formSlack is the time beyond the members' delays in which a group forms.
+	formSlack = 1500 * time.Millisecond
+	// quickDelay separates members that are ready soon from those that have
+	// to load weights.
+	quickDelay = 4 * time.Second
+	// rejoinDelay is the time of a join with the model of the last group.
+	rejoinDelay = 200 * time.Millisecond
+	// probeEvery separates two questions to a member that left the list.
+	probeEvery = 500 * time.Millisecond
+	// drainPatience is how long a leaving member's group may finish its work.
+	drainPatience = 1800 * time.Millisecond
+	// settleTime is how long orders of another planner take to show.
+	settleTime = 700 * time.Millisecond
+	// quietLoadShare is the part of the load time that weights take before
+	// the first request.
+	quietLoadShare = 10
+)
+
+// Refresher reads the registrations at once, here and on the other hosts.
+type Refresher interface {
+	Refresh()
+	RefreshAll()
+}
+
+// Parts are what a planner works with.
+type Parts struct {
+	Book      *catalogue.Book
+	Roster    *roster.Roster
+	Instances flamingodoor.InstanceClient
+	Epochs    flamingodoor.EpochLog
+	Election  flamingodoor.Election
+	Refresher Refresher
+	// InFlight is the work of all hosts at a head.
+	InFlight func(instanceID string) int
+	// Work is the engine seconds asked a second of a model by all hosts.
+	Work func(service, modelID string) float64
+	// Quiet reports that no host has seen a request yet.
+	Quiet  func() bool
+	Logger log.Logger
+}
+
+// Planner forms and dissolves groups while it leads.
+type Planner struct {
+	Parts
+	now func() time.Time
+
+	mu         sync.Mutex
+	leadsUntil time.Time
+
+	// Used by the loop alone.
+	epoch      int64
+	members    map[string]*memberState
+	pending    map[roster.GroupKey]*pendingGroup
+	dissolving map[roster.GroupKey]*dissolution
+	firstSeen  map[roster.GroupKey]time.Time
+	probed     map[string]time.Time
+	loads      []time.Time
+	wasLeading bool
+	holdUntil  time.Time // no groups are formed before
+}
+
+// memberState is what the planner knows of an instance beyond its entry.
+type memberState struct {
+	mu        sync.Mutex
+	born      time.Time
+	sequence  int64 // accepted orders; below 0 until it is asked
+	lastModel string
+	staging   string
+	stagedBy  time.Time // when the staging under way is over
+}
+
+// pendingGroup is a group that forms.
+type pendingGroup struct {
+	service  string
+	model    string
+	members  []flamingodoor.Instance
+	deadline time.Time
+	opening  bool
+}
+
+// dissolution is a group that ends.
+type dissolution struct {
+	reason string
+	done   bool
+	since  time.Time
+}
+
+// New returns a planner.
+func New(parts Parts, now func() time.Time) *Planner {
+	return &Planner{
+		Parts: parts, now: now, members: make(map[string]*memberState),
+		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
+		firstSeen: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time),
+	}
+}
+
+// Leads reports whether this host plans.
+func (p *Planner) Leads() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now().Before(p.leadsUntil)
+}
+
+// RunElection renews the lease until the context ends.
+func (p *Planner) RunElection(ctx context.Context, every time.Duration) {
+	failed := false
+	for ctx.Err() == nil {
+		leads, deadline, err := p.Election.Renew(ctx)
+		if err != nil && !failed {
+			_ = level.Warn(p.Logger).Log("event", "election_lost_store", "err", err)
+		}
+		failed = err != nil
+		if err == nil {
+			p.lead(leads, deadline)
+		}
+		sleep(ctx, every)
+	}
+}
+
+func (p *Planner) lead(leads bool, deadline time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !leads {
+		deadline = time.Time{}
+	}
+	p.leadsUntil = deadline
+}
+
+// Run plans until the context ends.
+func (p *Planner) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.Step(ctx)
+		}
+	}
+}
+
+// Step plans once, if this host leads.
+func (p *Planner) Step(ctx context.Context) {
+	leads := p.Leads()
+	if leads != p.wasLeading {
+		p.wasLeading = leads
+		p.begin()
+		_ = level.Info(p.Logger).Log("event", "leadership", "leads", leads, "epoch", p.epoch)
+	}
+	index := p.Book.Index()
+	if !leads || index == nil || !p.Roster.Loaded() {
+		return
+	}
+	now := p.now()
+	view := p.Roster.View()
+	p.probeGhosts(ctx, view, now)
+	p.advance(ctx, view, now)
+	p.review(index, view, now)
+	p.dissolve(ctx, view, now)
+	if !now.Before(p.holdUntil) {
+		p.form(ctx, index, view, now)
+	}
+	if len(p.pending) > 0 {
+		p.Refresher.Refresh()
+	}
+}
+
+// begin forgets what only the previous time as leader knew.
+func (p *Planner) begin() {
+	clear(p.pending)
+	clear(p.dissolving)
+	clear(p.members)
+	clear(p.firstSeen)
+	p.hold()
+}
+
+// hold lets the orders of an earlier planner show in the entries.
+func (p *Planner) hold() {
+	if !p.Quiet() {
+		p.holdUntil = p.now().Add(settleTime)
+	}
+	p.Refresher.Refresh()
+}
+
+func (p *Planner) member(instance flamingodoor.Instance) *memberState {
+	state, ok := p.members[instance.ID]
+	if !ok || !state.born.Equal(instance.Born) {
+		state = &memberState{born: instance.Born, sequence: -1}
+		p.members[instance.ID] = state
+	}
+	return state
+}
+
+// order gives an order with the number of orders that the instance accepted,
+// so that one which arrives late finds another number.
+func (p *Planner) order(ctx context.Context, instance flamingodoor.Instance, state *memberState, order flamingodoor.InstanceOrder) flamingodoor.OrderResult {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if state.sequence < 0 {
+		report, err := p.Instances.Report(ctx, instance.Address)
+		if err != nil {
+			_ = level.Info(p.Logger).Log("event", "report_failed", "instance", instance.ID, "err", err)
+			return flamingodoor.OrderResultUnknown
+		}
+		state.sequence = report.OrderSequence
+	}
+	order.Sequence = state.sequence
+	result, err := p.Instances.Order(ctx, instance, order)
+	switch result {
+	case flamingodoor.OrderResultBegun:
+		state.sequence++
+	case flamingodoor.OrderResultHolds:
+		// An order that is done at once may have counted.
+		state.sequence = -1
+	default:
+		state.sequence = -1
+	}
+	_ = level.Info(p.Logger).Log("event", "order", "kind", order.Kind, "instance", instance.ID, "group", order.Group,
+		"epoch", order.Epoch, "model", order.ModelID, "sequence", order.Sequence, "result", result, "err", err)
+	return result
+}
+
+// probeGhosts asks members whose entry lapsed: one that only lost the store
+// serves on, one that does not answer is lost.
+func (p *Planner) probeGhosts(ctx context.Context, view *roster.View, now time.Time) {
+	var group errgroup.Group
+	for _, each := range view.Groups {
+		for _, member := range each.Members {
+			if member.ID == "" || member.Listed || view.Lost(member.Instance, now) || now.Sub(p.probed[member.ID]) < probeEvery {
+				continue
+			}
+			p.probed[member.ID] = now
+			group.Go(func() error {
+				p.probe(ctx, member.Instance)
+				return nil
+			})
+		}
+	}
+	_ = group.Wait() // probes report through the roster
+}
+
+func (p *Planner) probe(ctx context.Context, instance flamingodoor.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := p.Instances.Report(ctx, instance.Address)
+	if err == nil && report.Born.Equal(instance.Born) {
+		return
+	}
+	now := p.now()
+	_ = level.Info(p.Logger).Log("event", "member_lost", "instance", instance.ID, "err", err)
+	p.Roster.MarkLost(instance.ID, instance.Born, now)
+	p.Roster.Publish(now)
+}
+
+// sizes of the models of a service.
+func modelSpec(index *catalogue.Index, service, modelID string) (flamingodoor.ModelSpec, bool) {
+	spec, ok := index.Services[service]
+	if !ok || spec.Engine == nil {
+		return flamingodoor.ModelSpec{}, false
+	}
+	for _, model := range spec.Engine.Models {
+		if model.ID == modelID {
+			return model, true
+		}
+	}
+	return flamingodoor.ModelSpec{}, false
+}
+
+// work of the models of a service, from what was asked or, before the first
+// request, from the configuration.
+func (p *Planner) models(service flamingodoor.ServiceSpec, counts map[string]float64, total int) []formation.Model {
+	models := make([]formation.Model, 0, len(service.Engine.Models))
+	asked := 0.0
+	for _, model := range service.Engine.Models {
+		asked += p.Work(service.Name, model.ID)
+	}
+	for _, model := range service.Engine.Models {
+		work := p.Work(service.Name, model.ID)
+		if asked < leastAsked {
+			work = model.Share * float64(total) / float64(max(1, model.Size)) / 2
+		}
+		models = append(models, formation.Model{ID: model.ID, Size: model.Size, Work: work, Groups: counts[model.ID]})
+	}
+	return models
+}
+
+// leastAsked is the work, in engine seconds a second, from which the measured
+// demand replaces the configured one.
+const leastAsked = 0.3
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/relay/demand.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+// demandTime is the time constant of the mean demand: long enough to smooth
+// single requests, short against a weight load.
+const demandTime = 4 * time.Second
+
+// DemandKey names a model of a service.
+type DemandKey struct {
+	Service string
+	Model   string
+}
+
+// Demand keeps the mean work asked of each model, served or not.
+type Demand struct {
+	mu    sync.Mutex
+	rates map[DemandKey]*rate
+}
+
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// NewDemand returns a demand of nothing.
+func NewDemand() *Demand {
+	return &Demand{rates: make(map[DemandKey]*rate)}
+}
+
+// Add counts a request by the time that it takes of a full engine.
+func (d *Demand) Add(service flamingodoor.ServiceSpec, model string, prompt, answer int, now time.Time) {
+	if service.Engine == nil {
+		return
+	}
+	work := EngineSeconds(service.Engine, model, float64(prompt), float64(answer))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := DemandKey{Service: service.Name, Model: model}
+	mean, ok := d.rates[key]
+	if !ok {
+		mean = &rate{at: now}
+		d.rates[key] = mean
+	}
+	mean.decay(now)
+	mean.perSecond += work / demandTime.Seconds()
+}
+
+func (r *rate) decay(now time.Time) {
+	r.perSecond *= math.Exp(-now.Sub(r.at).Seconds() / demandTime.Seconds())
+	r.at = now
+}
+
+// Rates returns the engine seconds asked a second.
+func (d *Demand) Rates(now time.Time) map[DemandKey]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rates := make(map[DemandKey]float64, len(d.rates))
+	for key, mean := range d.rates {
+		mean.decay(now)
+		rates[key] = mean.perSecond
+	}
+	return rates
+}
+
+// EngineSeconds estimates the share of a full engine's time that a request
+// takes: reading its prompt and writing its answer beside the others.
+func EngineSeconds(engine *flamingodoor.EngineSpec, model string, prompt, answer float64) float64 {
+	pace := 1.0
+	for _, spec := range engine.Models {
+		if spec.ID == model {
+			pace = spec.Pace
+		}
+	}
+	slots := float64(max(1, engine.Slots))
+	step := engine.Step.Seconds() + slots*engine.StepPerSlot.Seconds()
+	reading := 0.0
+	if engine.ReadPerSecond > 0 {
+		reading = prompt / engine.ReadPerSecond
+	}
+	return pace * (reading + answer*step/slots)
+}
--- /dev/null
+++ b/serving.go
@@ -0,0 +1,220 @@
+package flamingodoor
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// MembershipState is the phase of an instance in its replica group.
+type MembershipState int
+
+// States of a membership.
+const (
+	MembershipStateNone MembershipState = iota
+	MembershipStateJoining
+	MembershipStateReady
+	MembershipStateOpen
+	MembershipStateClosing
+	MembershipStateBroken
+)
+
+// RouteKind tells what may be repeated of a request.
+type RouteKind int
+
+// Kinds of routes.
+const (
+	RouteKindIdempotent RouteKind = iota + 1
+	RouteKindNonIdempotent
+	RouteKindStreaming
+)
+
+// Membership is the place of an instance in a replica group.
+type Membership struct {
+	Group   string
+	Epoch   int64
+	Rank    int // 0 is the head, which receives the requests
+	State   MembershipState
+	ModelID string
+}
+
+// Instance is one life of an endpoint, as it registers itself.
+type Instance struct {
+	ID           string
+	Service      string
+	DataCentre   string
+	FabricDomain string
+	Address      netip.AddrPort
+	Born         time.Time
+	Slots        int
+	Leaving      bool
+	ColdUntil    time.Time
+	Staged       []string // models whose weights are on the host
+	Membership   Membership
+}
+
+// InstanceReport is what an instance answers when it is asked directly.
+type InstanceReport struct {
+	Instance
+	OrderSequence int64 // orders accepted since the start
+	Running       int
+	Queued        int
+	Pace          float64 // above 1 for a slow instance
+}
+
+// Catalogue is one version of the operators' configuration.
+type Catalogue struct {
+	Version    int64
+	Routes     []Route
+	Services   map[string]ServiceSpec
+	Limits     CallerLimits
+	Workspaces []Workspace
+}
+
+// Route tells how the requests of a host name and path prefix are served.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Kind        RouteKind
+	Timeout     time.Duration // longest time that a caller is kept waiting
+	Aim         time.Duration // latency objective
+	GapAim      time.Duration // longest pause between two events
+	MaxAttempts int
+	Priority    int // 0 is the most urgent
+	Public      bool
+	Resumable   bool
+	Sticky      bool
+	Split       []SplitShare
+}
+
+// SplitShare is the part of a route's traffic that a service receives.
+type SplitShare struct {
+	Service string
+	Weight  int
+}
+
+// ServiceSpec describes a service and its engine, if it has one.
+type ServiceSpec struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	ColdRate       float64 // requests a second that a cold instance bears; 0 without limit
+	Engine         *EngineSpec
+}
+
+// EngineSpec describes the model engines of a service.
+type EngineSpec struct {
+	Slots         int
+	Stride        int // token steps of one pass
+	Step          time.Duration
+	StepPerSlot   time.Duration
+	ReadPerSecond float64 // prompt tokens
+	Chunk         int     // most prompt tokens read in one step
+	UsualPrompt   float64 // mean tokens
+	UsualAnswer   float64 // mean tokens
+	LoadsPerS     float64
+	LoadsAtOnce   int
+	StagedKept    int // models that a host keeps
+	FormTime      time.Duration
+	ReportLag     time.Duration
+	Models        []ModelSpec
+}
+
+// ModelSpec describes the replica groups of one model.
+type ModelSpec struct {
+	ID       string
+	Size     int     // instances of a group
+	Pace     float64 // factor on all times of the engine
+	Share    float64 // part of the work at the start
+	LoadTime time.Duration
+	WarmTime time.Duration
+}
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Workspace is a tenant of the service with its API keys.
+type Workspace struct {
+	Name        string
+	Keys        []string
+	Priority    int
+	HasPriority bool
+}
+
+// InstanceClient asks instances and gives them orders.
+type InstanceClient interface {
+	Report(ctx context.Context, address netip.AddrPort) (InstanceReport, error)
+	Order(ctx context.Context, instance Instance, order InstanceOrder) (OrderResult, error)
+}
+
+// OrderKind is what an instance is told to do.
+type OrderKind int
+
+// Kinds of orders.
+const (
+	OrderKindJoin OrderKind = iota + 1
+	OrderKindOpen
+	OrderKindClose
+	OrderKindLeave
+	OrderKindStage
+)
+
+// InstanceOrder changes the membership or the staged models of an instance.
+type InstanceOrder struct {
+	Kind     OrderKind
+	Group    string
+	Epoch    int64
+	ModelID  string
+	Members  []string // instance identifiers, the head first
+	Sequence int64    // refused unless the instance has accepted this many orders
+	Truncate bool     // a close ends running requests
+}
+
+// OrderResult is the answer to an order.
+type OrderResult int
+
+// Results of orders.
+const (
+	OrderResultUnknown  OrderResult = iota // no answer: may be carried out, also later
+	OrderResultBegun                       // accepted
+	OrderResultHolds                       // the state holds already
+	OrderResultConflict                    // does not fit the state or the sequence
+	OrderResultStale                       // the epoch is lower than one seen
+	OrderResultOther                       // another instance answered
+)
+
+// EpochLog hands out epochs in the order of the coordination log.
+type EpochLog interface {
+	// Claim appends a record if no other host has appended since the epoch
+	// `after`. A conflict returns the newest epoch of the log.
+	Claim(ctx context.Context, after int64, record []byte) (epoch int64, claimed bool, err error)
+}
+
+// Election tells which host leads.
+type Election interface {
+	// Renew joins or keeps the election and reports whether this host leads
+	// until the deadline.
+	Renew(ctx context.Context) (leads bool, deadline time.Time, err error)
+	// Resign leaves the election.
+	Resign(ctx context.Context) error
+}
+
+// HostDirectory lists the entry hosts for the exchange between them.
+type HostDirectory interface {
+	Announce(ctx context.Context, host EntryPeer) error
+	Withdraw(ctx context.Context, hostID string) error
+	Hosts(ctx context.Context) ([]EntryPeer, error)
+}
+
+// EntryPeer is an entry host as the others reach it.
+type EntryPeer struct {
+	ID         string         `json:"id"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"data_centre"`
+}
