Plan all domains together, wait for registrations, and count attempts as the limits do

Cause: the planner formed groups of the first instances that registered, so that one model got 14 of 15 groups; a new leader began with epoch 0 and lost a second to the conflict; an attempt at a group that stood still from the start counted towards the attempts of the route, while one that had run was excused. Prompt and answer sizes of callers are upper limits and overstated the work.

Ruled out: a shortage of instances (507 of 1,836 instance-seconds idle).

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -224,27 +224,40 @@
 	return verdict
 }
 
+// probe asks an instance twice, the second time on a new connection while the
+// first answer is still awaited, so that one lost packet is no loss.
 func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (pace float64, alive bool) {
-	for _, limit := range []time.Duration{firstProbeTime, secondProbeTime} {
-		report, err := g.ask(ctx, instance, limit)
-		if err == nil {
-			same := report.Born.IsZero() || instance.Born.IsZero() || report.Born.Equal(instance.Born)
-			return report.Pace, same
-		}
-		_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", err)
-		if connectionRefused(err) {
-			return 0, false
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	type answer struct {
+		report flamingodoor.InstanceReport
+		err    error
+	}
+	answers := make(chan answer, probeTries)
+	ask := func() {
+		report, err := g.platform.Instances.Report(ctx, instance.Address)
+		answers <- answer{report, err}
+	}
+	go ask()
+	timer := time.NewTimer(secondProbeAfter)
+	defer timer.Stop()
+	for waiting := 1; waiting > 0; {
+		select {
+		case <-timer.C:
+			waiting++
+			go ask()
+		case got := <-answers:
+			waiting--
+			if got.err == nil {
+				same := got.report.Born.IsZero() || instance.Born.IsZero() || got.report.Born.Equal(instance.Born)
+				return got.report.Pace, same
+			}
+			_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", got.err)
 		}
 	}
 	return 0, false
 }
 
-func (g *Gateway) ask(ctx context.Context, instance flamingodoor.Instance, limit time.Duration) (flamingodoor.InstanceReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return g.platform.Instances.Report(ctx, instance.Address)
-}
-
 func (g *Gateway) loseMembers(group *roster.Group, lost []string) {
 	now := time.Now()
 	f := g.fleet
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,10 +47,12 @@
 	stopReserve = 700 * time.Millisecond
 	// sayLeaving is how long the last messages may take.
 	sayLeaving = 500 * time.Millisecond
-	// probeTimes are the limits of the two questions to a silent member; the
-	// second allows for a lost opening packet.
-	firstProbeTime  = 200 * time.Millisecond
-	secondProbeTime = 350 * time.Millisecond
+	// probeTime bounds the questions to a member of a silent group, several
+	// times the delay between data centres.
+	probeTime = 320 * time.Millisecond
+	// secondProbeAfter leaves the second question as much time as the first.
+	secondProbeAfter = 100 * time.Millisecond
+	probeTries       = 2
 	// slowPace is the pace from which a member is called slow.
 	slowPace = 1.0
 )
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -58,41 +58,52 @@
 // on instances that no group can use yet.
 func (p *Planner) chooseFor(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, now time.Time) []choice {
 	counts := p.groupCounts(view, service.Name, now)
-	total := len(view.ByService[service.Name])
-	var choices []choice
-	var idle []flamingodoor.Instance
-	for _, domain := range domainsOf(p.free(view, service.Name, now)) {
-		models := p.models(service, counts, total)
-		candidates := make([]formation.Candidate, 0, len(domain))
-		byID := make(map[string]flamingodoor.Instance, len(domain))
+	models := p.models(service, counts, len(view.ByService[service.Name]))
+	domains := domainsOf(p.free(view, service.Name, now))
+	candidates := make([][]formation.Candidate, len(domains))
+	byID := make(map[string]flamingodoor.Instance)
+	for i, domain := range domains {
 		for _, instance := range domain {
 			byID[instance.ID] = instance
-			candidates = append(candidates, formation.Candidate{ID: instance.ID, Delays: p.delays(service.Engine, instance, now)})
+			candidates[i] = append(candidates[i], formation.Candidate{ID: instance.ID, Delays: p.delays(service.Engine, instance, now)})
 		}
-		for _, group := range formation.Choose(candidates, models) {
-			made := choice{service: service.Name, delay: group.Delay}
-			for _, spec := range service.Engine.Models {
-				if spec.ID == group.ModelID {
-					made.model = spec
-				}
-			}
-			for _, id := range group.Members {
-				made.instances = append(made.instances, byID[id])
-				delete(byID, id)
-			}
+	}
+	var choices []choice
+	for _, groups := range formation.Plan(candidates, models) {
+		for _, group := range groups {
+			choices = append(choices, choiceOf(service, group, byID))
 			counts[group.ModelID]++
-			choices = append(choices, made)
-		}
-		for _, instance := range domain {
-			if _, left := byID[instance.ID]; left {
-				idle = append(idle, instance)
-			}
 		}
 	}
-	p.stage(ctx, service, view, idle, counts, total, now)
+	if len(choices) > 0 {
+		p.noteDemand(models)
+	}
+	p.stage(ctx, service, view, byID, p.models(service, counts, len(view.ByService[service.Name])), now)
 	return choices
 }
 
+// choiceOf takes the members of a group out of the free instances.
+func choiceOf(service flamingodoor.ServiceSpec, group formation.Group, free map[string]flamingodoor.Instance) choice {
+	made := choice{service: service.Name, delay: group.Delay}
+	for _, spec := range service.Engine.Models {
+		if spec.ID == group.ModelID {
+			made.model = spec
+		}
+	}
+	for _, id := range group.Members {
+		made.instances = append(made.instances, free[id])
+		delete(free, id)
+	}
+	return made
+}
+
+// noteDemand logs what the choice of groups is based on.
+func (p *Planner) noteDemand(models []formation.Model) {
+	for _, model := range models {
+		_ = level.Info(p.Logger).Log("event", "model_demand", "model", model.ID, "work", model.Work, "groups", model.Groups)
+	}
+}
+
 // groupCounts counts the groups that serve or form, by model.
 func (p *Planner) groupCounts(view *roster.View, service string, now time.Time) map[string]float64 {
 	counts := make(map[string]float64)
@@ -261,6 +272,8 @@
 	if result == flamingodoor.OrderResultConflict || result == flamingodoor.OrderResultUnknown {
 		// The number of orders was out of date, or the answer was lost: the
 		// second order names the present number, and one of them is refused.
+		// Reports show it a little later.
+		sleep(ctx, reportLag)
 		result = p.order(ctx, instance, state, order)
 	}
 	if result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds {
@@ -273,8 +286,7 @@
 // stage loads weights onto hosts ahead of need: idle instances get the model
 // that is short of groups, and before the first request all get the model
 // that they do not serve, so that they can serve either.
-func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle []flamingodoor.Instance, counts map[string]float64, total int, now time.Time) {
-	models := p.models(service, counts, total)
+func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
 	quiet := p.Quiet()
 	var orders errgroup.Group
 	targets := make(map[string]string)
@@ -330,12 +342,15 @@
 	return true
 }
 
+// neediest names the model for which an instance, as part of a group, adds
+// the most value.
 func neediest(models []formation.Model) (string, bool) {
 	best, gain := "", 0.0
-	for _, model := range models {
-		// An instance is the part of a group.
-		added := (formation.Value(model.Work, model.Groups+1) - formation.Value(model.Work, model.Groups)) / float64(max(1, model.Size))
-		if added > gain {
+	present := formation.Value(models)
+	for i, model := range models {
+		more := slices.Clone(models)
+		more[i].Groups++
+		if added := (formation.Value(more) - present) / float64(max(1, model.Size)); added > gain {
 			best, gain = model.ID, added
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -39,8 +39,13 @@
 	probeEvery = 500 * time.Millisecond
 	// drainPatience is how long a leaving member's group may finish its work.
 	drainPatience = 1800 * time.Millisecond
+	// reportLag is how old the values of a report may be.
+	reportLag = 300 * time.Millisecond
 	// settleTime is how long orders of another planner take to show.
 	settleTime = 700 * time.Millisecond
+	// registrationTime without a new instance ends the wait before the first
+	// groups are formed.
+	registrationTime = 800 * time.Millisecond
 	// quietLoadShare is the part of the load time that weights take before
 	// the first request.
 	quietLoadShare = 10
@@ -86,6 +91,8 @@
 	probed     map[string]time.Time
 	loads      []time.Time
 	wasLeading bool
+	known      int       // instances of the previous step
+	grownAt    time.Time // when their number last changed
 	holdUntil  time.Time // no groups are formed before
 }
 
@@ -175,7 +182,7 @@
 	leads := p.Leads()
 	if leads != p.wasLeading {
 		p.wasLeading = leads
-		p.begin()
+		p.begin(ctx, leads)
 		_ = level.Info(p.Logger).Log("event", "leadership", "leads", leads, "epoch", p.epoch)
 	}
 	index := p.Book.Index()
@@ -188,7 +195,7 @@
 	p.advance(ctx, view, now)
 	p.review(index, view, now)
 	p.dissolve(ctx, view, now)
-	if !now.Before(p.holdUntil) {
+	if !now.Before(p.holdUntil) && p.settled(view, now) {
 		p.form(ctx, index, view, now)
 	}
 	if len(p.pending) > 0 {
@@ -197,7 +204,17 @@
 }
 
 // begin forgets what only the previous time as leader knew.
-func (p *Planner) begin() {
+func (p *Planner) begin(ctx context.Context, leads bool) {
+	if leads {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		// Without it, the first claim finds the epoch by a conflict.
+		epoch, err := p.Epochs.Newest(ctx)
+		if err != nil {
+			_ = level.Warn(p.Logger).Log("event", "epoch_unknown", "err", err)
+		}
+		p.epoch = max(p.epoch, epoch)
+	}
 	clear(p.pending)
 	clear(p.dissolving)
 	clear(p.members)
@@ -213,6 +230,16 @@
 	p.Refresher.Refresh()
 }
 
+// settled reports whether the first registrations have come in: groups made of
+// the first few would leave the others in the wrong numbers.
+func (p *Planner) settled(view *roster.View, now time.Time) bool {
+	if len(view.Entries) != p.known {
+		p.known, p.grownAt = len(view.Entries), now
+		p.Refresher.Refresh()
+	}
+	return !p.Quiet() || now.Sub(p.grownAt) > registrationTime
+}
+
 func (p *Planner) member(instance flamingodoor.Instance) *memberState {
 	state, ok := p.members[instance.ID]
 	if !ok || !state.born.Equal(instance.Born) {
@@ -243,8 +270,10 @@
 	case flamingodoor.OrderResultBegun:
 		state.sequence++
 	case flamingodoor.OrderResultHolds:
-		// An order that is done at once may have counted.
-		state.sequence = -1
+		if order.Kind == flamingodoor.OrderKindLeave {
+			// A leave is done at once and counts.
+			state.sequence++
+		}
 	default:
 		state.sequence = -1
 	}
@@ -258,6 +287,9 @@
 func (p *Planner) probeGhosts(ctx context.Context, view *roster.View, now time.Time) {
 	var group errgroup.Group
 	for _, each := range view.Groups {
+		if p.dissolving[each.Key()] != nil {
+			continue
+		}
 		for _, member := range each.Members {
 			if member.ID == "" || member.Listed || view.Lost(member.Instance, now) || now.Sub(p.probed[member.ID]) < probeEvery {
 				continue
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -22,8 +22,13 @@
 type Demand struct {
 	mu    sync.Mutex
 	rates map[DemandKey]*rate
+	most  map[string]float64 // mean of the most answer tokens, by service
 }
 
+// mostWeight is the weight of the newest request in the mean of the most
+// answer tokens.
+const mostWeight = 0.01
+
 type rate struct {
 	perSecond float64
 	at        time.Time
@@ -31,7 +36,7 @@
 
 // NewDemand returns a demand of nothing.
 func NewDemand() *Demand {
-	return &Demand{rates: make(map[DemandKey]*rate)}
+	return &Demand{rates: make(map[DemandKey]*rate), most: make(map[string]float64)}
 }
 
 // Add counts a request by the time that it takes of a full engine.
@@ -39,9 +44,9 @@
 	if service.Engine == nil {
 		return
 	}
-	work := EngineSeconds(service.Engine, model, float64(prompt), float64(answer))
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	work := EngineSeconds(service.Engine, model, float64(prompt), d.usualAnswer(service, float64(answer)))
 	key := DemandKey{Service: service.Name, Model: model}
 	mean, ok := d.rates[key]
 	if !ok {
@@ -52,6 +57,21 @@
 	mean.perSecond += work / demandTime.Seconds()
 }
 
+// usualAnswer scales the most tokens of an answer to the usual length: callers
+// allow more than they get.
+func (d *Demand) usualAnswer(service flamingodoor.ServiceSpec, most float64) float64 {
+	mean, ok := d.most[service.Name]
+	if !ok {
+		mean = max(1, service.Engine.UsualAnswer)
+	}
+	mean += mostWeight * (most - mean)
+	d.most[service.Name] = mean
+	if service.Engine.UsualAnswer <= 0 || mean <= service.Engine.UsualAnswer {
+		return most
+	}
+	return most * service.Engine.UsualAnswer / mean
+}
+
 func (r *rate) decay(now time.Time) {
 	r.perSecond *= math.Exp(-now.Sub(r.at).Seconds() / demandTime.Seconds())
 	r.at = now
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -22,8 +22,8 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes bounds an event that is held until it is whole.
 	maxEventBytes = 1 << 20
-	// resumeWait is how long a begun stream waits for a place elsewhere: the
-	// caller leaves after a pause of 2 s.
+	// resumeWait is how long a stream that lost its instance waits for a place
+	// elsewhere: the caller leaves after a pause of 2 s.
 	resumeWait = 1200 * time.Millisecond
 )
 
@@ -64,15 +64,11 @@
 			return
 		}
 		j.avoid[found.instance.ID] = true
-		until = r.now().Add(j.route.Aim / waitShare)
-		if out.started {
-			until = r.now().Add(resumeWait)
-		}
+		until = r.now().Add(resumeWait)
 	}
 }
 
-// mayResume allows a further attempt. A group that was lost does not count
-// towards the attempts of the route, because nothing else will answer there.
+// mayResume allows a further attempt.
 func (r *Relay) mayResume(ctx context.Context, j *job, out *delivery) bool {
 	if out.started && !j.route.Resumable {
 		return false
@@ -114,9 +110,10 @@
 		watch = r.monitor.Begin(found.group, r.usualGap(j), cancel)
 		defer watch.End()
 	}
-	sent := r.now()
+	sent, before := r.now(), out.events
 	response, err := r.send(ctx, j, found, out.last)
 	if err != nil {
+		r.excuse(j, found, true)
 		return r.streamFailed(ctx, j, found, err)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -142,9 +139,18 @@
 	}
 	_ = level.Info(r.logger).Log("event", "stream_broken", "request", j.id, "instance", found.instance.ID,
 		"last_event", out.last, "cause", context.Cause(ctx), "err", err, "after_ms", r.now().Sub(sent).Milliseconds())
+	r.excuse(j, found, out.events == before)
 	return r.streamFailed(ctx, j, found, err)
 }
 
+// excuse leaves an attempt out of the route's limit if the request did not run
+// there, as an answer without an event shows, or if its instance is gone.
+func (r *Relay) excuse(j *job, found place, idle bool) {
+	if idle || r.roster.View().Lost(found.instance, r.now()) {
+		j.excused++
+	}
+}
+
 // usualGap is the time between two events of a full engine.
 func (r *Relay) usualGap(j *job) time.Duration {
 	engine := j.service.Engine
@@ -167,7 +173,6 @@
 		return outcomeLeft
 	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent):
 		j.mayHave = true
-		j.excused++
 		j.cause = cause.Error()
 		return outcomeFailed
 	case cause != nil:
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -15,8 +15,8 @@
 	// scanEvery is the resolution of all times below.
 	scanEvery = 50 * time.Millisecond
 	// silentTime without any answer of a group makes its members be asked. A
-	// pass of a full engine with a long prompt takes about half of it.
-	silentTime = 350 * time.Millisecond
+	// pass of a full engine with a long prompt takes about two thirds of it.
+	silentTime = 250 * time.Millisecond
 	// slowFactor on the usual gap replaces silentTime for slow groups.
 	slowFactor = 4
 	// askAgainAfter separates two inspections of one group.
--- a/serving.go
+++ b/serving.go
@@ -193,6 +193,8 @@
 type EpochLog interface {
 	// Claim appends a record if no other host has appended since the epoch
 	// `after`. A conflict returns the newest epoch of the log.
+	// Newest returns the newest epoch of the log.
+	Newest(ctx context.Context) (epoch int64, err error)
 	Claim(ctx context.Context, after int64, record []byte) (epoch int64, claimed bool, err error)
 }
 
