--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -100,12 +100,12 @@
 	for i := range options {
 		best, bestValue := 0, math.Inf(-1)
 		for j, groups := range options[i] {
-			if value := sumServed(with(state, groups)); value > bestValue+worthwhile {
+			if value := sumServed(With(state, groups)); value > bestValue+worthwhile {
 				best, bestValue = j, value
 			}
 		}
 		chosen[i] = best
-		state = with(state, options[i][best])
+		state = With(state, options[i][best])
 	}
 }
 
@@ -115,12 +115,12 @@
 		others := slices.Clone(models)
 		for j := range options {
 			if j != i {
-				others = with(others, options[j][chosen[j]])
+				others = With(others, options[j][chosen[j]])
 			}
 		}
-		bestValue := Value(with(others, options[i][chosen[i]]))
+		bestValue := Value(With(others, options[i][chosen[i]]))
 		for j, groups := range options[i] {
-			if value := Value(with(others, groups)); value > bestValue+worthwhile {
+			if value := Value(With(others, groups)); value > bestValue+worthwhile {
 				chosen[i], bestValue, improved = j, value, true
 			}
 		}
@@ -137,8 +137,8 @@
 	return sum
 }
 
-// with adds groups to the models; one that takes long counts for less.
-func with(models []Model, groups []Group) []Model {
+// With adds groups to the models; one that takes long counts for less.
+func With(models []Model, groups []Group) []Model {
 	added := slices.Clone(models)
 	for _, group := range groups {
 		for i := range added {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -55,6 +55,7 @@
 	instanceID string
 	born       time.Time
 	group      roster.GroupKey
+	retiring   bool
 	at         time.Time
 }
 
@@ -81,6 +82,7 @@
 		recent = append(recent, loss)
 		message := &exchangev1.Loss{
 			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
+			Retiring: loss.retiring,
 		}
 		if !loss.born.IsZero() {
 			message.BornMs = loss.born.UnixMilli()
@@ -124,6 +126,11 @@
 	g := f.gateway
 	lost := false
 	for _, loss := range request.GetLosses() {
+		if loss.GetRetiring() {
+			g.roster.MarkRetiring(roster.GroupKey{Name: loss.GetGroup(), Epoch: loss.GetEpoch()}, now)
+			g.roster.Publish(now)
+			continue
+		}
 		if loss.GetGroup() != "" {
 			key := roster.GroupKey{Name: loss.GetGroup(), Epoch: loss.GetEpoch()}
 			g.roster.MarkStalled(key, now)
@@ -277,6 +284,17 @@
 	g.tracker.Wake()
 }
 
+// retire takes new work off a group, here and on the other hosts.
+func (g *Gateway) retire(key roster.GroupKey) {
+	now := time.Now()
+	g.roster.MarkRetiring(key, now)
+	g.roster.Publish(now)
+	g.fleet.mu.Lock()
+	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, retiring: true, at: now})
+	g.fleet.mu.Unlock()
+	g.exchanger.Hurry()
+}
+
 // groupStalled tells the peers of a group that stands still.
 func (g *Gateway) groupStalled(key roster.GroupKey) {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,7 @@
 		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs,
 		Election:  platform.Election(g.electionLease()),
 		Refresher: &refresher{watcher: platform.Watcher, exchanger: g.exchanger},
-		InFlight:  g.tracker.InFlight, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
+		InFlight:  g.tracker.InFlight, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
 	}, time.Now)
 	g.front = newFrontServer(g.relay)
 	return g
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -283,62 +284,149 @@
 	}
 }
 
-// stage loads weights onto hosts ahead of need: idle instances get the model
-// that is short of groups, and before the first request all get the model
-// that they do not serve, so that they can serve either.
+// stage loads weights onto hosts ahead of need, so that each instance can soon
+// serve any model. Idle instances come first, those that complete a group
+// before others; the members of groups use what is left of the weight store.
 func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
 	quiet := p.Quiet()
-	var orders errgroup.Group
-	targets := make(map[string]string)
-	for _, instance := range idle {
-		if model, ok := neediest(models); ok && len(instance.Staged) == 0 {
-			targets[instance.ID] = model
-		}
-	}
-	if quiet && len(p.pending) == 0 {
-		for _, entry := range view.ByService[service.Name] {
-			if other, ok := otherModel(service.Engine, entry.Membership); ok && !slices.Contains(entry.Staged, other) {
-				targets[entry.ID] = other
-			}
-		}
+	needed, ok := neediest(models)
+	if !ok || (quiet && len(p.pending) > 0) {
+		return
 	}
-	for id, modelID := range targets {
-		instance := view.Entries[id].Instance
-		state := p.member(instance)
-		if now.Before(state.stagedBy) || (!quiet && !p.mayLoad(service.Engine, now)) {
+	p.forgetLoads(view)
+	var orders errgroup.Group
+	for _, target := range p.stageTargets(service, view, idle, needed, now) {
+		state := p.member(target.instance)
+		if now.Before(state.stagedBy) || (!quiet && !p.mayLoad(service.Engine, target, now)) {
 			continue
 		}
-		length := loadTime(service.Engine, modelID)
+		length := loadTime(service.Engine, target.modelID)
 		if quiet {
 			length /= quietLoadShare
 		}
-		state.staging, state.stagedBy = modelID, now.Add(length+formSlack)
+		state.staging, state.stagedBy = target.modelID, now.Add(length+formSlack)
 		orders.Go(func() error {
-			p.order(ctx, instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: modelID})
+			result := p.order(ctx, target.instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: target.modelID})
+			if result == flamingodoor.OrderResultConflict {
+				// It is busy with an order of an earlier planner.
+				state.stagedBy = now.Add(stageAgainAfter)
+			}
 			return nil
 		})
 	}
 	_ = orders.Wait() // results show in the members' entries
 }
 
-// mayLoad takes a load from the rate and the number at once that the weight
-// store bears.
-func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, now time.Time) bool {
-	longest := time.Duration(0)
+// stageTarget is an instance that lacks the weights of a model.
+type stageTarget struct {
+	instance flamingodoor.Instance
+	modelID  string
+	idle     bool
+	missing  int // instances that its domain lacks for a group of the model
+}
+
+func (p *Planner) stageTargets(service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, needed string, now time.Time) []stageTarget {
+	able := make(map[string]int) // idle instances that are ready soon, by domain
+	for _, instance := range idle {
+		if _, quick := p.delays(service.Engine, instance, now)[needed]; quick {
+			able[instance.FabricDomain]++
+		}
+	}
+	size := 0
+	for _, model := range service.Engine.Models {
+		if model.ID == needed {
+			size = model.Size
+		}
+	}
+	var targets []stageTarget
+	for _, entry := range view.ByService[service.Name] {
+		_, free := idle[entry.ID]
+		if entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) || (!free && entry.Membership.Group == "") {
+			continue
+		}
+		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
+			targets = append(targets, stageTarget{
+				instance: entry.Instance, modelID: modelID, idle: free, missing: max(0, size-able[entry.FabricDomain]),
+			})
+		}
+	}
+	slices.SortStableFunc(targets, func(a, b stageTarget) int {
+		if a.idle != b.idle {
+			if a.idle {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(
+			cmp.Compare(a.missing, b.missing),
+			cmp.Compare(a.instance.FabricDomain, b.instance.FabricDomain),
+		)
+	})
+	return targets
+}
+
+// forgetLoads drops loads that are done or whose instance is gone.
+func (p *Planner) forgetLoads(view *roster.View) {
+	for id, load := range p.loads {
+		entry, ok := view.Entries[id]
+		if !ok || !entry.Listed || slices.Contains(entry.Staged, load.modelID) || view.At.After(load.deadline) {
+			delete(p.loads, id)
+		}
+	}
+}
+
+// lacking names a model that the instance could not join soon, the needed one
+// before others. Staging must not displace the weights of a model that the
+// instance does not serve.
+func (p *Planner) lacking(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, needed string, now time.Time) (string, bool) {
+	quick := p.delays(engine, instance, now)
+	if p.Quiet() {
+		quick = p.weightsHeld(engine, instance, now)
+	}
+	if _, ok := quick[needed]; !ok {
+		return needed, true
+	}
+	for _, model := range engine.Models {
+		_, ok := quick[model.ID]
+		held := slices.Contains(instance.Staged, needed) && instance.Membership.ModelID != needed && p.member(instance).lastModel != needed
+		if !ok && !held {
+			return model.ID, true
+		}
+	}
+	return "", false
+}
+
+// weightsHeld are the delays without the short loads before the first request.
+func (p *Planner) weightsHeld(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
+	held := p.delays(engine, instance, now)
+	state := p.member(instance)
 	for _, model := range engine.Models {
-		longest = max(longest, model.LoadTime)
+		if state.lastModel != model.ID && instance.Membership.ModelID != model.ID && !slices.Contains(instance.Staged, model.ID) {
+			delete(held, model.ID)
+		}
 	}
-	p.loads = slices.DeleteFunc(p.loads, func(begun time.Time) bool { return now.Sub(begun) > longest })
+	return held
+}
+
+// mayLoad takes a load from the rate and the number at once that the weight
+// store bears. More at once would only make each take longer.
+func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, target stageTarget, now time.Time) bool {
 	recent := 0
-	for _, begun := range p.loads {
-		if now.Sub(begun) < time.Second {
+	for _, load := range p.loads {
+		if now.Sub(load.begun) < time.Second {
 			recent++
 		}
 	}
-	if len(p.loads) >= max(1, engine.LoadsAtOnce) || float64(recent+1) > max(1, engine.LoadsPerS) {
+	atOnce := max(1, engine.LoadsAtOnce)
+	if !target.idle {
+		atOnce /= memberLoadShare
+	}
+	if len(p.loads) >= atOnce || float64(recent+1) > max(1, engine.LoadsPerS) {
 		return false
 	}
-	p.loads = append(p.loads, now)
+	p.loads[target.instance.ID] = weightLoad{
+		modelID: target.modelID, begun: now, deadline: now.Add(loadTime(engine, target.modelID) + formSlack),
+	}
 	return true
 }
 
@@ -357,19 +445,6 @@
 	return best, best != ""
 }
 
-// otherModel names the model that an instance of a group does not serve.
-func otherModel(engine *flamingodoor.EngineSpec, held flamingodoor.Membership) (string, bool) {
-	if held.Group == "" {
-		return "", false
-	}
-	for _, model := range engine.Models {
-		if model.ID != held.ModelID {
-			return model.ID, true
-		}
-	}
-	return "", false
-}
-
 func loadTime(engine *flamingodoor.EngineSpec, modelID string) time.Duration {
 	for _, model := range engine.Models {
 		if model.ID == modelID {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -127,7 +127,7 @@
 	}
 	if complete && open {
 		delete(p.firstSeen, key)
-		return ""
+		return p.retired(group, key, now)
 	}
 	if head.Membership.State == flamingodoor.MembershipStateBroken {
 		return "broken"
@@ -135,6 +135,19 @@
 	return p.adopt(group, ready, size, now)
 }
 
+// retired reports whether a group that takes no more work has finished.
+func (p *Planner) retired(group *roster.Group, key roster.GroupKey, now time.Time) string {
+	since, ok := p.retiring[key]
+	if !ok {
+		return ""
+	}
+	waited := now.Sub(since)
+	if waited > drainPatience || (waited > drainPatience/4 && p.InFlight(group.Head().ID) == 0) {
+		return "rebalanced"
+	}
+	return ""
+}
+
 // adopt takes over a group that another planner left ready, and ends one that
 // stays incomplete.
 func (p *Planner) adopt(group *roster.Group, ready bool, size int, now time.Time) string {
@@ -174,6 +187,11 @@
 	for _, group := range view.Groups {
 		present[group.Key()] = true
 	}
+	for key := range p.retiring {
+		if !present[key] {
+			delete(p.retiring, key)
+		}
+	}
 	for key := range p.firstSeen {
 		if !present[key] {
 			delete(p.firstSeen, key)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,7 +31,7 @@
 	// adoptAfter is how long a group of another planner may stay incomplete.
 	adoptAfter = 1500 * time.Millisecond
 	// formSlack is the time beyond the members' delays in which a group forms.
-	formSlack = 1500 * time.Millisecond
+	formSlack = 2500 * time.Millisecond
 	// quickDelay separates members that are ready soon from those that have
 	// to load weights.
 	quickDelay = 4 * time.Second
@@ -41,6 +43,14 @@
 	drainPatience = 1800 * time.Millisecond
 	// reportLag is how old the values of a report may be.
 	reportLag = 300 * time.Millisecond
+	// stageAgainAfter separates two attempts to load weights onto a busy
+	// instance.
+	stageAgainAfter = 2 * time.Second
+	// memberLoadShare is the part of the loads at once, one in so many, that
+	// members of groups may use.
+	memberLoadShare = 3
+	// summaryEvery separates two log lines of the fleet's state.
+	summaryEvery = time.Second
 	// settleTime is how long orders of another planner take to show.
 	settleTime = 700 * time.Millisecond
 	// registrationTime without a new instance ends the wait before the first
@@ -67,6 +77,8 @@
 	Refresher Refresher
 	// InFlight is the work of all hosts at a head.
 	InFlight func(instanceID string) int
+	// Retire takes new work off a group on all hosts.
+	Retire func(key roster.GroupKey)
 	// Work is the engine seconds asked a second of a model by all hosts.
 	Work func(service, modelID string) float64
 	// Quiet reports that no host has seen a request yet.
@@ -88,9 +100,12 @@
 	pending    map[roster.GroupKey]*pendingGroup
 	dissolving map[roster.GroupKey]*dissolution
 	firstSeen  map[roster.GroupKey]time.Time
+	retiring   map[roster.GroupKey]time.Time
 	probed     map[string]time.Time
-	loads      []time.Time
+	loads      map[string]weightLoad // under way, by instance
 	wasLeading bool
+	summarised time.Time
+	rebalanced time.Time
 	known      int       // instances of the previous step
 	grownAt    time.Time // when their number last changed
 	holdUntil  time.Time // no groups are formed before
@@ -106,6 +121,13 @@
 	stagedBy  time.Time // when the staging under way is over
 }
 
+// weightLoad is a load from the weight store.
+type weightLoad struct {
+	modelID  string
+	begun    time.Time
+	deadline time.Time // it is over by then
+}
+
 // pendingGroup is a group that forms.
 type pendingGroup struct {
 	service  string
@@ -127,7 +149,7 @@
 	return &Planner{
 		Parts: parts, now: now, members: make(map[string]*memberState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
-		firstSeen: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time),
+		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]weightLoad),
 	}
 }
 
@@ -191,11 +213,13 @@
 	}
 	now := p.now()
 	view := p.Roster.View()
+	p.summarise(index, view, now)
 	p.probeGhosts(ctx, view, now)
 	p.advance(ctx, view, now)
 	p.review(index, view, now)
 	p.dissolve(ctx, view, now)
 	if !now.Before(p.holdUntil) && p.settled(view, now) {
+		p.rebalance(index, view, now)
 		p.form(ctx, index, view, now)
 	}
 	if len(p.pending) > 0 {
@@ -219,6 +243,8 @@
 	clear(p.dissolving)
 	clear(p.members)
 	clear(p.firstSeen)
+	clear(p.retiring)
+	clear(p.loads)
 	p.hold()
 }
 
@@ -317,6 +343,31 @@
 	p.Roster.Publish(now)
 }
 
+// summarise logs the state of the fleet once in a while.
+func (p *Planner) summarise(index *catalogue.Index, view *roster.View, now time.Time) {
+	if now.Sub(p.summarised) < summaryEvery {
+		return
+	}
+	p.summarised = now
+	for _, service := range index.Services {
+		if service.Engine == nil {
+			continue
+		}
+		counts := p.groupCounts(view, service.Name, now)
+		for _, domain := range domainsOf(p.free(view, service.Name, now)) {
+			for _, instance := range domain {
+				_ = level.Debug(p.Logger).Log("event", "idle_instance", "instance", instance.ID, "domain", instance.FabricDomain,
+					"staged", strings.Join(instance.Staged, "+"), "group", instance.Membership.Group, "delays", fmt.Sprint(p.delays(service.Engine, instance, now)))
+			}
+		}
+		for _, model := range service.Engine.Models {
+			_ = level.Info(p.Logger).Log("event", "fleet", "service", service.Name, "model", model.ID, "groups", counts[model.ID],
+				"work", p.Work(service.Name, model.ID), "listed", len(view.ByService[service.Name]),
+				"free", len(p.free(view, service.Name, now)), "pending", len(p.pending))
+		}
+	}
+}
+
 // sizes of the models of a service.
 func modelSpec(index *catalogue.Index, service, modelID string) (flamingodoor.ModelSpec, bool) {
 	spec, ok := index.Services[service]
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -63,6 +63,7 @@
 	ByService  map[string][]Entry // listed instances
 	lostIDs    map[string]loss
 	lostGroups map[GroupKey]time.Time
+	retiring   map[GroupKey]time.Time
 }
 
 type loss struct {
@@ -82,10 +83,16 @@
 	return ok && now.Before(deadline)
 }
 
+// Retiring reports whether the group takes no more work.
+func (v *View) Retiring(key GroupKey, now time.Time) bool {
+	deadline, ok := v.retiring[key]
+	return ok && now.Before(deadline)
+}
+
 // Serving reports whether the group may receive requests: its head is open
 // and every member is in it and answers.
 func (v *View) Serving(group *Group, size int, now time.Time) bool {
-	if len(group.Members) != size || v.Stalled(group.Key(), now) {
+	if len(group.Members) != size || v.Stalled(group.Key(), now) || v.Retiring(group.Key(), now) {
 		return false
 	}
 	head := group.Head()
@@ -110,6 +117,7 @@
 	entries    map[string]Entry
 	lostIDs    map[string]loss
 	lostGroups map[GroupKey]time.Time
+	retiring   map[GroupKey]time.Time
 	dirty      bool
 	view       atomic.Pointer[View]
 	loaded     atomic.Bool
@@ -119,6 +127,7 @@
 func New() *Roster {
 	r := &Roster{
 		entries: make(map[string]Entry), lostIDs: make(map[string]loss), lostGroups: make(map[GroupKey]time.Time),
+		retiring: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
 	return r
@@ -223,6 +232,14 @@
 	r.dirty = true
 }
 
+// MarkRetiring notes that a group takes no more work.
+func (r *Roster) MarkRetiring(key GroupKey, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retiring[key] = now.Add(lossTime)
+	r.dirty = true
+}
+
 // Publish makes the changes visible.
 func (r *Roster) Publish(now time.Time) {
 	r.mu.Lock()
@@ -244,12 +261,14 @@
 	}
 	maps.DeleteFunc(r.lostIDs, func(_ string, lost loss) bool { return now.After(lost.deadline) })
 	maps.DeleteFunc(r.lostGroups, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
+	maps.DeleteFunc(r.retiring, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
 }
 
 func (r *Roster) build(now time.Time) *View {
 	view := &View{
 		At: now, Entries: maps.Clone(r.entries), ByService: make(map[string][]Entry),
 		lostIDs: maps.Clone(r.lostIDs), lostGroups: maps.Clone(r.lostGroups),
+		retiring: maps.Clone(r.retiring),
 	}
 	groups := make(map[GroupKey]*Group)
 	for _, entry := range r.entries {
