Load weights where the fewest loads complete a group, and keep models where they are

Cause: idle instances were given the weights of the model with the fewest groups wherever they were, so that domains ended with mixed leftovers that could form no group; survivors that changed their model lost the weights of the other. Demand counted callers that came back a second time, and the value of a group under overload was near zero.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// kneeLoad is the load of a group at which half of its answers are late.
-	kneeLoad = 0.95
-	// steepness is how fast answers get late around that load.
-	steepness = 4
+	// usefulLoad is the part of a group's time that answers in time can fill.
+	usefulLoad = 0.8
+	// sharpness is how closely the part that is served follows the smaller of
+	// what is asked and what fits.
+	sharpness = 4
 	// fairness weighs the worst-served model against the sum of all: operators
 	// judge the worst-served kind of request by itself.
 	fairness = 0.6
@@ -22,8 +23,14 @@
 	horizon = 30 * time.Second
 	// leastWork keeps a model without requests from having no value.
 	leastWork = 0.05
-	// worthwhile is the least value of a change.
-	worthwhile = 1e-6
+	// worthwhile is the least value of one more group. Instances that would add
+	// less stay free for a model that is short of groups.
+	worthwhile = 0.08
+	// changeCost is the value of an instance that can still join its last model
+	// at once and another from its staged weights.
+	changeCost = 0.02
+	// rounding is the least difference of two values.
+	rounding = 1e-6
 	// maxRounds bounds the improvement of a plan; it settles in two or three.
 	maxRounds = 8
 )
@@ -39,6 +46,7 @@
 // Candidate is a free instance.
 type Candidate struct {
 	ID     string
+	Last   string                   // model of its last group, which it joins again without weights
 	Delays map[string]time.Duration // until it is ready, by model; absent if not soon
 }
 
@@ -47,15 +55,17 @@
 	ModelID string
 	Members []string
 	Delay   time.Duration
+	Changes int // members whose last group had another model
 }
 
-// Served returns the part of the work that so many groups answer in time.
+// Served returns the part of the work that so many groups answer in time. What
+// does not fit is refused, so that an overloaded group still serves its share.
 func Served(work, groups float64) float64 {
 	if groups <= 0 {
 		return 0
 	}
-	load := max(work, leastWork) / groups
-	return 1 / (1 + math.Pow(load/kneeLoad, steepness))
+	fits := usefulLoad * groups / max(work, leastWork)
+	return fits / math.Pow(1+math.Pow(fits, sharpness), 1.0/sharpness)
 }
 
 // Value returns the worth of a number of groups of each model.
@@ -100,7 +110,7 @@
 	for i := range options {
 		best, bestValue := 0, math.Inf(-1)
 		for j, groups := range options[i] {
-			if value := sumServed(With(state, groups)); value > bestValue+worthwhile {
+			if value := sumServed(With(state, groups)); value > bestValue+rounding {
 				best, bestValue = j, value
 			}
 		}
@@ -118,9 +128,9 @@
 				others = With(others, options[j][chosen[j]])
 			}
 		}
-		bestValue := Value(With(others, options[i][chosen[i]]))
+		bestValue := net(others, options[i][chosen[i]])
 		for j, groups := range options[i] {
-			if value := Value(With(others, groups)); value > bestValue+worthwhile {
+			if value := net(others, groups); value > bestValue+rounding {
 				chosen[i], bestValue, improved = j, value, true
 			}
 		}
@@ -128,6 +138,15 @@
 	return improved
 }
 
+// net is the value with further groups, less what each has to add at least.
+func net(models []Model, groups []Group) float64 {
+	value := Value(With(models, groups))
+	for _, group := range groups {
+		value -= worthwhile + changeCost*float64(group.Changes)
+	}
+	return value
+}
+
 func sumServed(models []Model) float64 {
 	sum := 0.0
 	for _, model := range models {
@@ -217,6 +236,9 @@
 		taken[member.ID] = true
 		group.Members = append(group.Members, member.ID)
 		group.Delay = max(group.Delay, member.Delays[model.ID])
+		if member.Last != "" && member.Last != model.ID {
+			group.Changes++
+		}
 	}
 	return group, true
 }
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -66,7 +65,7 @@
 	for i, domain := range domains {
 		for _, instance := range domain {
 			byID[instance.ID] = instance
-			candidates[i] = append(candidates[i], formation.Candidate{ID: instance.ID, Delays: p.delays(service.Engine, instance, now)})
+			candidates[i] = append(candidates[i], p.candidate(service.Engine, instance, now))
 		}
 	}
 	var choices []choice
@@ -209,6 +208,14 @@
 	return delays
 }
 
+func (p *Planner) candidate(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) formation.Candidate {
+	last := p.member(instance).lastModel
+	if instance.Membership.Group != "" {
+		last = instance.Membership.ModelID
+	}
+	return formation.Candidate{ID: instance.ID, Last: last, Delays: p.delays(engine, instance, now)}
+}
+
 // claim appends the plan to the coordination log. A conflict means that
 // another host planned since: its groups show in the next step.
 func (p *Planner) claim(ctx context.Context, choices []choice) (int64, bool) {
@@ -284,167 +291,6 @@
 	}
 }
 
-// stage loads weights onto hosts ahead of need, so that each instance can soon
-// serve any model. Idle instances come first, those that complete a group
-// before others; the members of groups use what is left of the weight store.
-func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
-	quiet := p.Quiet()
-	needed, ok := neediest(models)
-	if !ok || (quiet && len(p.pending) > 0) {
-		return
-	}
-	p.forgetLoads(view)
-	var orders errgroup.Group
-	for _, target := range p.stageTargets(service, view, idle, needed, now) {
-		state := p.member(target.instance)
-		if now.Before(state.stagedBy) || (!quiet && !p.mayLoad(service.Engine, target, now)) {
-			continue
-		}
-		length := loadTime(service.Engine, target.modelID)
-		if quiet {
-			length /= quietLoadShare
-		}
-		state.staging, state.stagedBy = target.modelID, now.Add(length+formSlack)
-		orders.Go(func() error {
-			result := p.order(ctx, target.instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: target.modelID})
-			if result == flamingodoor.OrderResultConflict {
-				// It is busy with an order of an earlier planner.
-				state.stagedBy = now.Add(stageAgainAfter)
-			}
-			return nil
-		})
-	}
-	_ = orders.Wait() // results show in the members' entries
-}
-
-// stageTarget is an instance that lacks the weights of a model.
-type stageTarget struct {
-	instance flamingodoor.Instance
-	modelID  string
-	idle     bool
-	missing  int // instances that its domain lacks for a group of the model
-}
-
-func (p *Planner) stageTargets(service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, needed string, now time.Time) []stageTarget {
-	able := make(map[string]int) // idle instances that are ready soon, by domain
-	for _, instance := range idle {
-		if _, quick := p.delays(service.Engine, instance, now)[needed]; quick {
-			able[instance.FabricDomain]++
-		}
-	}
-	size := 0
-	for _, model := range service.Engine.Models {
-		if model.ID == needed {
-			size = model.Size
-		}
-	}
-	var targets []stageTarget
-	for _, entry := range view.ByService[service.Name] {
-		_, free := idle[entry.ID]
-		if entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) || (!free && entry.Membership.Group == "") {
-			continue
-		}
-		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
-			targets = append(targets, stageTarget{
-				instance: entry.Instance, modelID: modelID, idle: free, missing: max(0, size-able[entry.FabricDomain]),
-			})
-		}
-	}
-	slices.SortStableFunc(targets, func(a, b stageTarget) int {
-		if a.idle != b.idle {
-			if a.idle {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(
-			cmp.Compare(a.missing, b.missing),
-			cmp.Compare(a.instance.FabricDomain, b.instance.FabricDomain),
-		)
-	})
-	return targets
-}
-
-// forgetLoads drops loads that are done or whose instance is gone.
-func (p *Planner) forgetLoads(view *roster.View) {
-	for id, load := range p.loads {
-		entry, ok := view.Entries[id]
-		if !ok || !entry.Listed || slices.Contains(entry.Staged, load.modelID) || view.At.After(load.deadline) {
-			delete(p.loads, id)
-		}
-	}
-}
-
-// lacking names a model that the instance could not join soon, the needed one
-// before others. Staging must not displace the weights of a model that the
-// instance does not serve.
-func (p *Planner) lacking(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, needed string, now time.Time) (string, bool) {
-	quick := p.delays(engine, instance, now)
-	if p.Quiet() {
-		quick = p.weightsHeld(engine, instance, now)
-	}
-	if _, ok := quick[needed]; !ok {
-		return needed, true
-	}
-	for _, model := range engine.Models {
-		_, ok := quick[model.ID]
-		held := slices.Contains(instance.Staged, needed) && instance.Membership.ModelID != needed && p.member(instance).lastModel != needed
-		if !ok && !held {
-			return model.ID, true
-		}
-	}
-	return "", false
-}
-
-// weightsHeld are the delays without the short loads before the first request.
-func (p *Planner) weightsHeld(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
-	held := p.delays(engine, instance, now)
-	state := p.member(instance)
-	for _, model := range engine.Models {
-		if state.lastModel != model.ID && instance.Membership.ModelID != model.ID && !slices.Contains(instance.Staged, model.ID) {
-			delete(held, model.ID)
-		}
-	}
-	return held
-}
-
-// mayLoad takes a load from the rate and the number at once that the weight
-// store bears. More at once would only make each take longer.
-func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, target stageTarget, now time.Time) bool {
-	recent := 0
-	for _, load := range p.loads {
-		if now.Sub(load.begun) < time.Second {
-			recent++
-		}
-	}
-	atOnce := max(1, engine.LoadsAtOnce)
-	if !target.idle {
-		atOnce /= memberLoadShare
-	}
-	if len(p.loads) >= atOnce || float64(recent+1) > max(1, engine.LoadsPerS) {
-		return false
-	}
-	p.loads[target.instance.ID] = weightLoad{
-		modelID: target.modelID, begun: now, deadline: now.Add(loadTime(engine, target.modelID) + formSlack),
-	}
-	return true
-}
-
-// neediest names the model for which an instance, as part of a group, adds
-// the most value.
-func neediest(models []formation.Model) (string, bool) {
-	best, gain := "", 0.0
-	present := formation.Value(models)
-	for i, model := range models {
-		more := slices.Clone(models)
-		more[i].Groups++
-		if added := (formation.Value(more) - present) / float64(max(1, model.Size)); added > gain {
-			best, gain = model.ID, added
-		}
-	}
-	return best, best != ""
-}
-
 func loadTime(engine *flamingodoor.EngineSpec, modelID string) time.Duration {
 	for _, model := range engine.Models {
 		if model.ID == modelID {
--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -44,8 +44,7 @@
 	models := p.models(service, counts, len(view.ByService[service.Name]))
 	free := make(map[string][]formation.Candidate)
 	for _, instance := range p.free(view, service.Name, now) {
-		free[instance.FabricDomain] = append(free[instance.FabricDomain],
-			formation.Candidate{ID: instance.ID, Delays: p.delays(service.Engine, instance, now)})
+		free[instance.FabricDomain] = append(free[instance.FabricDomain], p.candidate(service.Engine, instance, now))
 	}
 	present := formation.Value(models)
 	var worst *roster.Group
@@ -57,7 +56,7 @@
 		}
 		candidates := append([]formation.Candidate(nil), free[group.FabricDomain]...)
 		for _, member := range group.Members {
-			candidates = append(candidates, formation.Candidate{ID: member.ID, Delays: p.delays(service.Engine, member.Instance, now)})
+			candidates = append(candidates, p.candidate(service.Engine, member.Instance, now))
 		}
 		without := p.without(models, group.ModelID)
 		plan := formation.Plan([][]formation.Candidate{candidates}, without)
--- /dev/null
+++ b/internal/planner/stage.go
@@ -0,0 +1,245 @@
+package planner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/formation"
+	"flamingodoor.example/flamingodoor/internal/roster"
+)
+
+// stageTarget is an instance that lacks the weights of a model.
+type stageTarget struct {
+	instance flamingodoor.Instance
+	modelID  string
+	idle     bool
+}
+
+// stage loads weights onto hosts ahead of need. Idle instances come first,
+// where the fewest loads complete a group; the members of groups use what is
+// left of the weight store, so that they can serve any model later.
+func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
+	quiet := p.Quiet()
+	if quiet && len(p.pending) > 0 {
+		return
+	}
+	p.forgetLoads(view)
+	targets := p.completing(service.Engine, idle, models, now)
+	if quiet {
+		targets = p.anyIdle(service.Engine, idle, models, now)
+	}
+	targets = append(targets, p.membersLacking(service, view, models, now)...)
+	var orders errgroup.Group
+	for _, target := range targets {
+		state := p.member(target.instance)
+		if now.Before(state.stagedBy) || (!quiet && !p.mayLoad(service.Engine, target, now)) {
+			continue
+		}
+		length := loadTime(service.Engine, target.modelID)
+		if quiet {
+			length /= quietLoadShare
+		}
+		state.staging, state.stagedBy = target.modelID, now.Add(length+formSlack)
+		orders.Go(func() error {
+			result := p.order(ctx, target.instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: target.modelID})
+			if result == flamingodoor.OrderResultConflict {
+				// It is busy with an order of an earlier planner.
+				state.stagedBy = now.Add(stageAgainAfter)
+			}
+			return nil
+		})
+	}
+	_ = orders.Wait() // results show in the members' entries
+}
+
+// completion is a group that loads can complete.
+type completion struct {
+	targets []stageTarget
+	score   float64 // value gained for a second of loading
+}
+
+// completing lists the loads that make whole groups of idle instances, the
+// best value for the time of the weight store first.
+func (p *Planner) completing(engine *flamingodoor.EngineSpec, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) []stageTarget {
+	instances := make([]flamingodoor.Instance, 0, len(idle))
+	for _, instance := range idle {
+		instances = append(instances, instance)
+	}
+	slices.SortFunc(instances, func(a, b flamingodoor.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	present := formation.Value(models)
+	var found []completion
+	for _, domain := range domainsOf(instances) {
+		for i, model := range models {
+			more := slices.Clone(models)
+			more[i].Groups++
+			targets, ok := p.lacksFor(engine, domain, model, now)
+			if !ok {
+				continue
+			}
+			cost := float64(len(targets)) * loadTime(engine, model.ID).Seconds()
+			found = append(found, completion{targets: targets, score: (formation.Value(more) - present) / cost})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b completion) int { return cmp.Compare(b.score, a.score) })
+	taken := make(map[string]bool)
+	var targets []stageTarget
+	for _, each := range found {
+		if slices.ContainsFunc(each.targets, func(target stageTarget) bool { return taken[target.instance.ID] }) {
+			continue
+		}
+		for _, target := range each.targets {
+			taken[target.instance.ID] = true
+		}
+		targets = append(targets, each.targets...)
+	}
+	return targets
+}
+
+// lacksFor lists the idle instances of a domain that need weights to complete
+// a group of the model. Empty ones come first, since others give up weights.
+func (p *Planner) lacksFor(engine *flamingodoor.EngineSpec, domain []flamingodoor.Instance, model formation.Model, now time.Time) ([]stageTarget, bool) {
+	ready := 0
+	var lacking []flamingodoor.Instance
+	for _, instance := range domain {
+		state := p.member(instance)
+		_, quick := p.delays(engine, instance, now)[model.ID]
+		switch {
+		case quick, state.staging == model.ID && now.Before(state.stagedBy):
+			ready++
+		case now.Before(state.stagedBy):
+			// It loads another model.
+		default:
+			lacking = append(lacking, instance)
+		}
+	}
+	missing := model.Size - ready
+	if missing <= 0 || missing > len(lacking) {
+		return nil, false
+	}
+	slices.SortStableFunc(lacking, func(a, b flamingodoor.Instance) int {
+		return cmp.Compare(len(p.delays(engine, a, now)), len(p.delays(engine, b, now)))
+	})
+	targets := make([]stageTarget, 0, missing)
+	for _, instance := range lacking[:missing] {
+		targets = append(targets, stageTarget{instance: instance, modelID: model.ID, idle: true})
+	}
+	return targets, true
+}
+
+// anyIdle gives every empty instance the model that is short of groups, while
+// loads are short and free.
+func (p *Planner) anyIdle(engine *flamingodoor.EngineSpec, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) []stageTarget {
+	needed, ok := neediest(models)
+	if !ok {
+		return nil
+	}
+	var targets []stageTarget
+	for _, instance := range idle {
+		if len(p.weightsHeld(engine, instance, now)) == 0 {
+			targets = append(targets, stageTarget{instance: instance, modelID: needed, idle: true})
+		}
+	}
+	return targets
+}
+
+// membersLacking lists members of groups that could not soon serve a model
+// which their own group does not.
+func (p *Planner) membersLacking(service flamingodoor.ServiceSpec, view *roster.View, models []formation.Model, now time.Time) []stageTarget {
+	needed, ok := neediest(models)
+	if !ok {
+		return nil
+	}
+	var targets []stageTarget
+	for _, entry := range view.ByService[service.Name] {
+		if entry.Membership.Group == "" || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
+			continue
+		}
+		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
+			targets = append(targets, stageTarget{instance: entry.Instance, modelID: modelID})
+		}
+	}
+	return targets
+}
+
+// lacking names a model that a member could not join soon, the needed one
+// before others. It is one whose weights displace none that the instance
+// needs: it joins the model of its present group without them.
+func (p *Planner) lacking(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, needed string, now time.Time) (string, bool) {
+	held := p.weightsHeld(engine, instance, now)
+	if _, ok := held[needed]; !ok {
+		return needed, true
+	}
+	if slices.Contains(instance.Staged, needed) && instance.Membership.ModelID != needed {
+		return "", false
+	}
+	for _, model := range engine.Models {
+		if _, ok := held[model.ID]; !ok {
+			return model.ID, true
+		}
+	}
+	return "", false
+}
+
+// weightsHeld are the delays without the short loads before the first request.
+func (p *Planner) weightsHeld(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
+	held := p.delays(engine, instance, now)
+	state := p.member(instance)
+	for _, model := range engine.Models {
+		if state.lastModel != model.ID && instance.Membership.ModelID != model.ID && !slices.Contains(instance.Staged, model.ID) {
+			delete(held, model.ID)
+		}
+	}
+	return held
+}
+
+// forgetLoads drops loads that are done or whose instance is gone.
+func (p *Planner) forgetLoads(view *roster.View) {
+	for id, load := range p.loads {
+		entry, ok := view.Entries[id]
+		if !ok || !entry.Listed || slices.Contains(entry.Staged, load.modelID) || view.At.After(load.deadline) {
+			delete(p.loads, id)
+		}
+	}
+}
+
+// mayLoad takes a load from the rate and the number at once that the weight
+// store bears. More at once would only make each take longer.
+func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, target stageTarget, now time.Time) bool {
+	recent := 0
+	for _, load := range p.loads {
+		if now.Sub(load.begun) < time.Second {
+			recent++
+		}
+	}
+	atOnce := max(1, engine.LoadsAtOnce)
+	if !target.idle {
+		atOnce /= memberLoadShare
+	}
+	if len(p.loads) >= atOnce || float64(recent+1) > max(1, engine.LoadsPerS) {
+		return false
+	}
+	p.loads[target.instance.ID] = weightLoad{
+		modelID: target.modelID, begun: now, deadline: now.Add(loadTime(engine, target.modelID) + formSlack),
+	}
+	return true
+}
+
+// neediest names the model for which an instance, as part of a group, adds
+// the most value.
+func neediest(models []formation.Model) (string, bool) {
+	best, gain := "", 0.0
+	present := formation.Value(models)
+	for i, model := range models {
+		more := slices.Clone(models)
+		more[i].Groups++
+		if added := (formation.Value(more) - present) / float64(max(1, model.Size)); added > gain {
+			best, gain = model.ID, added
+		}
+	}
+	return best, best != ""
+}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -39,6 +39,7 @@
 	prompt      int // tokens
 	answer      int // tokens at most
 	received    time.Time
+	returning   bool      // the caller comes back after a refusal
 	deadline    time.Time // of the caller or the route, whichever is earlier
 	held        time.Time // until when the request may wait for a place
 	method      string
@@ -117,6 +118,7 @@
 	j.prompt, j.answer = parseTokens(request.Header.Get(r.headers.Tokens))
 	j.deadline = received.Add(route.Timeout)
 	if allowed, ok := parseMilliseconds(request.Header.Get(r.headers.DeadlineMS)); ok {
+		j.returning = r.returning(route.Name, allowed)
 		if limit := received.Add(allowed); limit.Before(j.deadline) {
 			j.deadline = limit
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,9 @@
 	staleAfter = 3 * time.Second
 	// revokeMargin covers the way of an admitted request to its endpoint.
 	revokeMargin = 700 * time.Millisecond
+	// returnShare of the longest deadline of a route separates first attempts,
+	// whose deadlines differ by about a sixth, from those that come back.
+	returnShare = 0.82
 	// maxErrorBytes bounds the body of a failure.
 	maxErrorBytes = 1 << 20
 )
@@ -72,6 +75,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // by service
+	allowed map[string]time.Duration          // longest deadline of callers, by route
 	cold    *coldLimiter
 }
 
@@ -116,7 +120,7 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), cold: newColdLimiter(),
+		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: newColdLimiter(),
 	}
 	for _, option := range options {
 		option(r)
@@ -161,6 +165,15 @@
 	return budget
 }
 
+// returning tells callers that come back after a refusal: they have clearly
+// less time left than others on the route.
+func (r *Relay) returning(route string, allowed time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allowed[route] = max(r.allowed[route], allowed)
+	return float64(allowed) < returnShare*float64(r.allowed[route])
+}
+
 // Stop makes callers open new connections elsewhere.
 func (r *Relay) Stop() {
 	r.stopping.Store(true)
@@ -212,7 +225,10 @@
 	ctx, cancel := context.WithDeadline(request.Context(), j.deadline)
 	defer cancel()
 	if route.Kind == flamingodoor.RouteKindStreaming {
-		r.demand.Add(j.service, j.model, j.prompt, j.answer, received)
+		if !j.returning {
+			// A caller that comes back asks for the same work again.
+			r.demand.Add(j.service, j.model, j.prompt, j.answer, received)
+		}
 		r.stream(ctx, writer, j)
 		return
 	}
