Keep a process through SIGHUP, end groups of leaving members, and reserve instances that wait for a load

(2) The time since a member began to leave was forgotten at each step while its group was open, so that the planner never took the group apart. (3) Instances that waited for one more load of their model were given other weights, and one group displaced the other. Found by tests against a stand-in fleet that checks what orders must never do.

Ruled out: a fault of the settings reader (the process ended before it ran).

--- a/cmd/flamingodoor-entry/main.go
+++ b/cmd/flamingodoor-entry/main.go
@@ -39,6 +39,9 @@
 }
 
 func run() int {
+	// A SIGHUP ends a process that does not ask for it, also during the start.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var parsed options
 	parsed.Version = func() {
 		_, _ = fmt.Fprintln(os.Stdout, "flamingodoor-entry", version.Release())
@@ -62,10 +65,33 @@
 	}
 	output := logging.NewQueue(os.Stdout)
 	defer output.Close()
-	return serve(settings, logging.New(output, parsed.LogLevel, settings.HostID))
+	return serve(settings, reloader{path: parsed.Settings, hangups: hangups}, logging.New(output, parsed.LogLevel, settings.HostID))
 }
 
-func serve(settings platform.Settings, logger log.Logger) int {
+// reloader reads the settings again at each SIGHUP.
+type reloader struct {
+	path    string
+	hangups <-chan os.Signal
+}
+
+func (r reloader) run(ctx context.Context, changed chan<- platform.Settings, logger log.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.hangups:
+		}
+		settings, err := platform.ReadSettings(r.path)
+		if err != nil {
+			_ = level.Error(logger).Log("event", "reload_failed", "path", r.path, "err", err)
+			continue
+		}
+		_ = level.Info(logger).Log("event", "reloaded", "path", r.path)
+		changed <- settings
+	}
+}
+
+func serve(settings platform.Settings, reload reloader, logger log.Logger) int {
 	metrics, err := telemetry.New()
 	if err != nil {
 		_ = level.Error(logger).Log("event", "failed", "err", err)
@@ -73,7 +99,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := platform.Run(ctx, settings, metrics, logger); err != nil {
+	changed := make(chan platform.Settings, 1)
+	go reload.run(ctx, changed, logger)
+	if err := platform.Run(ctx, settings, changed, metrics, logger); err != nil {
 		_ = level.Error(logger).Log("event", "failed", "err", err)
 		return exitFailure
 	}
--- /dev/null
+++ b/internal/catalogue/book_test.go
@@ -0,0 +1,73 @@
+package catalogue_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/catalogue"
+)
+
+func version(number int64, routes ...flamingodoor.Route) *flamingodoor.Catalogue {
+	return &flamingodoor.Catalogue{
+		Version: number, Routes: routes,
+		Workspaces: []flamingodoor.Workspace{{Name: "billing", Keys: []string{"k1", "k2"}}},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	index := catalogue.NewIndex(version(1,
+		flamingodoor.Route{Name: "short", Host: "a.example", Prefix: "/x/"},
+		flamingodoor.Route{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		flamingodoor.Route{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	))
+	for path, want := range map[string]string{
+		"/x/y/z": "long", "/x/y/": "long", "/x/q": "short", "/x/": "short", "/x": "", "/": "", "": "", "/xy/": "",
+	} {
+		route, ok := index.Route("A.example:80", path)
+		if want == "" {
+			assert.Assert(t, !ok, path)
+			continue
+		}
+		assert.Assert(t, ok, path)
+		assert.Equal(t, route.Name, want, path)
+	}
+}
+
+func TestWorkspaceOfAKey(t *testing.T) {
+	index := catalogue.NewIndex(version(1))
+	workspace, ok := index.Workspace("k2")
+	assert.Assert(t, ok)
+	assert.Equal(t, workspace.Name, "billing")
+	_, ok = index.Workspace("")
+	assert.Assert(t, !ok)
+}
+
+// A configuration that is in force never reverts, whatever arrives late.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	updates := 0
+	book := catalogue.New(func(*flamingodoor.Catalogue) { updates++ })
+	book.Configure(version(7))
+	book.Configure(version(3))
+	book.Configure(version(7))
+	assert.Equal(t, book.Index().Version, int64(7))
+	assert.Equal(t, updates, 1)
+}
+
+func TestConfirmationOnlyGrows(t *testing.T) {
+	book := catalogue.New(func(*flamingodoor.Catalogue) {})
+	now := time.Unix(1_800_000_000, 0)
+	book.Confirm(now)
+	book.Confirm(now.Add(-time.Second))
+	assert.Assert(t, book.Confirmed().Equal(now))
+}
+
+func TestEvacuationsAreReplaced(t *testing.T) {
+	book := catalogue.New(func(*flamingodoor.Catalogue) {})
+	book.Evacuate([]string{"a"})
+	assert.Assert(t, book.Evacuated("a") && !book.Evacuated("b"))
+	book.Evacuate(nil)
+	assert.Assert(t, !book.Evacuated("a"))
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"time"
-
-	"flamingodoor.example/flamingodoor/internal/catalogue"
 )
 
 // Limits of callers before the first configuration.
@@ -27,6 +25,3 @@
 		DisableGeneralOptionsHandler: true,
 	}}
 }
-
-// apply is a no-op until limits can change while serving.
-func (f *frontServer) apply(_ *catalogue.Index) {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,11 +129,16 @@
 		Election:  platform.Election(g.electionLease()),
 		Refresher: &refresher{watcher: platform.Watcher, exchanger: g.exchanger},
 		InFlight:  g.tracker.InFlight, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
-	}, time.Now)
+	})
 	g.front = newFrontServer(g.relay)
 	return g
 }
 
+// SetLimits replaces the limits of all hosts after the settings changed.
+func (g *Gateway) SetLimits(limits relay.Limits) {
+	g.relay.SetLimits(limits)
+}
+
 type refresher struct {
 	watcher   Watcher
 	exchanger *exchange.Exchanger
@@ -294,7 +299,6 @@
 		case <-ticker.C:
 			g.pool.Expire()
 			g.relay.SetHosts(g.exchanger.Hosts())
-			g.front.apply(g.book.Index())
 		}
 	}
 }
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -281,7 +281,7 @@
 		// The number of orders was out of date, or the answer was lost: the
 		// second order names the present number, and one of them is refused.
 		// Reports show it a little later.
-		sleep(ctx, reportLag)
+		p.pause(ctx, reportLag)
 		result = p.order(ctx, instance, state, order)
 	}
 	if result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -95,6 +95,7 @@
 // verdict returns why the group has to end, or nothing.
 func (p *Planner) verdict(view *roster.View, group *roster.Group, size int, now time.Time) string {
 	key := group.Key()
+	leaving := false
 	if len(group.Members) > size {
 		return "size"
 	}
@@ -107,9 +108,7 @@
 		case view.Lost(member.Instance, now):
 			return "member_lost"
 		case member.Leaving:
-			if p.drained(group, key, now) {
-				return "member_leaving"
-			}
+			leaving = true
 		case member.Membership.State != flamingodoor.MembershipStateReady:
 			ready = false
 		}
@@ -125,10 +124,20 @@
 	if view.Stalled(key, now) {
 		return "stalled"
 	}
+	if leaving {
+		if p.drained(group, key, now) {
+			return "member_leaving"
+		}
+		return ""
+	}
 	if complete && open {
 		delete(p.firstSeen, key)
 		return p.retired(group, key, now)
 	}
+	if open {
+		// It opened when all were ready: one has left it since.
+		return "member_gone"
+	}
 	if head.Membership.State == flamingodoor.MembershipStateBroken {
 		return "broken"
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,8 +24,6 @@
 	// stepEvery is the planner's resolution, well below the time that a group
 	// takes to form.
 	stepEvery = 100 * time.Millisecond
-	// renewShare of the election's lease passes between two renewals.
-	renewShare = 3
 	// orderTimeout is several times the delay between data centres.
 	orderTimeout = 400 * time.Millisecond
 	// adoptAfter is how long a group of another planner may stay incomplete.
@@ -89,7 +87,8 @@
 // Planner forms and dissolves groups while it leads.
 type Planner struct {
 	Parts
-	now func() time.Time
+	now   func() time.Time
+	pause func(ctx context.Context, length time.Duration)
 
 	mu         sync.Mutex
 	leadsUntil time.Time
@@ -144,13 +143,25 @@
 	since  time.Time
 }
 
+// Option changes a setting of a Planner.
+type Option func(*Planner)
+
+// WithClock sets the clock and how the planner waits.
+func WithClock(now func() time.Time, pause func(ctx context.Context, length time.Duration)) Option {
+	return func(p *Planner) { p.now, p.pause = now, pause }
+}
+
 // New returns a planner.
-func New(parts Parts, now func() time.Time) *Planner {
-	return &Planner{
-		Parts: parts, now: now, members: make(map[string]*memberState),
+func New(parts Parts, options ...Option) *Planner {
+	p := &Planner{
+		Parts: parts, now: time.Now, pause: sleep, members: make(map[string]*memberState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]weightLoad),
 	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Leads reports whether this host plans.
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,331 @@
+package planner_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/catalogue"
+	"flamingodoor.example/flamingodoor/internal/planner"
+	"flamingodoor.example/flamingodoor/internal/roster"
+	"flamingodoor.example/flamingodoor/internal/standin/fleet"
+)
+
+const (
+	service  = "llm"
+	large    = "large"
+	small    = "small"
+	stepTime = 100 * time.Millisecond
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func engine() *flamingodoor.EngineSpec {
+	return &flamingodoor.EngineSpec{
+		Slots: 8, Stride: 7, LoadsPerS: 4, LoadsAtOnce: 4, StagedKept: 1, FormTime: 300 * time.Millisecond,
+		Models: []flamingodoor.ModelSpec{
+			{ID: large, Size: 4, Pace: 1, Share: 0.5, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+			{ID: small, Size: 3, Pace: 0.6, Share: 0.5, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+		},
+	}
+}
+
+// scene drives planners against a stand-in fleet, step by step.
+type scene struct {
+	t        *testing.T
+	fleet    *fleet.Fleet
+	book     *catalogue.Book
+	roster   *roster.Roster
+	work     map[string]float64
+	inFlight int
+	quiet    bool
+	retired  []roster.GroupKey
+}
+
+func newScene(t *testing.T) *scene {
+	t.Helper()
+	spec := engine()
+	s := &scene{
+		t: t, fleet: fleet.New(spec, start), roster: roster.New(), work: map[string]float64{large: 1.5, small: 1.5},
+		book: catalogue.New(func(*flamingodoor.Catalogue) {}),
+	}
+	s.book.Configure(&flamingodoor.Catalogue{Version: 1, Services: map[string]flamingodoor.ServiceSpec{service: {Name: service, Engine: spec}}})
+	return s
+}
+
+type alwaysLeads struct{ until func() time.Time }
+
+func (a alwaysLeads) Renew(context.Context) (bool, time.Time, error) { return true, a.until(), nil }
+func (a alwaysLeads) Resign(context.Context) error                   { return nil }
+
+type noRefresh struct{}
+
+func (noRefresh) Refresh()    {}
+func (noRefresh) RefreshAll() {}
+
+// lead returns a planner that leads from now on.
+func (s *scene) lead() *planner.Planner {
+	s.t.Helper()
+	election := alwaysLeads{until: func() time.Time { return s.fleet.Now().Add(time.Hour) }}
+	p := planner.New(planner.Parts{
+		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Election: election, Refresher: noRefresh{},
+		InFlight: func(string) int { return s.inFlight },
+		Retire: func(key roster.GroupKey) {
+			s.retired = append(s.retired, key)
+			s.roster.MarkRetiring(key, s.fleet.Now())
+		},
+		Work:  func(_, modelID string) float64 { return s.work[modelID] },
+		Quiet: func() bool { return s.quiet }, Logger: log.NewNopLogger(),
+	}, planner.WithClock(s.fleet.Now, func(_ context.Context, length time.Duration) { s.fleet.Advance(length) }))
+	ctx, cancel := context.WithCancel(s.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.RunElection(ctx, time.Hour)
+	}()
+	for !p.Leads() {
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Cleanup(func() { cancel(); <-done })
+	return p
+}
+
+// run lets the planners step for a time.
+func (s *scene) run(length time.Duration, planners ...*planner.Planner) {
+	s.t.Helper()
+	for range int(length / stepTime) {
+		s.fleet.Advance(stepTime)
+		s.publish()
+		for _, each := range planners {
+			each.Step(s.t.Context())
+		}
+	}
+	s.noViolations()
+}
+
+func (s *scene) publish() {
+	now := s.fleet.Now()
+	s.roster.Replace(s.fleet.Listed(), now)
+	s.roster.Publish(now)
+}
+
+func (s *scene) noViolations() {
+	s.t.Helper()
+	assert.Equal(s.t, len(s.fleet.Violations()), 0, "%v", s.fleet.Violations())
+}
+
+func (s *scene) add(domain string, count int, staged ...string) []string {
+	ids := make([]string, 0, count)
+	for range count {
+		ids = append(ids, s.fleet.Add(service, domain, "dc-a", staged...))
+	}
+	return ids
+}
+
+func (s *scene) lose(id string) {
+	now := s.fleet.Now()
+	for _, instance := range s.fleet.Listed() {
+		if instance.ID == id {
+			s.roster.MarkLost(id, instance.Born, now)
+		}
+	}
+	s.fleet.Kill(id)
+	s.roster.Publish(now)
+}
+
+func (s *scene) head(modelID string) string {
+	s.t.Helper()
+	for _, instance := range s.fleet.Listed() {
+		if instance.Membership.State == flamingodoor.MembershipStateOpen && instance.Membership.ModelID == modelID {
+			return instance.ID
+		}
+	}
+	s.t.Fatal("no open group of ", modelID)
+	return ""
+}
+
+func TestGroupsFormAndOpen(t *testing.T) {
+	s := newScene(t)
+	s.add("d0", 8, large)
+	s.run(5*time.Second, s.lead())
+	assert.Equal(t, s.fleet.OpenGroups(large), 2)
+}
+
+// Before the first request, instances register one after the other. The first
+// three once became a group of the small model each.
+func TestPlannerWaitsForRegistrations(t *testing.T) {
+	s := newScene(t)
+	s.quiet = true
+	s.fleet.SetQuiet(true)
+	s.work = map[string]float64{}
+	p := s.lead()
+	for range 9 {
+		s.add("d0", 1, large)
+		s.run(300*time.Millisecond, p)
+	}
+	assert.Equal(t, s.fleet.OpenGroups(small), 0)
+	s.run(6*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large)+s.fleet.OpenGroups(small), 2)
+}
+
+// One member of a group dies: the survivors and a spare of the domain serve
+// again in about the time of a warm join.
+func TestSpareReplacesALostMember(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 5, large)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	s.lose(s.fleet.Members(s.head(large))[2])
+	s.run(3*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+}
+
+// A head that does not answer may still serve: its members join no other
+// group before it left the list.
+func TestMembersWaitForASilentHead(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 5, large)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	head := s.head(large)
+	for _, instance := range s.fleet.Listed() {
+		if instance.ID == head {
+			s.roster.MarkLost(head, instance.Born, s.fleet.Now())
+		}
+	}
+	s.fleet.Cut(head, true)
+	s.run(3*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1, "the silent head's group must not be taken apart")
+	s.fleet.Kill(head)
+	s.fleet.Unlist(head, true)
+	s.run(4*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	assert.Assert(t, s.head(large) != head)
+}
+
+// Orders that are carried out seconds late must not break a group that formed
+// meanwhile.
+func TestLateOrdersDoNoHarm(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 3, small: 2}
+	s.add("d0", 9, large)
+	var given atomic.Int64
+	s.fleet.SetHooks(fleet.Hooks{Delay: func(string, flamingodoor.InstanceOrder) time.Duration {
+		if given.Add(1)%3 == 0 {
+			return 4 * time.Second
+		}
+		return 0
+	}})
+	p := s.lead()
+	s.run(10*time.Second, p)
+	s.fleet.SetHooks(fleet.Hooks{})
+	s.run(15*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 2)
+}
+
+// The answer to an order is lost: the planner asks what holds and goes on.
+func TestLostAnswersOfOrders(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 3}
+	s.add("d0", 4, large)
+	var given atomic.Int64
+	s.fleet.SetHooks(fleet.Hooks{LoseAnswer: func(string, flamingodoor.InstanceOrder) bool { return given.Add(1)%2 == 0 }})
+	s.run(20*time.Second, s.lead())
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+}
+
+// A planner that takes over while groups form finds them in the entries. With
+// the plan kept in memory alone, it once joined members of open groups.
+func TestPlannerTakesOver(t *testing.T) {
+	for after := time.Duration(0); after < 4*time.Second; after += 300 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			s := newScene(t)
+			s.work = map[string]float64{large: 3, small: 2}
+			s.add("d0", 9, large)
+			s.run(after, s.lead())
+			s.run(10*time.Second, s.lead())
+			assert.Equal(t, s.fleet.OpenGroups(large), 2)
+		})
+	}
+}
+
+// Two planners that both believe to lead cannot take members from each other.
+func TestTwoPlanners(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 3, small: 2}
+	s.add("d0", 9, large)
+	first, second := s.lead(), s.lead()
+	s.run(10*time.Second, first, second)
+	s.lose(s.fleet.Members(s.head(large))[1])
+	s.run(10*time.Second, second, first)
+	s.noViolations()
+}
+
+// A member drains: its group finishes its work before it is taken apart.
+func TestLeavingMemberWaitsForWork(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 5, large)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	head := s.head(large)
+	leaving := s.fleet.Members(head)[3]
+	s.inFlight = 2
+	s.fleet.Leave(leaving)
+	s.run(time.Second, p)
+	assert.Equal(t, s.head(large), head)
+	s.inFlight = 0
+	s.run(4*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	for _, id := range s.fleet.Members(s.head(large)) {
+		assert.Assert(t, id != leaving)
+	}
+}
+
+// Losses left one model with a single group and the other with plenty: a group
+// of the latter retires, with its work finished, for one of the former.
+func TestRebalanceAfterLosses(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 0.2, small: 4}
+	s.add("d0", 8, small)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(small), 2)
+	s.run(100*time.Second, p) // the others' weights are loaded meanwhile
+	s.work = map[string]float64{large: 4, small: 1}
+	s.run(10*time.Second, p)
+	assert.Assert(t, len(s.retired) > 0)
+	assert.Assert(t, s.fleet.OpenGroups(large) >= 1)
+}
+
+// Empty instances are added: loads go where they complete a group, and no more
+// run at once than the weight store bears.
+func TestLoadsCompleteAGroup(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 4, small: 0.1}
+	s.add("d0", 3, large)
+	s.add("d0", 1)
+	s.add("d1", 4)
+	p := s.lead()
+	s.run(19*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	s.run(20*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 2)
+}
+
+// An evacuated data centre gets no orders.
+func TestNoOrdersToAnEvacuatedDataCentre(t *testing.T) {
+	s := newScene(t)
+	s.add("d0", 8, large)
+	s.book.Evacuate([]string{"dc-a"})
+	s.run(5*time.Second, s.lead())
+	assert.Equal(t, s.fleet.OpenGroups(large), 0)
+}
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -33,7 +33,7 @@
 	if quiet {
 		targets = p.anyIdle(service.Engine, idle, models, now)
 	}
-	targets = append(targets, p.membersLacking(service, view, models, now)...)
+	targets = append(targets, p.membersLacking(service, view, idle, targets, models, now)...)
 	var orders errgroup.Group
 	for _, target := range targets {
 		state := p.member(target.instance)
@@ -72,9 +72,11 @@
 	}
 	slices.SortFunc(instances, func(a, b flamingodoor.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	present := formation.Value(models)
+	taken := make(map[string]bool)
 	var found []completion
 	for _, domain := range domainsOf(instances) {
 		for i, model := range models {
+			p.reserve(engine, domain, model, taken, now)
 			more := slices.Clone(models)
 			more[i].Groups++
 			targets, ok := p.lacksFor(engine, domain, model, now)
@@ -86,7 +88,6 @@
 		}
 	}
 	slices.SortStableFunc(found, func(a, b completion) int { return cmp.Compare(b.score, a.score) })
-	taken := make(map[string]bool)
 	var targets []stageTarget
 	for _, each := range found {
 		if slices.ContainsFunc(each.targets, func(target stageTarget) bool { return taken[target.instance.ID] }) {
@@ -100,6 +101,27 @@
 	return targets
 }
 
+// reserve keeps the instances of a group that loads under way will complete.
+func (p *Planner) reserve(engine *flamingodoor.EngineSpec, domain []flamingodoor.Instance, model formation.Model, taken map[string]bool, now time.Time) {
+	var able []string
+	coming := false
+	for _, instance := range domain {
+		state := p.member(instance)
+		loading := state.staging == model.ID && now.Before(state.stagedBy) && !slices.Contains(instance.Staged, model.ID)
+		_, quick := p.delays(engine, instance, now)[model.ID]
+		coming = coming || loading
+		if (loading || quick) && !taken[instance.ID] {
+			able = append(able, instance.ID)
+		}
+	}
+	if !coming || len(able) < model.Size {
+		return
+	}
+	for _, id := range able {
+		taken[id] = true
+	}
+}
+
 // lacksFor lists the idle instances of a domain that need weights to complete
 // a group of the model. Empty ones come first, since others give up weights.
 func (p *Planner) lacksFor(engine *flamingodoor.EngineSpec, domain []flamingodoor.Instance, model formation.Model, now time.Time) ([]stageTarget, bool) {
@@ -148,15 +170,20 @@
 }
 
 // membersLacking lists members of groups that could not soon serve a model
-// which their own group does not.
-func (p *Planner) membersLacking(service flamingodoor.ServiceSpec, view *roster.View, models []formation.Model, now time.Time) []stageTarget {
+// which their own group does not, and idle instances that wait for members of
+// such groups.
+func (p *Planner) membersLacking(service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, chosen []stageTarget, models []formation.Model, now time.Time) []stageTarget {
 	needed, ok := neediest(models)
 	if !ok {
 		return nil
 	}
 	var targets []stageTarget
 	for _, entry := range view.ByService[service.Name] {
-		if entry.Membership.Group == "" || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
+		_, free := idle[entry.ID]
+		if free && !p.idleForGood(service.Engine, entry.Instance, chosen, needed, now) {
+			continue
+		}
+		if (!free && entry.Membership.Group == "") || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
 			continue
 		}
 		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
@@ -166,6 +193,17 @@
 	return targets
 }
 
+// idleForGood reports whether an idle instance lacks the needed model and no
+// load that was chosen makes a group of it.
+func (p *Planner) idleForGood(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, chosen []stageTarget, needed string, now time.Time) bool {
+	if _, quick := p.delays(engine, instance, now)[needed]; quick || now.Before(p.member(instance).stagedBy) {
+		return false
+	}
+	return !slices.ContainsFunc(chosen, func(target stageTarget) bool {
+		return target.instance.FabricDomain == instance.FabricDomain
+	})
+}
+
 // lacking names a model that a member could not join soon, the needed one
 // before others. It is one whose weights displace none that the instance
 // needs: it joins the model of its present group without them.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -192,7 +192,7 @@
 		// A kept connection that ends unseen would leave the run in doubt.
 		Fresh: !j.repeatable(),
 	})
-	var failure *upstream.Failure
+	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
 		j.sends++
 	}
@@ -201,7 +201,7 @@
 
 // sendFailed judges a request without any answer.
 func (r *Relay) sendFailed(ctx context.Context, j *job, found place, err error) outcome {
-	var failure *upstream.Failure
+	var failure *upstream.CallError
 	if errors.As(err, &failure) && !failure.Sent {
 		j.cause = "unreachable"
 		_ = level.Info(r.logger).Log("event", "attempt_unsent", "request", j.id, "instance", found.instance.ID,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,13 +49,12 @@
 	RevokeWithin time.Duration
 	RetryRatio   float64
 	RetryBurst   float64
-	ColdFactor   float64
 }
 
 // Relay is the handler of callers' requests. It is safe for concurrent use.
 type Relay struct {
 	headers  Headers
-	limits   Limits
+	limits   atomic.Pointer[Limits]
 	local    string // data centre of this host
 	book     *catalogue.Book
 	roster   *roster.Roster
@@ -116,7 +115,7 @@
 // New returns a relay.
 func New(parts Parts, options ...Option) *Relay {
 	r := &Relay{
-		headers: parts.Headers, limits: parts.Limits, local: parts.DataCentre, book: parts.Book,
+		headers: parts.Headers, local: parts.DataCentre, book: parts.Book,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
@@ -125,6 +124,7 @@
 	for _, option := range options {
 		option(r)
 	}
+	r.limits.Store(&parts.Limits)
 	r.SetHosts(1)
 	return r
 }
@@ -134,12 +134,22 @@
 func (noObserver) RequestFinished(string, string)   {}
 func (noObserver) FirstToken(string, time.Duration) {}
 
+// SetLimits replaces the limits. Retry budgets follow with their next share.
+func (r *Relay) SetLimits(limits Limits) {
+	r.limits.Store(&limits)
+	r.shareBudgets()
+}
+
 // SetHosts tells among how many entry hosts the limits are divided.
 func (r *Relay) SetHosts(count int) {
 	count = max(1, count)
 	if r.hosts.Swap(int64(count)) == int64(count) {
 		return
 	}
+	r.shareBudgets()
+}
+
+func (r *Relay) shareBudgets() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, budget := range r.budgets {
@@ -151,7 +161,7 @@
 const budgetReserve = 0.8
 
 func (r *Relay) budgetFloor() int {
-	return int(budgetReserve * r.limits.RetryBurst / float64(r.hosts.Load()))
+	return int(budgetReserve * r.limits.Load().RetryBurst / float64(r.hosts.Load()))
 }
 
 func (r *Relay) budget(service string) *admission.RetryBudget {
@@ -159,7 +169,7 @@
 	defer r.mu.Unlock()
 	budget, ok := r.budgets[service]
 	if !ok {
-		budget = admission.NewRetryBudget(budgetReserve*r.limits.RetryRatio, r.budgetFloor())
+		budget = admission.NewRetryBudget(budgetReserve*r.limits.Load().RetryRatio, r.budgetFloor())
 		r.budgets[service] = budget
 	}
 	return budget
@@ -186,7 +196,7 @@
 
 // keysHold reports whether no key can have been revoked for too long.
 func (r *Relay) keysHold(now time.Time) bool {
-	return now.Before(r.book.Confirmed().Add(r.limits.RevokeWithin - revokeMargin))
+	return now.Before(r.book.Confirmed().Add(r.limits.Load().RevokeWithin - revokeMargin))
 }
 
 // ServeHTTP answers one request.
@@ -299,7 +309,7 @@
 	body := `{"error":"` + reason + `"}`
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(status)
-	_, _ = io.WriteString(writer, body) // the caller may have left
+	_, _ = io.WriteString(writer, body) //nolint:gosec // reasons are constants; the caller may have left
 }
 
 func (r *Relay) finished(j *job, result string, status, events int) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -126,7 +126,7 @@
 		return r.streamRefused(ctx, j, found, response, out)
 	}
 	j.target = found.instance.ID
-	err = r.copyEvents(response, j, out, func() {
+	err = r.copyEvents(response, out, func() {
 		if watch != nil {
 			watch.Progress()
 		}
@@ -167,7 +167,7 @@
 // streamFailed judges an attempt without a complete answer.
 func (r *Relay) streamFailed(ctx context.Context, j *job, found place, err error) outcome {
 	cause := context.Cause(ctx)
-	var left *callerLeft
+	var left *callerLeftError
 	switch {
 	case errors.As(err, &left):
 		return outcomeLeft
@@ -178,7 +178,7 @@
 	case cause != nil:
 		return r.leftOr(ctx, outcomeFailed)
 	}
-	var failure *upstream.Failure
+	var failure *upstream.CallError
 	if errors.As(err, &failure) && !failure.Sent {
 		return r.sendFailed(ctx, j, found, err)
 	}
@@ -210,7 +210,7 @@
 }
 
 // copyEvents passes whole events on until the answer is complete.
-func (r *Relay) copyEvents(response *upstream.Answer, j *job, out *delivery, progress func()) error {
+func (r *Relay) copyEvents(response *upstream.Answer, out *delivery, progress func()) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	resumedAt := out.last
 	first := true
@@ -268,7 +268,7 @@
 		d.writer.WriteHeader(response.StatusCode)
 	}
 	if _, err := d.writer.Write(data); err != nil {
-		return &callerLeft{cause: err}
+		return &callerLeftError{cause: err}
 	}
 	return nil
 }
@@ -276,23 +276,23 @@
 // flush passes on what was written.
 func (d *delivery) flush() error {
 	if err := d.control.Flush(); err != nil {
-		return &callerLeft{cause: err}
+		return &callerLeftError{cause: err}
 	}
 	return nil
 }
 
-// callerLeft is a failure to write to the caller.
-type callerLeft struct {
+// callerLeftError is a failure to write to the caller.
+type callerLeftError struct {
 	cause error
 }
 
 // Error returns the text of the cause.
-func (c *callerLeft) Error() string {
+func (c *callerLeftError) Error() string {
 	return "writing to the caller: " + c.cause.Error()
 }
 
 // Unwrap returns the cause.
-func (c *callerLeft) Unwrap() error {
+func (c *callerLeftError) Unwrap() error {
 	return c.cause
 }
 
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,124 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/roster"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func member(rank int) flamingodoor.Instance {
+	state := flamingodoor.MembershipStateReady
+	if rank == 0 {
+		state = flamingodoor.MembershipStateOpen
+	}
+	return flamingodoor.Instance{
+		ID: fmt.Sprint("i-", rank), Service: "llm", FabricDomain: "d", Born: start, Slots: 8,
+		Membership: flamingodoor.Membership{Group: "g", Epoch: 3, Rank: rank, State: state, ModelID: "m"},
+	}
+}
+
+func group(t *testing.T, r *roster.Roster) (*roster.View, *roster.Group) {
+	t.Helper()
+	r.Publish(start)
+	view := r.View()
+	for _, each := range view.Groups {
+		if each.Name == "g" && each.Epoch == 3 {
+			return view, each
+		}
+	}
+	t.Fatal("no group g")
+	return nil, nil
+}
+
+func filled() *roster.Roster {
+	r := roster.New()
+	r.Replace([]flamingodoor.Instance{member(0), member(1), member(2)}, start)
+	return r
+}
+
+func serving(t *testing.T, r *roster.Roster, now time.Time) bool {
+	t.Helper()
+	view, found := group(t, r)
+	return view.Serving(found, 3, now)
+}
+
+func TestWholeGroupServes(t *testing.T) {
+	assert.Assert(t, serving(t, filled(), start))
+}
+
+// A group never receives work while a member is missing, whatever shows it.
+func TestIncompleteGroupDoesNotServe(t *testing.T) {
+	elsewhere := member(1)
+	elsewhere.Membership.Epoch = 4
+	leaving := member(1)
+	leaving.Leaving = true
+	joining := member(1)
+	joining.Membership.State = flamingodoor.MembershipStateJoining
+	reborn := member(1)
+	reborn.Born, reborn.Membership = start.Add(time.Second), flamingodoor.Membership{}
+	closed := member(0)
+	closed.Membership.State = flamingodoor.MembershipStateReady
+	for name, changed := range map[string]flamingodoor.Instance{
+		"joined another group": elsewhere, "leaving": leaving, "still joining": joining, "restarted": reborn, "head not open": closed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := filled()
+			r.Upsert(changed)
+			assert.Assert(t, !serving(t, r, start))
+		})
+	}
+}
+
+func TestLostMemberStopsTheGroupUntilItAnswers(t *testing.T) {
+	r := filled()
+	r.MarkLost("i-2", start, start)
+	assert.Assert(t, !serving(t, r, start))
+	r.MarkFound("i-2")
+	assert.Assert(t, serving(t, r, start))
+}
+
+// A loss names one life of an instance: the next one is not lost.
+func TestLossDoesNotOutliveTheInstance(t *testing.T) {
+	r := filled()
+	r.MarkLost("i-2", start.Add(-time.Minute), start)
+	assert.Assert(t, serving(t, r, start))
+}
+
+// An entry lapses while its instance only lost the store: the group serves on
+// unless it was the head's.
+func TestLapsedEntries(t *testing.T) {
+	r := filled()
+	r.Remove("i-1", start)
+	assert.Assert(t, serving(t, r, start))
+	r.Remove("i-0", start)
+	assert.Assert(t, !serving(t, r, start))
+}
+
+func TestStalledAndRetiringGroupsDoNotServe(t *testing.T) {
+	key := roster.GroupKey{Name: "g", Epoch: 3}
+	r := filled()
+	r.MarkStalled(key, start)
+	assert.Assert(t, !serving(t, r, start))
+	assert.Assert(t, serving(t, r, start.Add(time.Minute)))
+	r = filled()
+	r.MarkRetiring(key, start)
+	assert.Assert(t, !serving(t, r, start))
+}
+
+// Entries of one life arrive in order, but an old life's must not replace a
+// newer one's.
+func TestEntryOfAnEarlierLifeIsIgnored(t *testing.T) {
+	r := filled()
+	older := member(1)
+	older.Born = start.Add(-time.Hour)
+	older.Membership = flamingodoor.Membership{}
+	r.Upsert(older)
+	assert.Assert(t, serving(t, r, start))
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,8 +38,8 @@
 	*http.Response
 }
 
-// Failure tells how far a call came.
-type Failure struct {
+// CallError tells how far a call came.
+type CallError struct {
 	Sent    bool // some of the request may have reached the endpoint
 	Refused bool // nobody listens at the address
 	Reused  bool // the connection had served an earlier request
@@ -47,12 +47,12 @@
 }
 
 // Error returns the text of the cause.
-func (f *Failure) Error() string {
+func (f *CallError) Error() string {
 	return f.cause.Error()
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error {
+func (f *CallError) Unwrap() error {
 	return f.cause
 }
 
@@ -61,7 +61,7 @@
 func (p *Pool) Do(ctx context.Context, target Target, call Call) (*Answer, error) {
 	used, err := p.take(ctx, target, call.Fresh)
 	if err != nil {
-		return nil, &Failure{Refused: refused(err), cause: err}
+		return nil, &CallError{Refused: refused(err), cause: err}
 	}
 	unwatch := context.AfterFunc(ctx, func() { _ = used.Close() })
 	exchange := &exchange{pool: p, target: target, used: used, unwatch: unwatch, call: call}
@@ -97,7 +97,7 @@
 			e.written <- err
 		}()
 	}
-	response, err := e.answer()
+	response, err := e.answer() //nolint:bodyclose // the caller closes the answer
 	if err != nil {
 		return nil, e.failure(true, err)
 	}
@@ -105,8 +105,8 @@
 	return &Answer{Response: response}, nil
 }
 
-func (e *exchange) failure(sent bool, err error) *Failure {
-	return &Failure{Sent: sent, Reused: e.used.reused, cause: err}
+func (e *exchange) failure(sent bool, err error) *CallError {
+	return &CallError{Sent: sent, Reused: e.used.reused, cause: err}
 }
 
 // answer skips interim answers and those that belong to earlier requests.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,7 +66,7 @@
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
-		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds())) //nolint:gosec // a descriptor
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -163,7 +163,7 @@
 	still := false
 	err = raw.Read(func(descriptor uintptr) bool {
 		var probe [1]byte
-		_, _, failure := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+		_, _, failure := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		still = failure == syscall.EAGAIN || failure == syscall.EWOULDBLOCK
 		return true
 	})
