--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -24,7 +24,7 @@
 
 // domain returns instances that are ready for both models.
 func domain(name string, size int) []formation.Candidate {
-	var candidates []formation.Candidate
+	candidates := make([]formation.Candidate, 0, size)
 	for i := range size {
 		candidates = append(candidates, formation.Candidate{
 			ID:     fmt.Sprintf("%s-%d", name, i),
@@ -47,7 +47,7 @@
 // A fleet that starts gets groups of all models in proportion to their work.
 // Filling one domain after the other gave nearly all groups to one model.
 func TestStartOfTheDaySplitsDomainsByWork(t *testing.T) {
-	var domains [][]formation.Candidate
+	domains := make([][]formation.Candidate, 0, 6)
 	for i := range 6 {
 		domains = append(domains, domain(fmt.Sprint("d", i), 9))
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -119,12 +119,10 @@
 	assert.Equal(s.t, len(s.fleet.Violations()), 0, "%v", s.fleet.Violations())
 }
 
-func (s *scene) add(domain string, count int, staged ...string) []string {
-	ids := make([]string, 0, count)
+func (s *scene) add(domain string, count int, staged ...string) {
 	for range count {
-		ids = append(ids, s.fleet.Add(service, domain, "dc-a", staged...))
+		s.fleet.Add(service, domain, "dc-a", staged...)
 	}
-	return ids
 }
 
 func (s *scene) lose(id string) {
@@ -138,14 +136,15 @@
 	s.roster.Publish(now)
 }
 
-func (s *scene) head(modelID string) string {
+// head returns the head of an open group of the large model.
+func (s *scene) head() string {
 	s.t.Helper()
 	for _, instance := range s.fleet.Listed() {
-		if instance.Membership.State == flamingodoor.MembershipStateOpen && instance.Membership.ModelID == modelID {
+		if instance.Membership.State == flamingodoor.MembershipStateOpen && instance.Membership.ModelID == large {
 			return instance.ID
 		}
 	}
-	s.t.Fatal("no open group of ", modelID)
+	s.t.Fatal("no open group of ", large)
 	return ""
 }
 
@@ -182,7 +181,7 @@
 	p := s.lead()
 	s.run(5*time.Second, p)
 	assert.Equal(t, s.fleet.OpenGroups(large), 1)
-	s.lose(s.fleet.Members(s.head(large))[2])
+	s.lose(s.fleet.Members(s.head())[2])
 	s.run(3*time.Second, p)
 	assert.Equal(t, s.fleet.OpenGroups(large), 1)
 }
@@ -195,7 +194,7 @@
 	s.add("d0", 5, large)
 	p := s.lead()
 	s.run(5*time.Second, p)
-	head := s.head(large)
+	head := s.head()
 	for _, instance := range s.fleet.Listed() {
 		if instance.ID == head {
 			s.roster.MarkLost(head, instance.Born, s.fleet.Now())
@@ -208,7 +207,7 @@
 	s.fleet.Unlist(head, true)
 	s.run(4*time.Second, p)
 	assert.Equal(t, s.fleet.OpenGroups(large), 1)
-	assert.Assert(t, s.head(large) != head)
+	assert.Assert(t, s.head() != head)
 }
 
 // Orders that are carried out seconds late must not break a group that formed
@@ -264,7 +263,7 @@
 	s.add("d0", 9, large)
 	first, second := s.lead(), s.lead()
 	s.run(10*time.Second, first, second)
-	s.lose(s.fleet.Members(s.head(large))[1])
+	s.lose(s.fleet.Members(s.head())[1])
 	s.run(10*time.Second, second, first)
 	s.noViolations()
 }
@@ -276,16 +275,16 @@
 	s.add("d0", 5, large)
 	p := s.lead()
 	s.run(5*time.Second, p)
-	head := s.head(large)
+	head := s.head()
 	leaving := s.fleet.Members(head)[3]
 	s.inFlight = 2
 	s.fleet.Leave(leaving)
 	s.run(time.Second, p)
-	assert.Equal(t, s.head(large), head)
+	assert.Equal(t, s.head(), head)
 	s.inFlight = 0
 	s.run(4*time.Second, p)
 	assert.Equal(t, s.fleet.OpenGroups(large), 1)
-	for _, id := range s.fleet.Members(s.head(large)) {
+	for _, id := range s.fleet.Members(s.head()) {
 		assert.Assert(t, id != leaving)
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -241,7 +241,7 @@
 		out.events++
 		event = event[:0]
 		progress()
-		if reader.Buffered() == 0 {
+		if !holdsEvent(reader) {
 			if err := out.flush(); err != nil {
 				return err
 			}
@@ -249,6 +249,12 @@
 	}
 }
 
+// holdsEvent reports whether another whole event can be read without waiting.
+func holdsEvent(reader *bufio.Reader) bool {
+	held, err := reader.Peek(reader.Buffered())
+	return err == nil && (bytes.Contains(held, []byte("\n\n")) || bytes.Contains(held, []byte("\n\r\n")))
+}
+
 // endOfEvents accepts the end of a complete answer.
 func (r *Relay) endOfEvents(out *delivery, response *upstream.Answer, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -71,6 +71,7 @@
 	progress  time.Time
 	inspected time.Time
 	busy      bool
+	ended     bool // all waits were ended since the last one began
 	pace      float64
 }
 
@@ -117,6 +118,7 @@
 		state.progress = now
 	}
 	state.watches[watch] = struct{}{}
+	state.ended = false
 	return watch
 }
 
@@ -193,6 +195,9 @@
 }
 
 func (m *Monitor) scanGroup(ctx context.Context, state *watched, now time.Time) {
+	if state.ended {
+		return
+	}
 	silence := now.Sub(state.progress)
 	waiting := false
 	for watch := range state.watches {
@@ -255,6 +260,7 @@
 }
 
 func (m *Monitor) end(state *watched, cause error) {
+	state.ended = true
 	for watch := range state.watches {
 		watch.cancel(cause)
 	}
