Spread the return of refused callers, and let streams go on at full groups

Cause: refused callers came back after 0.3 s, met each other again and took places from first attempts that could still be answered in time; streams of a lost group were broken off after 1.2 s while all groups were full.

Ruled out: a longer wait of callers that came back.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -12,12 +12,24 @@
 	"flamingodoor.example/flamingodoor/internal/upstream"
 )
 
-// Times after which a refused caller is asked to come back.
+// retrySoon is when a caller may come back after a refusal for a reason that
+// passes in a moment.
+const retrySoon = 300 * time.Millisecond
+
+// A refused caller is asked to come back within these parts of the time that
+// it has left: late enough for groups to form, and spread so that the callers
+// of one moment do not meet again. Callers wait a third at most.
 const (
-	retrySoon = 300 * time.Millisecond // a place becomes free
-	retryForm = time.Second            // a group forms
+	earliestReturn = 0.2
+	latestReturn   = 0.33
 )
 
+// returnAfter chooses when the caller of a refused job comes back.
+func (r *Relay) returnAfter(j *job) time.Duration {
+	left := max(0, j.deadline.Sub(r.now()))
+	return time.Duration((earliestReturn + r.random()*(latestReturn-earliestReturn)) * float64(left))
+}
+
 // place is an instance at which the job holds room.
 type place struct {
 	instance flamingodoor.Instance
@@ -38,6 +50,9 @@
 func (r *Relay) acquire(ctx context.Context, j *job, until time.Time) (place, error) {
 	timer := time.NewTimer(max(0, until.Sub(r.now())))
 	defer timer.Stop()
+	if !j.returning {
+		defer r.waiting.enter(j)()
+	}
 	for {
 		changed := r.tracker.Changed()
 		found, err := r.tryAcquire(j)
@@ -55,6 +70,10 @@
 }
 
 func (r *Relay) tryAcquire(j *job) (place, error) {
+	if j.returning && r.waiting.any(j) {
+		// A place serves a caller better that can still be answered in time.
+		return place{}, errFull
+	}
 	now := r.now()
 	view := r.roster.View()
 	var places map[string]place
@@ -79,6 +98,42 @@
 	return found, nil
 }
 
+// waitingRoom counts the first attempts that wait for a place.
+type waitingRoom struct {
+	mu     sync.Mutex
+	counts map[waitingFor]int
+}
+
+type waitingFor struct {
+	service string
+	model   string
+}
+
+func newWaitingRoom() *waitingRoom {
+	return &waitingRoom{counts: make(map[waitingFor]int)}
+}
+
+// enter counts the job until the returned function is called.
+func (w *waitingRoom) enter(j *job) (leave func()) {
+	key := waitingFor{service: j.service.Name, model: j.model}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts[key]++
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.counts[key]--; w.counts[key] == 0 {
+			delete(w.counts, key)
+		}
+	}
+}
+
+func (w *waitingRoom) any(j *job) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts[waitingFor{service: j.service.Name, model: j.model}] > 0
+}
+
 func (r *Relay) groupCandidates(j *job, view *roster.View, now time.Time) ([]balance.Candidate, map[string]place) {
 	size := 0
 	for _, model := range j.service.Engine.Models {
@@ -98,12 +153,24 @@
 		}
 		places[head.ID] = place{instance: head.Instance, group: group}
 		candidates = append(candidates, balance.Candidate{
-			ID: head.ID, Capacity: head.Slots, Speed: r.monitor.Speed(head.ID), Local: group.DataCentre == r.local,
+			ID: head.ID, Capacity: j.capacity(head.Slots), Speed: r.monitor.Speed(head.ID), Local: group.DataCentre == r.local,
 		})
 	}
 	return candidates, places
 }
 
+// resumeReserve of a group's slots, one in so many, is room beyond them for
+// streams that go on from another group: the engine queues them first, and
+// breaking one off wastes what its caller has.
+const resumeReserve = 4
+
+func (j *job) capacity(slots int) int {
+	if j.begun {
+		return slots + slots/resumeReserve
+	}
+	return slots
+}
+
 func (r *Relay) plainCandidates(j *job, view *roster.View, now time.Time) ([]balance.Candidate, map[string]place) {
 	places := make(map[string]place)
 	var candidates []balance.Candidate
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -99,10 +99,7 @@
 
 // refuseUnplaced answers a job for which no instance has room.
 func (r *Relay) refuseUnplaced(ctx context.Context, writer http.ResponseWriter, j *job, err error) {
-	after := retrySoon
-	if errors.Is(err, errNoInstance) {
-		after = retryForm
-	}
+	after := r.returnAfter(j)
 	if j.cause == "" {
 		j.cause = err.Error()
 	}
@@ -185,7 +182,11 @@
 		header.Set(r.headers.LastEventID, lastEvent)
 	}
 	if j.service.Engine != nil {
-		header.Set(r.headers.Priority, strconv.Itoa(min(9, max(0, j.urgency))))
+		urgency := j.urgency
+		if j.begun {
+			urgency = 0
+		}
+		header.Set(r.headers.Priority, strconv.Itoa(min(9, max(0, urgency))))
 	}
 	answer, err := r.pool.Do(ctx, found.target(), upstream.Call{
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,7 @@
 	budgets map[string]*admission.RetryBudget // by service
 	allowed map[string]time.Duration          // longest deadline of callers, by route
 	cold    *coldLimiter
+	waiting *waitingRoom
 }
 
 // Observer counts finished requests.
@@ -119,7 +120,7 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: newColdLimiter(),
+		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: newColdLimiter(), waiting: newWaitingRoom(),
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -389,6 +389,25 @@
 	assert.Equal(t, other.received(headers.LastEventID), "3")
 }
 
+// Overload: a stream that goes on from a lost group finds room although the
+// other group is full for first attempts.
+func TestStreamGoesOnAtAFullGroup(t *testing.T) {
+	s := newScene(t)
+	dying := newEndpoint(t, events(6, 3))
+	other := newEndpoint(t, events(6, 0))
+	near, far := dying.instance("i-1", "llm"), other.instance("i-2", "llm")
+	far.DataCentre, far.Slots = "dc-b", 4
+	s.list(near, far)
+	for range 4 {
+		_, ok := s.tracker.Pick([]balance.Candidate{{ID: "i-2", Capacity: 4}})
+		assert.Assert(t, ok)
+	}
+	got := s.ask("/stream/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, allEvents(6))
+	assert.Equal(t, other.received(headers.Priority), "0")
+}
+
 // The second group goes on at another event: joining the two would leave a gap.
 func TestStreamWithAGapIsBrokenOff(t *testing.T) {
 	s := newScene(t)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -64,6 +64,7 @@
 			return
 		}
 		j.avoid[found.instance.ID] = true
+		j.begun = out.started
 		until = r.now().Add(resumeWait)
 	}
 }
