Pass registrations from the leading host to the others

Ruled out: waiting reads, which end with each of the 47 heartbeats a second.

Conclusion: one reader and the exchange carry the list; a host that no leader feeds for a second reads by itself.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,9 +30,11 @@
 	peerLife = 3 * time.Second
 	// listEvery is how often the list of hosts is read: new hosts announce
 	// themselves by sharing, so that it serves the first contact alone.
-	listEvery = 10 * time.Second
+	listEvery = 30 * time.Second
 	// listPause separates two attempts to read the list.
 	listPause = time.Second
+	// feedSlack covers the leading host's own reads and a lost message.
+	feedSlack = 600 * time.Millisecond
 	// maxPeers is how many peers a round reaches. Larger deployments take
 	// turns.
 	maxPeers = 12
@@ -41,6 +43,8 @@
 // Source gives what this host tells the others.
 type Source interface {
 	Describe(request *exchangev1.ShareRequest, now time.Time)
+	// Feeds reports whether this host passes the registrations on.
+	Feeds() bool
 }
 
 // Sink takes what another host told.
@@ -53,6 +57,7 @@
 	self      flamingodoor.EntryPeer
 	started   int64
 	directory flamingodoor.HostDirectory
+	feed      flamingodoor.RegistrationFeed
 	source    Source
 	sink      Sink
 	client    *http.Client
@@ -63,7 +68,6 @@
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
-	refresh  bool
 	leaving  bool
 	turn     int
 }
@@ -74,13 +78,14 @@
 	heard    time.Time
 	started  int64
 	sequence uint64
+	next     int64 // offset from which the peer follows the registrations
 }
 
 // New returns an exchanger.
-func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, source Source, sink Sink, logger log.Logger) *Exchanger {
+func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feed flamingodoor.RegistrationFeed, source Source, sink Sink, logger log.Logger) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Exchanger{
-		self: self, started: time.Now().UnixMilli(), directory: directory, source: source, sink: sink,
+		self: self, started: time.Now().UnixMilli(), directory: directory, feed: feed, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peer),
 	}
@@ -99,7 +104,19 @@
 	if e.accept(request.Msg, now) {
 		e.sink.Learn(request.Msg, now)
 	}
-	return connect.NewResponse(&exchangev1.ShareResponse{}), nil
+	if batch := request.Msg.GetRegistrations(); batch != nil {
+		e.feed.Accept(flamingodoor.RegistrationBatch{
+			From: batch.GetFrom(), Next: batch.GetNext(), Records: batch.GetRecords(),
+		}, now.Add(e.feedLife()))
+	}
+	return connect.NewResponse(&exchangev1.ShareResponse{RegistrationsNext: e.feed.Next()}), nil
+}
+
+// feedLife is how long a batch stands for reads of the list: two turns of the
+// leading host among its peers.
+func (e *Exchanger) feedLife() time.Duration {
+	turns := (e.Hosts() + maxPeers - 1) / maxPeers
+	return feedSlack + time.Duration(2*turns)*shareEvery
 }
 
 // accept drops messages that arrive after newer ones.
@@ -155,14 +172,6 @@
 	}
 }
 
-// RefreshAll makes all hosts read the registrations at once.
-func (e *Exchanger) RefreshAll() {
-	e.mu.Lock()
-	e.refresh = true
-	e.mu.Unlock()
-	e.Hurry()
-}
-
 // Leave tells the others that this host stops.
 func (e *Exchanger) Leave() {
 	e.mu.Lock()
@@ -193,24 +202,49 @@
 		calls.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 			defer cancel()
-			if _, err := each.client.Share(ctx, connect.NewRequest(request)); err != nil {
+			response, err := each.client.Share(ctx, connect.NewRequest(e.withFeed(request, each)))
+			if err != nil {
 				_ = level.Debug(e.logger).Log("event", "share_failed", "peer", each.ID, "err", err)
+				return nil
 			}
+			e.mu.Lock()
+			each.next = response.Msg.GetRegistrationsNext()
+			e.mu.Unlock()
 			return nil
 		})
 	}
 	_ = calls.Wait() // the next round replaces a lost one
 }
 
+// withFeed adds the registrations that the peer lacks, if this host leads.
+func (e *Exchanger) withFeed(request *exchangev1.ShareRequest, to *peer) *exchangev1.ShareRequest {
+	e.mu.Lock()
+	next := to.next
+	e.mu.Unlock()
+	if next == 0 || !e.source.Feeds() {
+		return request
+	}
+	batch, ok := e.feed.Since(next)
+	if !ok {
+		return request
+	}
+	fed := &exchangev1.ShareRequest{
+		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
+		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
+		Address:       request.GetAddress(),
+		Registrations: &exchangev1.RegistrationBatch{From: batch.From, Next: batch.Next, Records: batch.Records},
+	}
+	return fed
+}
+
 func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer) {
 	now := e.now()
 	e.mu.Lock()
 	e.sequence++
 	request := &exchangev1.ShareRequest{
 		HostId: e.self.ID, Address: e.self.Address.String(), StartedMs: e.started, Sequence: e.sequence,
-		Leaving: e.leaving, Refresh: e.refresh,
+		Leaving: e.leaving,
 	}
-	e.refresh = false
 	var peers []*peer
 	for _, each := range e.peers {
 		// One that was never heard is tried until it is.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -63,6 +63,11 @@
 	return &fleet{gateway: gateway, demands: make(map[string]peerDemand)}
 }
 
+// Feeds reports whether this host passes the registrations on.
+func (f *fleet) Feeds() bool {
+	return f.gateway.planner.Leads()
+}
+
 // Describe fills a message to the peers.
 func (f *fleet) Describe(request *exchangev1.ShareRequest, now time.Time) {
 	for id, used := range f.gateway.tracker.Own() {
@@ -107,9 +112,6 @@
 	g.strikes.Merge(request.GetStrikes(), now)
 	f.learnDemand(request, now)
 	f.learnLosses(request, now)
-	if request.GetRefresh() {
-		g.platform.Watcher.Refresh()
-	}
 }
 
 func (f *fleet) learnDemand(request *exchangev1.ShareRequest, now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,10 +31,13 @@
 const (
 	// followWait is how long one wait for changes of the configuration takes;
 	// its end confirms the configuration.
-	followWait = 1500 * time.Millisecond
-	// instancesEvery is how often the registrations are read. An instance
-	// that leaves must get nothing 2 s after the store knows.
-	instancesEvery = 500 * time.Millisecond
+	followWait = 2 * time.Second
+	// leaderReads is how often the leading host reads the registrations, which
+	// it passes on to the others.
+	leaderReads = 250 * time.Millisecond
+	// hostReads is how often a host reads them that no leader feeds. An
+	// instance that leaves must get nothing 2 s after the store knows.
+	hostReads = 500 * time.Millisecond
 	// electionRenewals in one lease leave room for two lost calls.
 	electionRenewals = 3
 	// minElectionLease bounds how often the lease is renewed.
@@ -83,7 +86,12 @@
 // Watcher follows the configuration and the registrations.
 type Watcher interface {
 	FollowOperators(ctx context.Context, wait time.Duration, book *catalogue.Book)
-	FollowInstances(ctx context.Context, every time.Duration, instances *Instances)
+	// FollowInstances reads the registrations as often as `every` says, unless
+	// they are fed.
+	FollowInstances(ctx context.Context, every func() time.Duration)
+	// Registrations returns the feed into the roster. `changed` is called after
+	// each read that brought news.
+	Registrations(instances *Instances, changed func()) flamingodoor.RegistrationFeed
 	Refresh()
 }
 
@@ -104,6 +112,7 @@
 	exchanger *exchange.Exchanger
 	planner   *planner.Planner
 	fleet     *fleet
+	feed      flamingodoor.RegistrationFeed
 	front     *frontServer
 }
 
@@ -122,12 +131,13 @@
 		Demand: g.demand, Logger: logger,
 	}, relay.WithObserver(metrics))
 	g.fleet = newFleet(g)
+	g.feed = platform.Watcher.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.passOn)
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre}
-	g.exchanger = exchange.New(self, platform.Directory, g.fleet, g.fleet, logger)
+	g.exchanger = exchange.New(self, platform.Directory, g.feed, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
 		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs,
 		Election:  platform.Election(g.electionLease()),
-		Refresher: &refresher{watcher: platform.Watcher, exchanger: g.exchanger},
+		Refresher: platform.Watcher,
 		InFlight:  g.tracker.InFlight, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
 	})
 	g.front = newFrontServer(g.relay)
@@ -139,20 +149,19 @@
 	g.relay.SetLimits(limits)
 }
 
-type refresher struct {
-	watcher   Watcher
-	exchanger *exchange.Exchanger
-}
-
-// Refresh reads the registrations on this host.
-func (r *refresher) Refresh() {
-	r.watcher.Refresh()
+// passOn feeds news that this host read to the others, if it leads.
+func (g *Gateway) passOn() {
+	if g.planner.Leads() {
+		g.exchanger.Hurry()
+	}
 }
 
-// RefreshAll makes all hosts read the registrations.
-func (r *refresher) RefreshAll() {
-	r.watcher.Refresh()
-	r.exchanger.RefreshAll()
+// readEvery is how often this host reads the registrations.
+func (g *Gateway) readEvery() time.Duration {
+	if g.planner.Leads() {
+		return leaderReads
+	}
+	return hostReads
 }
 
 func (g *Gateway) electionLease() time.Duration {
@@ -172,13 +181,12 @@
 	var work sync.WaitGroup
 	defer work.Wait()
 	defer stop()
-	instances := &Instances{Roster: g.roster, changed: g.tracker.Wake}
 	leases := g.electionLease() / electionRenewals
 	planning, stopPlanning := context.WithCancel(background)
 	defer stopPlanning()
 	for _, run := range []func(){
 		func() { g.platform.Watcher.FollowOperators(background, followWait, g.book) },
-		func() { g.platform.Watcher.FollowInstances(background, instancesEvery, instances) },
+		func() { g.platform.Watcher.FollowInstances(background, g.readEvery) },
 		func() { g.monitor.Run(background) },
 		func() { g.exchanger.Run(background) },
 		func() { g.exchanger.RunDirectory(background) },
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -21,7 +21,6 @@
 		switch {
 		case group.opening && headOpen(view, key, group):
 			delete(p.pending, key)
-			p.Refresher.RefreshAll()
 			_ = level.Info(p.Logger).Log("event", "group_open", "group", key.Name, "epoch", key.Epoch, "model", group.model)
 		case failed != "" || now.After(group.deadline):
 			delete(p.pending, key)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -59,10 +59,9 @@
 	quietLoadShare = 10
 )
 
-// Refresher reads the registrations at once, here and on the other hosts.
+// Refresher reads the registrations at once.
 type Refresher interface {
 	Refresh()
-	RefreshAll()
 }
 
 // Parts are what a planner works with.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -65,8 +65,7 @@
 
 type noRefresh struct{}
 
-func (noRefresh) Refresh()    {}
-func (noRefresh) RefreshAll() {}
+func (noRefresh) Refresh() {}
 
 // lead returns a planner that leads from now on.
 func (s *scene) lead() *planner.Planner {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -160,26 +160,27 @@
 	r.loaded.Store(true)
 }
 
-// Upsert takes a new or changed registration.
-func (r *Roster) Upsert(instance flamingodoor.Instance) {
+// Upsert takes a registration and reports whether it changed.
+func (r *Roster) Upsert(instance flamingodoor.Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.upsert(instance)
+	return r.upsert(instance)
 }
 
-func (r *Roster) upsert(instance flamingodoor.Instance) {
+func (r *Roster) upsert(instance flamingodoor.Instance) bool {
 	known, ok := r.entries[instance.ID]
 	if ok && instance.Born.Before(known.Born) {
-		return
+		return false
 	}
 	if ok && known.Listed && same(known.Instance, instance) {
-		return
+		return false
 	}
 	if lost, marked := r.lostIDs[instance.ID]; marked && !lost.born.Equal(instance.Born) {
 		delete(r.lostIDs, instance.ID)
 	}
 	r.entries[instance.ID] = Entry{Instance: instance, Listed: true}
 	r.dirty = true
+	return true
 }
 
 func same(known, instance flamingodoor.Instance) bool {
@@ -189,21 +190,22 @@
 		instance.ColdUntil.Sub(known.ColdUntil).Abs() < 100*time.Millisecond
 }
 
-// Remove takes an instance out of the list.
-func (r *Roster) Remove(id string, now time.Time) {
+// Remove takes an instance out of the list and reports whether it was there.
+func (r *Roster) Remove(id string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.remove(id, now)
+	return r.remove(id, now)
 }
 
-func (r *Roster) remove(id string, now time.Time) {
+func (r *Roster) remove(id string, now time.Time) bool {
 	entry, ok := r.entries[id]
 	if !ok || !entry.Listed {
-		return
+		return false
 	}
 	entry.Listed, entry.GoneAt = false, now
 	r.entries[id] = entry
 	r.dirty = true
+	return true
 }
 
 // MarkLost notes that an instance stopped answering.
--- a/serving.go
+++ b/serving.go
@@ -147,6 +147,27 @@
 	HasPriority bool
 }
 
+// RegistrationBatch is what changed in the list of instances between two
+// offsets of the platform's log. Records are in the platform's format.
+type RegistrationBatch struct {
+	From    int64
+	Next    int64
+	Records [][]byte
+}
+
+// RegistrationFeed passes registrations from a host that reads the platform's
+// list to one that does not have to.
+type RegistrationFeed interface {
+	// Next is the offset from which this host follows the list.
+	Next() int64
+	// Since returns what changed from an offset on, or false if this host no
+	// longer knows.
+	Since(from int64) (RegistrationBatch, bool)
+	// Accept applies a batch that follows what this host knows. Until the
+	// given time this host does not read the list itself.
+	Accept(batch RegistrationBatch, until time.Time)
+}
+
 // InstanceClient asks instances and gives them orders.
 type InstanceClient interface {
 	Report(ctx context.Context, address netip.AddrPort) (InstanceReport, error)
