--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -70,7 +70,7 @@
 const (
 	// remoteCost makes a request cross to another data centre only for a
 	// clearly freer instance.
-	remoteCost = 0.08
+	remoteCost = 0.2
 	// jitter spreads hosts that see the same uses.
 	jitter = 0.06
 )
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -17,6 +17,9 @@
 	// silentTime without any answer of a group makes its members be asked. A
 	// pass of a full engine with a long prompt takes about two thirds of it.
 	silentTime = 250 * time.Millisecond
+	// firstTime replaces it for a group of which this host awaits first events
+	// only: a long prompt is read between the tokens of others.
+	firstTime = 500 * time.Millisecond
 	// slowFactor on the usual gap replaces silentTime for slow groups.
 	slowFactor = 4
 	// askAgainAfter separates two inspections of one group.
@@ -199,15 +202,16 @@
 		return
 	}
 	silence := now.Sub(state.progress)
-	waiting := false
+	waiting, begun := false, false
 	for watch := range state.watches {
 		idle := now.Sub(watch.last)
 		waiting = waiting || idle > silentTime
+		begun = begun || watch.begun
 		if watch.begun && idle > m.patience(state, silentConnectionTime) && silence < silentTime {
 			watch.cancel(ErrSilent)
 		}
 	}
-	if !waiting || silence <= m.quietTime(state) {
+	if !waiting || silence <= m.quietTime(state, begun) {
 		return
 	}
 	if silence > m.patience(state, stalledTime) {
@@ -222,13 +226,18 @@
 	go m.ask(ctx, state)
 }
 
-// quietTime is longer for a group that is known as slow.
-func (m *Monitor) quietTime(state *watched) time.Duration {
+// quietTime is longer for a group that is known as slow, and for one that has
+// begun none of this host's answers.
+func (m *Monitor) quietTime(state *watched, begun bool) time.Duration {
+	quiet := silentTime
+	if !begun {
+		quiet = firstTime
+	}
 	known, ok := m.speeds[state.group.Head().ID]
 	if !ok {
-		return silentTime
+		return quiet
 	}
-	return max(silentTime, min(slowFactor*known.gap, stalledTime))
+	return max(quiet, min(slowFactor*known.gap, stalledTime))
 }
 
 func (m *Monitor) patience(state *watched, usual time.Duration) time.Duration {
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -133,6 +133,17 @@
 	assert.NilError(t, ctx.Err())
 }
 
+// Long prompts among short: a first event takes a while and is no stall.
+func TestFirstEventsAreWaitedForLonger(t *testing.T) {
+	s := newScene(t)
+	_, ctx := s.begin()
+	s.pass(450 * time.Millisecond)
+	assert.Equal(t, s.inspected, 0)
+	s.verdict.Lost = []string{"i-2"}
+	s.pass(200 * time.Millisecond)
+	assert.Assert(t, errors.Is(context.Cause(ctx), stall.ErrLost))
+}
+
 // A group that is slower than expected gets less work.
 func TestSpeedFollowsTheGaps(t *testing.T) {
 	s := newScene(t)
