--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -39,6 +39,9 @@
 	flamingodoor.CodeOrderRefused:         http.StatusBadGateway,
 	flamingodoor.CodeNoMajority:           http.StatusServiceUnavailable,
 	flamingodoor.CodeTrimmed:              http.StatusInternalServerError,
+	flamingodoor.CodeStoreUnavailable:     http.StatusServiceUnavailable,
+	flamingodoor.CodeInvalidSettings:      http.StatusUnprocessableEntity,
+	flamingodoor.CodeProtocol:             http.StatusBadGateway,
 }
 
 // Status returns the HTTP status of a code.
