--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,8 +81,8 @@
 
 // Observer counts finished requests.
 type Observer interface {
-	RequestFinished(route, result string)
-	FirstToken(route string, elapsed time.Duration)
+	RequestFinished(workspace, result string)
+	FirstToken(workspace string, elapsed time.Duration)
 }
 
 // Option changes a setting of a Relay.
@@ -314,7 +314,7 @@
 }
 
 func (r *Relay) finished(j *job, result string, status, events int) {
-	r.observer.RequestFinished(j.route.Name, result)
+	r.observer.RequestFinished(j.workspace, result)
 	now := r.now()
 	_ = level.Info(r.logger).Log("event", "request", "request", j.id, "route", j.route.Name, "workspace", j.workspace,
 		"model", j.model, "result", result, "status", status, "instance", j.target, "sends", j.sends,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -132,7 +132,7 @@
 			watch.Progress()
 		}
 		if out.events == 1 {
-			r.observer.FirstToken(j.route.Name, r.now().Sub(j.received))
+			r.observer.FirstToken(j.workspace, r.now().Sub(j.received))
 		}
 	})
 	if err == nil {
