Exchange with near hosts first, tell strikes for a while only, and spread inspections

Cause: at 62 hosts the uses of others were 1.2 s old, each message carried up to 64 strikes of the last hour (most of 0.74 GB between data centres), all hosts inspected the same silent group (31,792 probes), and a host that had read a moment later than the leading one was not fed.

Ruled out: the number of requests that cross data centres (0.2 s of exchange traffic at rest was larger).

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// peerUseTime is how long the uses of a peer count without news: a few rounds
-// of the exchange.
-const peerUseTime = 1500 * time.Millisecond
+// peerUseTime is how long the uses of a peer count without news: longer than
+// the exchange takes to reach each of 75 hosts in turn.
+const peerUseTime = 3 * time.Second
 
 // Candidate is an instance that may take a request.
 type Candidate struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,9 +35,11 @@
 	listPause = time.Second
 	// feedSlack covers the leading host's own reads and a lost message.
 	feedSlack = 600 * time.Millisecond
-	// maxPeers is how many peers a round reaches. Larger deployments take
-	// turns.
-	maxPeers = 12
+	// nearPeers and farPeers are how many peers of this data centre and of
+	// others a round reaches. Larger deployments take turns. Requests stay in
+	// their data centre while they can, so that the uses there matter most.
+	nearPeers = 12
+	farPeers  = 6
 )
 
 // Source gives what this host tells the others.
@@ -69,7 +71,8 @@
 	peers    map[string]*peer
 	sequence uint64
 	leaving  bool
-	turn     int
+	nearTurn int
+	farTurn  int
 }
 
 type peer struct {
@@ -115,7 +118,7 @@
 // feedLife is how long a batch stands for reads of the list: two turns of the
 // leading host among its peers.
 func (e *Exchanger) feedLife() time.Duration {
-	turns := (e.Hosts() + maxPeers - 1) / maxPeers
+	turns := (e.Hosts() + farPeers - 1) / farPeers
 	return feedSlack + time.Duration(2*turns)*shareEvery
 }
 
@@ -130,7 +133,7 @@
 			_ = level.Warn(e.logger).Log("event", "peer_unreadable", "peer", message.GetHostId(), "err", err)
 			return false
 		}
-		known = e.add(flamingodoor.EntryPeer{ID: message.GetHostId(), Address: address})
+		known = e.add(flamingodoor.EntryPeer{ID: message.GetHostId(), Address: address, DataCentre: message.GetDataCentre()})
 	}
 	if message.GetStartedMs() < known.started ||
 		(message.GetStartedMs() == known.started && message.GetSequence() <= known.sequence) {
@@ -231,7 +234,7 @@
 	fed := &exchangev1.ShareRequest{
 		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
 		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
-		Address:       request.GetAddress(),
+		Address: request.GetAddress(), DataCentre: request.GetDataCentre(),
 		Registrations: &exchangev1.RegistrationBatch{From: batch.From, Next: batch.Next, Records: batch.Records},
 	}
 	return fed
@@ -242,7 +245,7 @@
 	e.mu.Lock()
 	e.sequence++
 	request := &exchangev1.ShareRequest{
-		HostId: e.self.ID, Address: e.self.Address.String(), StartedMs: e.started, Sequence: e.sequence,
+		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started, Sequence: e.sequence,
 		Leaving: e.leaving,
 	}
 	var peers []*peer
@@ -259,15 +262,28 @@
 
 // choose takes turns among many peers.
 func (e *Exchanger) choose(peers []*peer) []*peer {
-	if len(peers) <= maxPeers {
+	sortPeers(peers)
+	var near, far []*peer
+	for _, each := range peers {
+		if each.DataCentre == e.self.DataCentre {
+			near = append(near, each)
+		} else {
+			far = append(far, each)
+		}
+	}
+	return append(inTurn(near, nearPeers, &e.nearTurn), inTurn(far, farPeers, &e.farTurn)...)
+}
+
+// inTurn takes the next peers of a list, starting over at its end.
+func inTurn(peers []*peer, count int, turn *int) []*peer {
+	if len(peers) <= count {
 		return peers
 	}
-	sortPeers(peers)
-	chosen := make([]*peer, 0, maxPeers)
-	for i := range maxPeers {
-		chosen = append(chosen, peers[(e.turn+i)%len(peers)])
+	chosen := make([]*peer, 0, count)
+	for i := range count {
+		chosen = append(chosen, peers[(*turn+i)%len(peers)])
 	}
-	e.turn = (e.turn + maxPeers) % len(peers)
+	*turn = (*turn + count) % len(peers)
 	return chosen
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -18,8 +18,12 @@
 // demandLife is how long the demand that a peer told counts.
 const demandLife = 3 * time.Second
 
+// strikeShare is how long a strike is told to the peers: each is reached
+// several times meanwhile.
+const strikeShare = 6 * time.Second
+
 // lossShare is how long a loss is told to the peers: several rounds.
-const lossShare = time.Second
+const lossShare = 3 * time.Second
 
 // Instances passes registrations on to the roster and wakes waiting requests.
 type Instances struct {
@@ -76,7 +80,11 @@
 	for key, rate := range f.gateway.demand.Rates(now) {
 		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
 	}
-	request.Strikes = f.gateway.strikes.Digest(now)
+	for _, strike := range f.gateway.strikes.Digest(now) {
+		if strike.GetAge().AsDuration() < strikeShare {
+			request.Strikes = append(request.Strikes, strike)
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	recent := f.losses[:0]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 		strikes: poison.New(), demand: relay.NewDemand(),
 	}
 	g.book = catalogue.New(g.configured)
-	g.monitor = stall.New(g.inspect, g.groupStalled, time.Now)
+	g.monitor = stall.New(g.inspect, g.groupStalled, func() int { return g.exchanger.Hosts() }, time.Now)
 	g.relay = relay.New(relay.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, DataCentre: settings.DataCentre, Book: g.book,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, Strikes: g.strikes,
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 	slowFactor = 4
 	// askAgainAfter separates two inspections of one group.
 	askAgainAfter = 400 * time.Millisecond
+	// askSpread for each entry host that may see the same silence, up to
+	// maxAskSpread: the first that asks tells the others.
+	askSpread    = 12 * time.Millisecond
+	maxAskSpread = 400 * time.Millisecond
 	// stalledTime without progress ends the wait for a group whose members
 	// answer. Callers leave after a pause of 2 s.
 	stalledTime = 1200 * time.Millisecond
@@ -63,6 +68,7 @@
 	inspect Inspector
 	stalled func(key roster.GroupKey)
 	now     func() time.Time
+	hosts   func() int
 	mu      sync.Mutex
 	groups  map[roster.GroupKey]*watched
 	speeds  map[string]*speed // by head
@@ -73,6 +79,8 @@
 	watches   map[*Watch]struct{}
 	progress  time.Time
 	inspected time.Time
+	askAfter  time.Duration // beyond the silence that is usual
+	sound     int           // inspections in a row that found nothing
 	busy      bool
 	ended     bool // all waits were ended since the last one began
 	pace      float64
@@ -95,10 +103,10 @@
 }
 
 // New returns a monitor. `stalled` is told of groups that stand still although
-// their members answer.
-func New(inspect Inspector, stalled func(key roster.GroupKey), now func() time.Time) *Monitor {
+// their members answer; `hosts` counts the entry hosts.
+func New(inspect Inspector, stalled func(key roster.GroupKey), hosts func() int, now func() time.Time) *Monitor {
 	return &Monitor{
-		inspect: inspect, stalled: stalled, now: now,
+		inspect: inspect, stalled: stalled, hosts: hosts, now: now,
 		groups: make(map[roster.GroupKey]*watched), speeds: make(map[string]*speed),
 	}
 }
@@ -112,7 +120,7 @@
 	defer m.mu.Unlock()
 	state, ok := m.groups[group.Key()]
 	if !ok {
-		state = &watched{group: group, watches: make(map[*Watch]struct{}), progress: now, pace: 1}
+		state = &watched{group: group, watches: make(map[*Watch]struct{}), progress: now, pace: 1, askAfter: m.spread()}
 		m.groups[group.Key()] = state
 	}
 	watch := &Watch{monitor: m, group: state, cancel: cancel, expected: expected, last: now}
@@ -134,7 +142,7 @@
 	if w.begun {
 		m.learn(w.group.group.Head().ID, now.Sub(w.last), w.expected, now)
 	}
-	w.begun, w.last, w.group.progress = true, now, now
+	w.begun, w.last, w.group.progress, w.group.sound = true, now, now, 0
 }
 
 // End stops following the stream.
@@ -211,7 +219,7 @@
 			watch.cancel(ErrSilent)
 		}
 	}
-	if !waiting || silence <= m.quietTime(state, begun) {
+	if !waiting || silence <= m.quietTime(state, begun)+state.askAfter {
 		return
 	}
 	if silence > m.patience(state, stalledTime) {
@@ -219,9 +227,10 @@
 		m.stalled(state.group.Key())
 		return
 	}
-	if state.busy || now.Sub(state.inspected) < askAgainAfter {
+	if state.busy || now.Sub(state.inspected) < askAgainAfter<<min(state.sound, maxSound) {
 		return
 	}
+	state.askAfter = m.spread()
 	state.busy, state.inspected = true, now
 	go m.ask(ctx, state)
 }
@@ -254,11 +263,23 @@
 	if verdict.Pace > 0 {
 		state.pace = verdict.Pace
 	}
+	state.sound++
 	if len(verdict.Lost) > 0 {
+		state.sound = 0
 		m.end(state, ErrLost)
 	}
 }
 
+// maxSound doublings of the time between inspections are reached by a group
+// that is slow and not lost.
+const maxSound = 3
+
+// spread is a random part of the time in which one of the hosts asks first.
+func (m *Monitor) spread() time.Duration {
+	longest := min(maxAskSpread, time.Duration(m.hosts())*askSpread)
+	return time.Duration(rand.Float64() * float64(longest)) //nolint:gosec // spreading only
+}
+
 // Lose ends all waits for a group that another host found lost.
 func (m *Monitor) Lose(key roster.GroupKey, cause error) {
 	m.mu.Lock()
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -35,7 +35,7 @@
 func newScene(t *testing.T) *scene {
 	t.Helper()
 	s := &scene{t: t, now: time.Unix(1_800_000_000, 0), asked: make(chan struct{}, 100), verdict: stall.Verdict{Pace: 1}}
-	s.monitor = stall.New(s.inspect, func(key roster.GroupKey) { s.stalled = append(s.stalled, key) }, s.clock)
+	s.monitor = stall.New(s.inspect, func(key roster.GroupKey) { s.stalled = append(s.stalled, key) }, func() int { return 1 }, s.clock)
 	s.group = &roster.Group{Name: "g", Epoch: 1, Members: []roster.Entry{{Instance: flamingodoor.Instance{ID: "head"}}}}
 	return s
 }
