Renew the election at once when another host stops

Cause: while entry hosts were restarted in turn, each change of the leader left up to 0.5 s before the next host renewed its lease, with groups unrepaired.

Ruled out: the wait for the old leader's orders, which stays.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -110,6 +110,8 @@
 	g := f.gateway
 	if request.GetLeaving() {
 		g.tracker.DropPeer(request.GetHostId(), now)
+		// It may have led.
+		g.planner.Renew()
 	} else {
 		uses := make(map[string]int, len(request.GetUses()))
 		for _, use := range request.GetUses() {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,6 +89,8 @@
 	now   func() time.Time
 	pause func(ctx context.Context, length time.Duration)
 
+	renewals chan struct{}
+
 	mu         sync.Mutex
 	leadsUntil time.Time
 
@@ -153,7 +155,7 @@
 // New returns a planner.
 func New(parts Parts, options ...Option) *Planner {
 	p := &Planner{
-		Parts: parts, now: time.Now, pause: sleep, members: make(map[string]*memberState),
+		Parts: parts, now: time.Now, pause: sleep, renewals: make(chan struct{}, 1), members: make(map[string]*memberState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]weightLoad),
 	}
@@ -182,7 +184,25 @@
 		if err == nil {
 			p.lead(leads, deadline)
 		}
-		sleep(ctx, every)
+		p.awaitRenewal(ctx, every)
+	}
+}
+
+// Renew asks for the election's result at once, after another host stopped.
+func (p *Planner) Renew() {
+	select {
+	case p.renewals <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Planner) awaitRenewal(ctx context.Context, every time.Duration) {
+	timer := time.NewTimer(every)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.renewals:
 	}
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -255,6 +255,38 @@
 	}
 }
 
+// handover is an election that another host wins until it resigns.
+type handover struct{ resigned, renewed atomic.Bool }
+
+func (h *handover) Renew(context.Context) (bool, time.Time, error) {
+	h.renewed.Store(true)
+	return h.resigned.Load(), time.Now().Add(time.Hour), nil
+}
+
+func (h *handover) Resign(context.Context) error { return nil }
+
+// Entry hosts are restarted in turn: the next leader does not wait for its
+// usual renewal.
+func TestNextLeaderDoesNotWait(t *testing.T) {
+	election := &handover{}
+	p := planner.New(planner.Parts{Election: election, Logger: log.NewNopLogger()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.RunElection(ctx, time.Hour)
+	}()
+	defer func() { cancel(); <-done }()
+	for !election.renewed.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	election.resigned.Store(true)
+	p.Renew()
+	for begun := time.Now(); !p.Leads(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begun) < 5*time.Second, "still waits")
+	}
+}
+
 // Two planners that both believe to lead cannot take members from each other.
 func TestTwoPlanners(t *testing.T) {
 	s := newScene(t)
