--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,4 @@
+package gateway
+
+// NewFrontServer gives tests the server of callers.
+var NewFrontServer = newFrontServer
--- /dev/null
+++ b/internal/gateway/front_test.go
@@ -0,0 +1,53 @@
+package gateway_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/gateway"
+)
+
+func ask(t *testing.T, connection net.Conn) error {
+	t.Helper()
+	_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// The operators' limits hold for new connections; those that are open keep
+// theirs, so that no caller is cut off by a change.
+func TestLimitsOfCallersChange(t *testing.T) {
+	front := gateway.NewFrontServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(listener) }()
+	dial := func() net.Conn {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		assert.NilError(t, ask(t, connection))
+		return connection
+	}
+	patient := dial()
+	front.Apply(flamingodoor.CallerLimits{HeaderBytes: 16 << 10, HeaderTimeout: time.Second, IdleTimeout: 50 * time.Millisecond})
+	hasty := dial()
+	time.Sleep(200 * time.Millisecond)
+	assert.Assert(t, ask(t, hasty) != nil, "the idle connection is still open")
+	assert.NilError(t, ask(t, patient))
+	assert.NilError(t, front.Shutdown(t.Context()))
+	assert.Assert(t, errors.Is(<-served, http.ErrServerClosed))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,6 +171,7 @@
 func (g *Gateway) configured(configuration *flamingodoor.Catalogue) {
 	_ = level.Info(g.logger).Log("event", "configured", "version", configuration.Version,
 		"routes", len(configuration.Routes), "workspaces", len(configuration.Workspaces))
+	g.front.Apply(configuration.Limits)
 	g.tracker.Wake()
 }
 
@@ -263,8 +264,8 @@
 	if err != nil {
 		return nil, err
 	}
-	go g.serve(&g.front.Server, listener)
-	return append(servers, &g.front.Server), nil
+	go g.serve(g.front, listener)
+	return servers, nil
 }
 
 func listenOnAddress(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
@@ -275,7 +276,12 @@
 	return listener, nil
 }
 
-func (g *Gateway) serve(server *http.Server, listener net.Listener) {
+// server takes connections of a listener.
+type server interface {
+	Serve(listener net.Listener) error
+}
+
+func (g *Gateway) serve(server server, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = level.Error(g.logger).Log("event", "listener_failed", "address", listener.Addr(), "err", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,8 @@
 	// returnShare of the longest deadline of a route separates first attempts,
 	// whose deadlines differ by about a sixth, from those that come back.
 	returnShare = 0.82
+	// defaultBodyBytes bounds a body where operators set no limit.
+	defaultBodyBytes = 4 << 20
 	// maxErrorBytes bounds the body of a failure.
 	maxErrorBytes = 1 << 20
 )
@@ -222,7 +224,7 @@
 		r.reject(writer, request, status, reason, retrySoon)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, index.Limits.BodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, bodyLimit(index)))
 	if err != nil {
 		r.rejectBody(writer, request, err)
 		return
@@ -246,6 +248,14 @@
 	r.plain(ctx, writer, j)
 }
 
+// bodyLimit is the operators' limit, or a default where they set none.
+func bodyLimit(index *catalogue.Index) int64 {
+	if index.Limits.BodyBytes > 0 {
+		return index.Limits.BodyBytes
+	}
+	return defaultBodyBytes
+}
+
 // authorise finds the route and the workspace, or the status of a refusal.
 func (r *Relay) authorise(index *catalogue.Index, request *http.Request, now time.Time) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
 	stale := now.Sub(r.book.Confirmed()) > staleAfter
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -216,16 +216,6 @@
 	r.dirty = true
 }
 
-// MarkFound withdraws a loss after the instance answered.
-func (r *Roster) MarkFound(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.lostIDs[id]; ok {
-		delete(r.lostIDs, id)
-		r.dirty = true
-	}
-}
-
 // MarkStalled notes that a group stands still although its members answer.
 func (r *Roster) MarkStalled(key GroupKey, now time.Time) {
 	r.mu.Lock()
