Keep the members of a group until its head is gone for every host

A head that lost the store and the leading host was taken as gone, although it served the callers of other hosts; and a host that started after a head's entry had lapsed knew only the members and freed them after 1.5 s.

Conclusion: the leading host asks hosts of each data centre before it takes a head as gone, and waits 15 s for one that it has never seen.

--- a/gen/flamingodoor/exchange/v1/exchangev1connect/exchange.connect.go
+++ b/gen/flamingodoor/exchange/v1/exchangev1connect/exchange.connect.go
@@ -36,12 +36,16 @@
 const (
 	// ExchangeServiceShareProcedure is the fully-qualified name of the ExchangeService's Share RPC.
 	ExchangeServiceShareProcedure = "/flamingodoor.exchange.v1.ExchangeService/Share"
+	// ExchangeServiceReachProcedure is the fully-qualified name of the ExchangeService's Reach RPC.
+	ExchangeServiceReachProcedure = "/flamingodoor.exchange.v1.ExchangeService/Reach"
 )
 
 // ExchangeServiceClient is a client for the flamingodoor.exchange.v1.ExchangeService service.
 type ExchangeServiceClient interface {
 	// Share replaces what the receiver knows of the sender.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// Reach asks an instance that the caller does not reach.
+	Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error)
 }
 
 // NewExchangeServiceClient constructs a client for the flamingodoor.exchange.v1.ExchangeService
@@ -61,12 +65,19 @@
 			connect.WithSchema(exchangeServiceMethods.ByName("Share")),
 			connect.WithClientOptions(opts...),
 		),
+		reach: connect.NewClient[v1.ReachRequest, v1.ReachResponse](
+			httpClient,
+			baseURL+ExchangeServiceReachProcedure,
+			connect.WithSchema(exchangeServiceMethods.ByName("Reach")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // exchangeServiceClient implements ExchangeServiceClient.
 type exchangeServiceClient struct {
 	share *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	reach *connect.Client[v1.ReachRequest, v1.ReachResponse]
 }
 
 // Share calls flamingodoor.exchange.v1.ExchangeService.Share.
@@ -74,11 +85,18 @@
 	return c.share.CallUnary(ctx, req)
 }
 
+// Reach calls flamingodoor.exchange.v1.ExchangeService.Reach.
+func (c *exchangeServiceClient) Reach(ctx context.Context, req *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error) {
+	return c.reach.CallUnary(ctx, req)
+}
+
 // ExchangeServiceHandler is an implementation of the flamingodoor.exchange.v1.ExchangeService
 // service.
 type ExchangeServiceHandler interface {
 	// Share replaces what the receiver knows of the sender.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
+	// Reach asks an instance that the caller does not reach.
+	Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error)
 }
 
 // NewExchangeServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +112,18 @@
 		connect.WithSchema(exchangeServiceMethods.ByName("Share")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeServiceReachHandler := connect.NewUnaryHandler(
+		ExchangeServiceReachProcedure,
+		svc.Reach,
+		connect.WithSchema(exchangeServiceMethods.ByName("Reach")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/flamingodoor.exchange.v1.ExchangeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeServiceShareProcedure:
 			exchangeServiceShareHandler.ServeHTTP(w, r)
+		case ExchangeServiceReachProcedure:
+			exchangeServiceReachHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +136,7 @@
 func (UnimplementedExchangeServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingodoor.exchange.v1.ExchangeService.Share is not implemented"))
 }
+
+func (UnimplementedExchangeServiceHandler) Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingodoor.exchange.v1.ExchangeService.Reach is not implemented"))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,6 +34,9 @@
 	listEvery = 30 * time.Second
 	// listPause separates two attempts to read the list.
 	listPause = time.Second
+	// askedPeers of each data centre are asked for an instance that this host
+	// does not reach.
+	askedPeers = 4
 	// feedSlack covers the leading host's own reads and a lost message.
 	feedSlack = 600 * time.Millisecond
 	// nearPeers and farPeers are how many peers of this data centre and of
@@ -52,6 +56,8 @@
 // Sink takes what another host told.
 type Sink interface {
 	Learn(request *exchangev1.ShareRequest, now time.Time)
+	// Answers reports whether this life of an instance answers.
+	Answers(ctx context.Context, instance flamingodoor.Instance) bool
 }
 
 // Exchanger shares with the other entry hosts.
@@ -115,6 +121,62 @@
 	return connect.NewResponse(&exchangev1.ShareResponse{RegistrationsNext: e.feed.Next()}), nil
 }
 
+// Reach asks an instance for a host that does not reach it.
+func (e *Exchanger) Reach(ctx context.Context, request *connect.Request[exchangev1.ReachRequest]) (*connect.Response[exchangev1.ReachResponse], error) {
+	address, err := netip.ParseAddrPort(request.Msg.GetAddress())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	answers := e.sink.Answers(ctx, flamingodoor.Instance{
+		ID: request.Msg.GetInstanceId(), Address: address, Born: time.UnixMilli(request.Msg.GetBornMs()),
+	})
+	return connect.NewResponse(&exchangev1.ReachResponse{Answers: answers}), nil
+}
+
+// ReachedElsewhere reports whether a peer gets an answer from an instance that
+// this host does not reach.
+func (e *Exchanger) ReachedElsewhere(ctx context.Context, instance flamingodoor.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	request := &exchangev1.ReachRequest{
+		InstanceId: instance.ID, Address: instance.Address.String(), BornMs: instance.Born.UnixMilli(),
+	}
+	var reached atomic.Bool
+	var calls errgroup.Group
+	for _, each := range e.lately() {
+		calls.Go(func() error {
+			response, err := each.client.Reach(ctx, connect.NewRequest(request))
+			if err != nil {
+				_ = level.Debug(e.logger).Log("event", "reach_failed", "peer", each.ID, "err", err)
+				return nil
+			}
+			if response.Msg.GetAnswers() {
+				reached.Store(true)
+				cancel()
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // a peer without an answer knows nothing
+	return reached.Load()
+}
+
+// lately returns peers that were heard lately, a few of each data centre.
+func (e *Exchanger) lately() []*peer {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := make(map[string]int)
+	var peers []*peer
+	for _, each := range e.peers {
+		if now.Sub(each.heard) < peerLife && counts[each.DataCentre] < askedPeers {
+			counts[each.DataCentre]++
+			peers = append(peers, each)
+		}
+	}
+	return peers
+}
+
 // feedLife is how long a batch stands for reads of the list: two turns of the
 // leading host among its peers.
 func (e *Exchanger) feedLife() time.Duration {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -124,6 +124,12 @@
 	f.learnLosses(request, now)
 }
 
+// Answers asks an instance for a peer that does not reach it.
+func (f *fleet) Answers(ctx context.Context, instance flamingodoor.Instance) bool {
+	_, alive := f.gateway.probe(ctx, instance)
+	return alive
+}
+
 func (f *fleet) learnDemand(request *exchangev1.ShareRequest, now time.Time) {
 	rates := make(map[relay.DemandKey]float64, len(request.GetDemands()))
 	for _, demand := range request.GetDemands() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,9 +136,10 @@
 	g.exchanger = exchange.New(self, platform.Directory, g.feed, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
 		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs,
-		Election:  platform.Election(g.electionLease()),
-		Refresher: platform.Watcher,
-		InFlight:  g.tracker.InFlight, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
+		Election:         platform.Election(g.electionLease()),
+		Refresher:        platform.Watcher,
+		ReachedElsewhere: g.exchanger.ReachedElsewhere,
+		InFlight:         g.tracker.InFlight, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
 	})
 	g.front = newFrontServer(g.relay)
 	return g
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -156,14 +156,14 @@
 }
 
 // headless reports whether a group has had no head for long enough that its
-// head's entry is not merely late.
+// head is gone and did not merely lose the store.
 func (p *Planner) headless(group *roster.Group, now time.Time) bool {
 	seen, ok := p.firstSeen[group.Key()]
 	if !ok {
 		p.firstSeen[group.Key()] = now
 		return false
 	}
-	return now.Sub(seen) > adoptAfter
+	return now.Sub(seen) > headlessTime
 }
 
 func domainsOf(instances []flamingodoor.Instance) [][]flamingodoor.Instance {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -228,7 +228,7 @@
 		}
 		head := group.Head()
 		if head.ID == "" {
-			ending.done = true
+			ending.done = p.headless(group, now)
 			continue
 		}
 		state := p.member(head.Instance)
@@ -258,16 +258,20 @@
 	}
 }
 
-// headGone reports whether a head that does not answer is gone: it left the
-// list, or its host has no process at the address.
+// headGone reports whether a head that does not answer is gone: its host has
+// no process at the address, or it left the list and answers no other host
+// either. One that lost the store and some hosts may still serve the rest.
 func (p *Planner) headGone(ctx context.Context, head roster.Entry) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	asked, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	report, err := p.Instances.Report(ctx, head.Address)
+	report, err := p.Instances.Report(asked, head.Address)
 	if err == nil {
 		return report.ID != "" && (report.ID != head.ID || !report.Born.Equal(head.Born))
 	}
-	return !head.Listed || connectionRefused(err)
+	if connectionRefused(err) {
+		return true
+	}
+	return !head.Listed && !p.ReachedElsewhere(ctx, head.Instance)
 }
 
 // headElsewhere reports whether the head says that it is in another group.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,6 +28,10 @@
 	orderTimeout = 400 * time.Millisecond
 	// adoptAfter is how long a group of another planner may stay incomplete.
 	adoptAfter = 1500 * time.Millisecond
+	// headlessTime is how long the members of a group wait whose head this
+	// host has never seen: it may have lost the store and still serve. It is
+	// longer than a usual partition.
+	headlessTime = 15 * time.Second
 	// formSlack is the time beyond the members' delays in which a group forms.
 	formSlack = 2500 * time.Millisecond
 	// quickDelay separates members that are ready soon from those that have
@@ -72,6 +76,9 @@
 	Epochs    flamingodoor.EpochLog
 	Election  flamingodoor.Election
 	Refresher Refresher
+	// ReachedElsewhere reports whether another host gets an answer from an
+	// instance that this one does not reach.
+	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) bool
 	// InFlight is the work of all hosts at a head.
 	InFlight func(instanceID string) int
 	// Retire takes new work off a group on all hosts.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -44,6 +44,7 @@
 	work     map[string]float64
 	inFlight int
 	quiet    bool
+	reached  bool // by another host
 	retired  []roster.GroupKey
 }
 
@@ -73,7 +74,8 @@
 	election := alwaysLeads{until: func() time.Time { return s.fleet.Now().Add(time.Hour) }}
 	p := planner.New(planner.Parts{
 		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Election: election, Refresher: noRefresh{},
-		InFlight: func(string) int { return s.inFlight },
+		InFlight:         func(string) int { return s.inFlight },
+		ReachedElsewhere: func(context.Context, flamingodoor.Instance) bool { return s.reached },
 		Retire: func(key roster.GroupKey) {
 			s.retired = append(s.retired, key)
 			s.roster.MarkRetiring(key, s.fleet.Now())
@@ -209,6 +211,47 @@
 	assert.Assert(t, s.head() != head)
 }
 
+// A head lost the store and the leading host, and serves the callers of other
+// hosts: its members wait. Found by a hunt (Kivuko, leader-under-orders, seed
+// 315343835264): TWO.
+func TestMembersWaitForAHeadThatOthersReach(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 5, large)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	head := s.head()
+	for _, instance := range s.fleet.Listed() {
+		if instance.ID == head {
+			s.roster.MarkLost(head, instance.Born, s.fleet.Now())
+		}
+	}
+	s.fleet.Cut(head, true)
+	s.fleet.Unlist(head, true)
+	s.reached = true
+	s.run(10*time.Second, p)
+	s.fleet.Unlist(head, false)
+	assert.Equal(t, s.head(), head)
+}
+
+// A host that starts while a head has lost the store knows its members alone:
+// they wait for the head. Found by a hunt (Kivuko, scale-1, seed 328369320184):
+// TWO.
+func TestNewLeaderWaitsForAHeadThatLostTheStore(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 5, large)
+	s.run(5*time.Second, s.lead())
+	head := s.head()
+	s.fleet.Unlist(head, true)
+	s.roster = roster.New() // of a process that just started
+	p := s.lead()
+	s.run(10*time.Second, p)
+	s.fleet.Unlist(head, false)
+	s.run(2*time.Second, p)
+	assert.Equal(t, s.head(), head)
+}
+
 // Orders that are carried out seconds late must not break a group that formed
 // meanwhile.
 func TestLateOrdersDoNoHarm(t *testing.T) {
