--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	Watcher   Watcher
 	Instances flamingodoor.InstanceClient
 	Epochs    flamingodoor.EpochLog
+	Heads     flamingodoor.HeadRegister
 	Election  func(ttl time.Duration) flamingodoor.Election
 	Directory flamingodoor.HostDirectory
 	Headers   relay.Headers
@@ -135,7 +136,7 @@
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre}
 	g.exchanger = exchange.New(self, platform.Directory, g.feed, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
-		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs,
+		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Watcher,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere,
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -51,9 +51,36 @@
 	if !ok {
 		return
 	}
+	if !p.saveHeads(ctx, choices, epoch) {
+		return
+	}
 	p.join(ctx, choices, epoch, now)
 }
 
+// groupName names a group of a plan.
+func groupName(epoch int64, index int) string {
+	return fmt.Sprintf("g%d-%d", epoch, index)
+}
+
+// saveHeads registers the heads before any order is given.
+func (p *Planner) saveHeads(ctx context.Context, choices []choice, epoch int64) bool {
+	heads := make([]flamingodoor.Instance, 0, len(choices))
+	for i, made := range choices {
+		head := made.instances[0]
+		head.Membership = flamingodoor.Membership{
+			Group: groupName(epoch, i), Epoch: epoch, State: flamingodoor.MembershipStateOpen, ModelID: made.model.ID,
+		}
+		heads = append(heads, head)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := p.Heads.Save(ctx, heads); err != nil {
+		_ = level.Warn(p.Logger).Log("event", "heads_unsaved", "epoch", epoch, "err", err)
+		return false
+	}
+	return true
+}
+
 // chooseFor chooses the groups of all domains of a service, and stages weights
 // on instances that no group can use yet.
 func (p *Planner) chooseFor(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, now time.Time) []choice {
@@ -250,7 +277,7 @@
 func (p *Planner) join(ctx context.Context, choices []choice, epoch int64, now time.Time) {
 	var orders errgroup.Group
 	for i, made := range choices {
-		key := roster.GroupKey{Name: fmt.Sprintf("g%d-%d", epoch, i), Epoch: epoch}
+		key := roster.GroupKey{Name: groupName(epoch, i), Epoch: epoch}
 		p.pending[key] = &pendingGroup{
 			service: made.service, model: made.model.ID, members: made.instances,
 			deadline: now.Add(made.delay + formSlack),
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -28,8 +28,8 @@
 	orderTimeout = 400 * time.Millisecond
 	// adoptAfter is how long a group of another planner may stay incomplete.
 	adoptAfter = 1500 * time.Millisecond
-	// headlessTime is how long the members of a group wait whose head this
-	// host has never seen: it may have lost the store and still serve. It is
+	// headlessTime is how long the members of a group wait whose head nobody
+	// knows: it may have lost the store and still serve. It is
 	// longer than a usual partition.
 	headlessTime = 15 * time.Second
 	// formSlack is the time beyond the members' delays in which a group forms.
@@ -74,6 +74,7 @@
 	Roster    *roster.Roster
 	Instances flamingodoor.InstanceClient
 	Epochs    flamingodoor.EpochLog
+	Heads     flamingodoor.HeadRegister
 	Election  flamingodoor.Election
 	Refresher Refresher
 	// ReachedElsewhere reports whether another host gets an answer from an
@@ -108,6 +109,7 @@
 	dissolving map[roster.GroupKey]*dissolution
 	firstSeen  map[roster.GroupKey]time.Time
 	retiring   map[roster.GroupKey]time.Time
+	heads      map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host led
 	probed     map[string]time.Time
 	loads      map[string]weightLoad // under way, by instance
 	wasLeading bool
@@ -249,6 +251,7 @@
 		return
 	}
 	now := p.now()
+	p.recallHeads(p.Roster.View(), now)
 	view := p.Roster.View()
 	p.summarise(index, view, now)
 	p.probeGhosts(ctx, view, now)
@@ -275,6 +278,7 @@
 			_ = level.Warn(p.Logger).Log("event", "epoch_unknown", "err", err)
 		}
 		p.epoch = max(p.epoch, epoch)
+		p.loadHeads(ctx)
 	}
 	clear(p.pending)
 	clear(p.dissolving)
@@ -285,6 +289,40 @@
 	p.hold()
 }
 
+// loadHeads reads which instances led groups, for those whose entry lapsed
+// before this host started.
+func (p *Planner) loadHeads(ctx context.Context) {
+	p.heads = make(map[roster.GroupKey]flamingodoor.Instance)
+	heads, err := p.Heads.Load(ctx)
+	if err != nil {
+		_ = level.Warn(p.Logger).Log("event", "heads_unknown", "err", err)
+		return
+	}
+	for _, head := range heads {
+		p.heads[roster.GroupKey{Name: head.Membership.Group, Epoch: head.Membership.Epoch}] = head
+	}
+}
+
+// recallHeads adds the heads of groups of which only other members are known.
+func (p *Planner) recallHeads(view *roster.View, now time.Time) {
+	recalled := false
+	for _, group := range view.Groups {
+		head, ok := p.heads[group.Key()]
+		if !ok || group.Head().ID != "" {
+			continue
+		}
+		if _, listed := view.Entries[head.ID]; listed {
+			continue
+		}
+		_ = level.Info(p.Logger).Log("event", "head_recalled", "group", group.Name, "epoch", group.Epoch, "instance", head.ID)
+		p.Roster.Remember(head, now)
+		recalled = true
+	}
+	if recalled {
+		p.Roster.Publish(now)
+	}
+}
+
 // hold lets the orders of an earlier planner show in the entries.
 func (p *Planner) hold() {
 	if !p.Quiet() {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -73,7 +73,7 @@
 	s.t.Helper()
 	election := alwaysLeads{until: func() time.Time { return s.fleet.Now().Add(time.Hour) }}
 	p := planner.New(planner.Parts{
-		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Election: election, Refresher: noRefresh{},
+		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Heads: s.fleet, Election: election, Refresher: noRefresh{},
 		InFlight:         func(string) int { return s.inFlight },
 		ReachedElsewhere: func(context.Context, flamingodoor.Instance) bool { return s.reached },
 		Retire: func(key roster.GroupKey) {
@@ -244,6 +244,7 @@
 	s.run(5*time.Second, s.lead())
 	head := s.head()
 	s.fleet.Unlist(head, true)
+	s.fleet.ForgetHeads()
 	s.roster = roster.New() // of a process that just started
 	p := s.lead()
 	s.run(10*time.Second, p)
@@ -252,6 +253,28 @@
 	assert.Equal(t, s.head(), head)
 }
 
+// The same host finds the head in the store: it tells one that serves to
+// leave, and frees the members of one that is gone, without a long wait.
+func TestNewLeaderRecallsHeads(t *testing.T) {
+	for name, gone := range map[string]bool{"lost the store": false, "died": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t)
+			s.work = map[string]float64{large: 2}
+			s.add("d0", 5, large)
+			s.run(5*time.Second, s.lead())
+			head := s.head()
+			if gone {
+				s.fleet.Kill(head)
+			}
+			s.fleet.Unlist(head, true)
+			s.roster = roster.New()
+			s.run(6*time.Second, s.lead())
+			assert.Equal(t, s.fleet.OpenGroups(large), 1)
+			assert.Assert(t, s.head() != head)
+		})
+	}
+}
+
 // Orders that are carried out seconds late must not break a group that formed
 // meanwhile.
 func TestLateOrdersDoNoHarm(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -208,6 +208,17 @@
 	return true
 }
 
+// Remember adds an instance that was listed before this host started.
+func (r *Roster) Remember(instance flamingodoor.Instance, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.entries[instance.ID]; ok {
+		return
+	}
+	r.entries[instance.ID] = Entry{Instance: instance, GoneAt: now}
+	r.dirty = true
+}
+
 // MarkLost notes that an instance stopped answering.
 func (r *Roster) MarkLost(id string, born, now time.Time) {
 	r.mu.Lock()
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -25,6 +25,7 @@
 	instances  map[string]*instance
 	order      []string
 	epochs     int64
+	heads      map[string]flamingodoor.Instance
 	violations []string
 	hooks      Hooks
 	quiet      bool
@@ -64,7 +65,7 @@
 
 // New returns a fleet without instances at the given time.
 func New(engine *flamingodoor.EngineSpec, now time.Time) *Fleet {
-	return &Fleet{engine: engine, now: now, instances: make(map[string]*instance)}
+	return &Fleet{engine: engine, now: now, instances: make(map[string]*instance), heads: make(map[string]flamingodoor.Instance)}
 }
 
 // SetHooks brings about failures.
@@ -390,3 +391,31 @@
 	f.epochs++
 	return f.epochs, true, nil
 }
+
+// Save keeps the newest group of each head.
+func (f *Fleet) Save(_ context.Context, heads []flamingodoor.Instance) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, head := range heads {
+		f.heads[head.ID] = head
+	}
+	return nil
+}
+
+// Load returns the heads that were saved.
+func (f *Fleet) Load(context.Context) ([]flamingodoor.Instance, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	heads := make([]flamingodoor.Instance, 0, len(f.heads))
+	for _, head := range f.heads {
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
+
+// ForgetHeads drops what was saved.
+func (f *Fleet) ForgetHeads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.heads)
+}
--- a/serving.go
+++ b/serving.go
@@ -219,6 +219,13 @@
 	Claim(ctx context.Context, after int64, record []byte) (epoch int64, claimed bool, err error)
 }
 
+// HeadRegister keeps the heads of groups beyond the life of entry hosts: a
+// head that loses the platform's list may still serve.
+type HeadRegister interface {
+	Save(ctx context.Context, heads []Instance) error
+	Load(ctx context.Context) ([]Instance, error)
+}
+
 // Election tells which host leads.
 type Election interface {
 	// Renew joins or keeps the election and reports whether this host leads
