Free the survivors of groups whose head serves elsewhere

Cause: after a change of the leader, instances that still named a dissolved group waited 15 s, because nobody was listed as its head: the head had joined another group.

Ruled out: the questions to other hosts (0.5 s once for a dead head).

Conclusion: the register of heads tells that a head was registered with a later group, or the list shows it in another place.

--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -152,34 +152,57 @@
 
 // free lists the instances that may join a group.
 func (p *Planner) free(view *roster.View, service string, now time.Time) []flamingodoor.Instance {
+	busy := p.busy(view, now)
+	var free []flamingodoor.Instance
+	for _, entry := range view.ByService[service] {
+		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
+			continue
+		}
+		free = append(free, entry.Instance)
+	}
+	return free
+}
+
+// busy are the members of groups that serve, form or have yet to end.
+func (p *Planner) busy(view *roster.View, now time.Time) map[string]bool {
 	busy := make(map[string]bool)
-	for key, group := range p.pending {
+	for _, group := range p.pending {
 		for _, member := range group.members {
 			busy[member.ID] = true
 		}
-		_ = key
 	}
 	for _, group := range view.Groups {
-		ending := p.dissolving[group.Key()]
-		head := group.Head()
-		if ending != nil && ending.done {
-			continue
-		}
-		if ending == nil && head.ID == "" && p.headless(group, now) {
+		if p.ended(view, group, now) {
 			continue
 		}
 		for _, member := range group.Members {
 			busy[member.ID] = true
 		}
 	}
-	var free []flamingodoor.Instance
-	for _, entry := range view.ByService[service] {
-		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
-			continue
-		}
-		free = append(free, entry.Instance)
+	return busy
+}
+
+// ended reports whether no head leads the group any more.
+func (p *Planner) ended(view *roster.View, group *roster.Group, now time.Time) bool {
+	if ending := p.dissolving[group.Key()]; ending != nil {
+		return ending.done
 	}
-	return free
+	return group.Head().ID == "" && (p.headElsewhereNow(view, group.Key()) || p.headless(group, now))
+}
+
+// headElsewhereNow reports whether the register shows that the group's head
+// leads it no more: it was registered with a later group, or is listed with
+// another membership.
+func (p *Planner) headElsewhereNow(view *roster.View, key roster.GroupKey) bool {
+	if p.heads == nil {
+		return false
+	}
+	head, ok := p.heads[key]
+	if !ok {
+		return true
+	}
+	entry, known := view.Entries[head.ID]
+	return known && entry.Listed
 }
 
 // headless reports whether a group has had no head for long enough that its
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -228,7 +228,7 @@
 		}
 		head := group.Head()
 		if head.ID == "" {
-			ending.done = p.headless(group, now)
+			ending.done = p.headElsewhereNow(view, group.Key()) || p.headless(group, now)
 			continue
 		}
 		state := p.member(head.Instance)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -292,12 +292,13 @@
 // loadHeads reads which instances led groups, for those whose entry lapsed
 // before this host started.
 func (p *Planner) loadHeads(ctx context.Context) {
-	p.heads = make(map[roster.GroupKey]flamingodoor.Instance)
+	p.heads = nil
 	heads, err := p.Heads.Load(ctx)
 	if err != nil {
 		_ = level.Warn(p.Logger).Log("event", "heads_unknown", "err", err)
 		return
 	}
+	p.heads = make(map[roster.GroupKey]flamingodoor.Instance, len(heads))
 	for _, head := range heads {
 		p.heads[roster.GroupKey{Name: head.Membership.Group, Epoch: head.Membership.Epoch}] = head
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -26,6 +26,7 @@
 	order      []string
 	epochs     int64
 	heads      map[string]flamingodoor.Instance
+	headsLost  bool
 	violations []string
 	hooks      Hooks
 	quiet      bool
@@ -406,6 +407,9 @@
 func (f *Fleet) Load(context.Context) ([]flamingodoor.Instance, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.headsLost {
+		return nil, flamingodoor.Errorf(flamingodoor.CodeStoreUnavailable, "down")
+	}
 	heads := make([]flamingodoor.Instance, 0, len(f.heads))
 	for _, head := range f.heads {
 		heads = append(heads, head)
@@ -413,9 +417,9 @@
 	return heads, nil
 }
 
-// ForgetHeads drops what was saved.
-func (f *Fleet) ForgetHeads() {
+// LoseHeads makes the register unreadable.
+func (f *Fleet) LoseHeads() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.heads)
+	f.headsLost = true
 }
