Count attempts whose events were lost on the way towards the route's limit

An attempt without an event was excused as not run, also when nothing was lost and only packets were; and a request that was not sent at all was excused without having been counted.

Ruled out: returns of the caller, which are requests of their own.

Conclusion: only a group that lost a member stands still for certain.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,6 +96,7 @@
 	book    *catalogue.Book
 	roster  *roster.Roster
 	tracker *balance.Tracker
+	monitor *stall.Monitor
 	front   *httptest.Server
 }
 
@@ -103,6 +104,7 @@
 	t.Helper()
 	s := &scene{t: t, roster: roster.New(), tracker: balance.New(), book: catalogue.New(func(*flamingodoor.Catalogue) {})}
 	monitor := stall.New(func(context.Context, *roster.Group) stall.Verdict { return stall.Verdict{Pace: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
+	s.monitor = monitor
 	s.relay = relay.New(relay.Parts{
 		Headers: headers, Limits: relay.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
 		DataCentre: "dc-a", Book: s.book, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
@@ -408,6 +410,35 @@
 	assert.Equal(t, other.received(headers.Priority), "0")
 }
 
+// Links lose packets: instances run a request whose events never arrive. It
+// goes to no more of them than the route allows. Found by a hunt (Valach,
+// cold-and-evacuated, seed 450963603922): BUDGET.
+func TestSilentAttemptsCountTowardsTheRoute(t *testing.T) {
+	s := newScene(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.monitor.Run(ctx)
+	var runs atomic.Int64
+	instances := make([]flamingodoor.Instance, 0, 4)
+	for i := range 4 {
+		e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+			runs.Add(1)
+			writer.Header().Set(headers.Signature, "sig")
+			writer.(http.Flusher).Flush() //nolint:forcetypeassert // the test server flushes
+			<-request.Context().Done()
+		})
+		instances = append(instances, e.instance(fmt.Sprint("i-", i), "llm"))
+	}
+	changed := *s.book.Index().Catalogue
+	changed.Version++
+	changed.Routes = []flamingodoor.Route{route("/stream/", flamingodoor.RouteKindStreaming, "llm", 2)}
+	changed.Routes[0].Timeout = 6 * time.Second
+	s.book.Configure(&changed)
+	s.list(instances...)
+	s.ask("/stream/x", func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "6000") })
+	assert.Equal(t, runs.Load(), int64(2))
+}
+
 // The second group goes on at another event: joining the two would leave a gap.
 func TestStreamWithAGapIsBrokenOff(t *testing.T) {
 	s := newScene(t)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,10 +111,12 @@
 		watch = r.monitor.Begin(found.group, r.usualGap(j), cancel)
 		defer watch.End()
 	}
-	sent, before := r.now(), out.events
+	sent, before, sends := r.now(), out.events, j.sends
 	response, err := r.send(ctx, j, found, out.last)
 	if err != nil {
-		r.excuse(j, found, true)
+		if j.sends > sends {
+			r.excuse(ctx, j, found, true)
+		}
 		return r.streamFailed(ctx, j, found, err)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -140,14 +142,16 @@
 	}
 	_ = level.Info(r.logger).Log("event", "stream_broken", "request", j.id, "instance", found.instance.ID,
 		"last_event", out.last, "cause", context.Cause(ctx), "err", err, "after_ms", r.now().Sub(sent).Milliseconds())
-	r.excuse(j, found, out.events == before)
+	r.excuse(ctx, j, found, out.events == before)
 	return r.streamFailed(ctx, j, found, err)
 }
 
-// excuse leaves an attempt out of the route's limit if the request did not run
-// there, as an answer without an event shows, or if its instance is gone.
-func (r *Relay) excuse(j *job, found place, idle bool) {
-	if idle || r.roster.View().Lost(found.instance, r.now()) {
+// excuse leaves an attempt out of the route's limit if its instance is gone, or
+// if it brought no event because the group had lost a member before. Without a
+// loss the request may have run and its events were lost on the way.
+func (r *Relay) excuse(ctx context.Context, j *job, found place, idle bool) {
+	stoodStill := idle && errors.Is(context.Cause(ctx), stall.ErrLost)
+	if stoodStill || r.roster.View().Lost(found.instance, r.now()) {
 		j.excused++
 	}
 }
