Excuse only attempts at instances that left the list

An instance that lost the path to two hosts was found lost by them, while it ran what it got.

Ruled out: events delivered late; the third instance of the traced stream ran for 0.1 s before the host gave it up.

Conclusion: a route's limit counts every instance that may still be there.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -439,6 +439,28 @@
 	assert.Equal(t, runs.Load(), int64(2))
 }
 
+// Instances lose the path to this host and are found lost, but run what they
+// got: they count. Found by the same hunt.
+func TestLostButListedInstancesCountTowardsTheRoute(t *testing.T) {
+	s := newScene(t)
+	var runs atomic.Int64
+	for i := range 4 {
+		id := fmt.Sprint("i-", i)
+		e := newEndpoint(t, func(writer http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			s.roster.MarkLost(id, time.Unix(1_800_000_000, 0), time.Now())
+			s.roster.Publish(time.Now())
+			writer.Header().Set(headers.Signature, "sig")
+			writer.(http.Flusher).Flush() //nolint:forcetypeassert // the test server flushes
+			panic(http.ErrAbortHandler)
+		})
+		s.roster.Upsert(e.instance(id, "llm"))
+	}
+	s.roster.Publish(time.Now())
+	s.ask("/stream/x")
+	assert.Equal(t, runs.Load(), int64(2))
+}
+
 // The second group goes on at another event: joining the two would leave a gap.
 func TestStreamWithAGapIsBrokenOff(t *testing.T) {
 	s := newScene(t)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,11 +111,11 @@
 		watch = r.monitor.Begin(found.group, r.usualGap(j), cancel)
 		defer watch.End()
 	}
-	sent, before, sends := r.now(), out.events, j.sends
+	sent, sends := r.now(), j.sends
 	response, err := r.send(ctx, j, found, out.last)
 	if err != nil {
 		if j.sends > sends {
-			r.excuse(ctx, j, found, true)
+			r.excuse(j, found)
 		}
 		return r.streamFailed(ctx, j, found, err)
 	}
@@ -142,16 +142,19 @@
 	}
 	_ = level.Info(r.logger).Log("event", "stream_broken", "request", j.id, "instance", found.instance.ID,
 		"last_event", out.last, "cause", context.Cause(ctx), "err", err, "after_ms", r.now().Sub(sent).Milliseconds())
-	r.excuse(ctx, j, found, out.events == before)
+	r.excuse(j, found)
 	return r.streamFailed(ctx, j, found, err)
 }
 
-// excuse leaves an attempt out of the route's limit if its instance is gone, or
-// if it brought no event because the group had lost a member before. Without a
-// loss the request may have run and its events were lost on the way.
-func (r *Relay) excuse(ctx context.Context, j *job, found place, idle bool) {
-	stoodStill := idle && errors.Is(context.Cause(ctx), stall.ErrLost)
-	if stoodStill || r.roster.View().Lost(found.instance, r.now()) {
+// excuse leaves an attempt out of the route's limit if its instance is gone. One
+// that is still listed may only have lost the path to this host, and have run
+// the request although no event arrived.
+func (r *Relay) excuse(j *job, found place) {
+	view := r.roster.View()
+	if entry, known := view.Entries[found.instance.ID]; known && entry.Listed && entry.Born.Equal(found.instance.Born) {
+		return
+	}
+	if view.Lost(found.instance, r.now()) {
 		j.excused++
 	}
 }
