--- a/cmd/flamingodoor-entry/main.go
+++ b/cmd/flamingodoor-entry/main.go
@@ -27,7 +27,7 @@
 )
 
 type options struct {
-	Settings    string `long:"settings" env:"FLAMINGODOOR_CONFIG" description:"path of the platform's settings file" required:"true"`
+	Settings    string `long:"settings" description:"path of the platform's settings file; by default the path that the platform names"`
 	LogLevel    string `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" description:"lowest level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error"`
 	MetricsPort uint16 `long:"metrics-port" env:"FLAMINGODOOR_METRICS_PORT" default:"9464" description:"port of the metrics on the host's address"`
 	Check       bool   `long:"check" description:"check the settings and exit"`
@@ -42,7 +42,7 @@
 	// A SIGHUP ends a process that does not ask for it, also during the start.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	var parsed options
+	parsed := options{Settings: os.Getenv(platform.SettingsVariable)}
 	parsed.Version = func() {
 		_, _ = fmt.Fprintln(os.Stdout, "flamingodoor-entry", version.Release())
 		os.Exit(0)
