Let the leading host confirm the configuration for the others

The leading host now tells the others how far it read and when; they read only what they miss. The time that it vouches for runs from the receiver's own clock in its last answer, so that a message long on its way is no news. Messages to a peer that does not answer hold up no others.

TestSilentPeerHoldsUpNobody fails when a round waits for its messages.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,8 +37,11 @@
 	// askedPeers of each data centre are asked for an instance that this host
 	// does not reach.
 	askedPeers = 4
-	// feedSlack covers the leading host's own reads and a lost message.
-	feedSlack = 600 * time.Millisecond
+	// feedPeers is how many peers of each kind a round of the leading host
+	// reaches: all that it feeds wait for their turn.
+	feedPeers = 24
+	// feedSlack covers the leading host's own reads and lost messages.
+	feedSlack = 1400 * time.Millisecond
 	// nearPeers and farPeers are how many peers of this data centre and of
 	// others a round reaches. Larger deployments take turns. Requests stay in
 	// their data centre while they can, so that the uses there matter most.
@@ -63,20 +66,22 @@
 // Exchanger shares with the other entry hosts.
 type Exchanger struct {
 	self      flamingodoor.EntryPeer
-	started   int64
+	started   time.Time
 	directory flamingodoor.HostDirectory
-	feed      flamingodoor.RegistrationFeed
+	feeds     Feeds
 	source    Source
 	sink      Sink
 	client    *http.Client
 	logger    log.Logger
 	now       func() time.Time
 	wake      chan struct{}
+	calls     sync.WaitGroup
 
 	mu       sync.Mutex
 	peers    map[string]*peer
 	sequence uint64
 	leaving  bool
+	everyone bool // the next round reaches all peers
 	nearTurn int
 	farTurn  int
 }
@@ -87,14 +92,21 @@
 	heard    time.Time
 	started  int64
 	sequence uint64
-	next     int64 // offset from which the peer follows the registrations
+	answer   *exchangev1.ShareResponse // the latest
+	busy     atomic.Bool               // a message is on its way
+}
+
+// Feeds pass on what the leading host reads from the platform.
+type Feeds struct {
+	Registrations flamingodoor.RegistrationFeed
+	Configuration flamingodoor.ConfigurationFeed
 }
 
 // New returns an exchanger.
-func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feed flamingodoor.RegistrationFeed, source Source, sink Sink, logger log.Logger) *Exchanger {
+func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Exchanger{
-		self: self, started: time.Now().UnixMilli(), directory: directory, feed: feed, source: source, sink: sink,
+		self: self, started: time.Now(), directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peer),
 	}
@@ -113,12 +125,10 @@
 	if e.accept(request.Msg, now) {
 		e.sink.Learn(request.Msg, now)
 	}
-	if batch := request.Msg.GetRegistrations(); batch != nil {
-		e.feed.Accept(flamingodoor.RegistrationBatch{
-			From: batch.GetFrom(), Next: batch.GetNext(), Records: batch.GetRecords(),
-		}, now.Add(e.feedLife()))
-	}
-	return connect.NewResponse(&exchangev1.ShareResponse{RegistrationsNext: e.feed.Next()}), nil
+	e.takeFeeds(request.Msg, now)
+	return connect.NewResponse(&exchangev1.ShareResponse{
+		RegistrationsNext: e.feeds.Registrations.Next(), ClockMs: e.clock(now),
+	}), nil
 }
 
 // Reach asks an instance for a host that does not reach it.
@@ -177,13 +187,6 @@
 	return peers
 }
 
-// feedLife is how long a batch stands for reads of the list: two turns of the
-// leading host among its peers.
-func (e *Exchanger) feedLife() time.Duration {
-	turns := (e.Hosts() + farPeers - 1) / farPeers
-	return feedSlack + time.Duration(2*turns)*shareEvery
-}
-
 // accept drops messages that arrive after newer ones.
 func (e *Exchanger) accept(message *exchangev1.ShareRequest, now time.Time) bool {
 	e.mu.Lock()
@@ -237,6 +240,14 @@
 	}
 }
 
+// HurryToAll shares with every peer at once.
+func (e *Exchanger) HurryToAll() {
+	e.mu.Lock()
+	e.everyone = true
+	e.mu.Unlock()
+	e.Hurry()
+}
+
 // Leave tells the others that this host stops.
 func (e *Exchanger) Leave() {
 	e.mu.Lock()
@@ -247,6 +258,7 @@
 
 // Run shares until the context ends.
 func (e *Exchanger) Run(ctx context.Context) {
+	defer e.calls.Wait()
 	ticker := time.NewTicker(shareEvery)
 	defer ticker.Stop()
 	for {
@@ -260,46 +272,32 @@
 	}
 }
 
+// round tells the next peers. One that has not answered the last message yet
+// is passed over, so that it does not hold up the others.
 func (e *Exchanger) round(ctx context.Context) {
 	request, peers := e.prepare()
-	var calls errgroup.Group
 	for _, each := range peers {
-		calls.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-			defer cancel()
-			response, err := each.client.Share(ctx, connect.NewRequest(e.withFeed(request, each)))
-			if err != nil {
-				_ = level.Debug(e.logger).Log("event", "share_failed", "peer", each.ID, "err", err)
-				return nil
-			}
-			e.mu.Lock()
-			each.next = response.Msg.GetRegistrationsNext()
-			e.mu.Unlock()
-			return nil
+		if !each.busy.CompareAndSwap(false, true) {
+			continue
+		}
+		e.calls.Go(func() {
+			defer each.busy.Store(false)
+			e.share(ctx, request, each)
 		})
 	}
-	_ = calls.Wait() // the next round replaces a lost one
 }
 
-// withFeed adds the registrations that the peer lacks, if this host leads.
-func (e *Exchanger) withFeed(request *exchangev1.ShareRequest, to *peer) *exchangev1.ShareRequest {
-	e.mu.Lock()
-	next := to.next
-	e.mu.Unlock()
-	if next == 0 || !e.source.Feeds() {
-		return request
-	}
-	batch, ok := e.feed.Since(next)
-	if !ok {
-		return request
-	}
-	fed := &exchangev1.ShareRequest{
-		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
-		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
-		Address: request.GetAddress(), DataCentre: request.GetDataCentre(),
-		Registrations: &exchangev1.RegistrationBatch{From: batch.From, Next: batch.Next, Records: batch.Records},
+func (e *Exchanger) share(ctx context.Context, request *exchangev1.ShareRequest, to *peer) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	response, err := to.client.Share(ctx, connect.NewRequest(e.withFeeds(request, to)))
+	if err != nil {
+		_ = level.Debug(e.logger).Log("event", "share_failed", "peer", to.ID, "err", err)
+		return
 	}
-	return fed
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	to.answer = response.Msg
 }
 
 func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer) {
@@ -307,7 +305,7 @@
 	e.mu.Lock()
 	e.sequence++
 	request := &exchangev1.ShareRequest{
-		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started, Sequence: e.sequence,
+		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started.UnixMilli(), Sequence: e.sequence,
 		Leaving: e.leaving,
 	}
 	var peers []*peer
@@ -317,8 +315,13 @@
 			peers = append(peers, each)
 		}
 	}
+	everyone := e.everyone
+	e.everyone = false
 	e.mu.Unlock()
 	e.source.Describe(request, now)
+	if everyone {
+		return request, peers
+	}
 	return request, e.choose(peers)
 }
 
@@ -333,7 +336,11 @@
 			far = append(far, each)
 		}
 	}
-	return append(inTurn(near, nearPeers, &e.nearTurn), inTurn(far, farPeers, &e.farTurn)...)
+	nearCount, farCount := nearPeers, farPeers
+	if e.source.Feeds() {
+		nearCount, farCount = feedPeers, feedPeers
+	}
+	return append(inTurn(near, nearCount, &e.nearTurn), inTurn(far, farCount, &e.farTurn)...)
 }
 
 // inTurn takes the next peers of a list, starting over at its end.
--- /dev/null
+++ b/internal/exchange/feed.go
@@ -0,0 +1,73 @@
+package exchange
+
+import (
+	"time"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+)
+
+// takeFeeds applies what the leading host read.
+func (e *Exchanger) takeFeeds(message *exchangev1.ShareRequest, now time.Time) {
+	until := now.Add(e.feedLife())
+	if records := message.GetRegistrations(); records != nil {
+		e.feeds.Registrations.Accept(batchOf(records), until)
+	}
+	configuration := message.GetConfiguration()
+	if configuration == nil {
+		return
+	}
+	// The sender made the message after it had this host's clock, so that the
+	// time on the way does not count as knowledge.
+	confirmed := e.started.Add(milliseconds(configuration.GetClockMs()) - milliseconds(configuration.GetAgeMs()))
+	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed, until)
+}
+
+// withFeeds adds what the peer lacks, if this host leads.
+func (e *Exchanger) withFeeds(request *exchangev1.ShareRequest, to *peer) *exchangev1.ShareRequest {
+	e.mu.Lock()
+	answer := to.answer
+	e.mu.Unlock()
+	if answer == nil || !e.source.Feeds() {
+		return request
+	}
+	fed := &exchangev1.ShareRequest{
+		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
+		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
+		Address: request.GetAddress(), DataCentre: request.GetDataCentre(),
+	}
+	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok {
+		fed.Registrations = messageOf(batch)
+	}
+	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
+		fed.Configuration = &exchangev1.Configuration{
+			Next: next, ClockMs: answer.GetClockMs(),
+			AgeMs: max(0, e.now().Sub(confirmed).Milliseconds()) + 1, // rounded up
+		}
+	}
+	return fed
+}
+
+// feedLife is how long a batch stands for reads: two turns of the leading host
+// among its peers.
+func (e *Exchanger) feedLife() time.Duration {
+	turns := (e.Hosts() + feedPeers - 1) / feedPeers
+	return feedSlack + time.Duration(2*turns)*shareEvery
+}
+
+// clock is the time since this process started, by its steady clock.
+func (e *Exchanger) clock(now time.Time) int64 {
+	return now.Sub(e.started).Milliseconds()
+}
+
+func milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+func batchOf(message *exchangev1.RecordBatch) flamingodoor.RecordBatch {
+	return flamingodoor.RecordBatch{From: message.GetFrom(), Next: message.GetNext(), Records: message.GetRecords()}
+}
+
+func messageOf(batch flamingodoor.RecordBatch) *exchangev1.RecordBatch {
+	return &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Records: batch.Records}
+}
--- /dev/null
+++ b/internal/exchange/feed_test.go
@@ -0,0 +1,146 @@
+package exchange_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/exchange"
+)
+
+// host is an entry host whose feeds and messages a test sees.
+type host struct {
+	*exchange.Exchanger
+	leads bool
+
+	mu        sync.Mutex
+	confirmed time.Time // told by the leading host, or its own
+	next      int64
+	learned   map[string]int
+}
+
+func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
+func (h *host) Withdraw(context.Context, string) error                 { return nil }
+
+func (h *host) Describe(*exchangev1.ShareRequest, time.Time)                {}
+func (h *host) Feeds() bool                                                 { return h.leads }
+func (h *host) Answers(context.Context, flamingodoor.Instance) (alive bool) { return true }
+
+func (h *host) Learn(request *exchangev1.ShareRequest, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.learned[request.GetHostId()]++
+}
+
+func (h *host) heard(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.learned[id]
+}
+
+func (h *host) Position() (int64, time.Time, bool) { return h.next, h.confirmed, h.leads }
+
+func (h *host) Follow(next int64, confirmed, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next, h.confirmed = next, confirmed
+}
+
+func (h *host) told() (int64, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next, h.confirmed
+}
+
+// noRegistrations feeds nothing.
+type noRegistrations struct{}
+
+func (noRegistrations) Next() int64 { return 1 }
+func (noRegistrations) Since(int64) (flamingodoor.RecordBatch, bool) {
+	return flamingodoor.RecordBatch{}, false
+}
+func (noRegistrations) Accept(batch flamingodoor.RecordBatch, _ time.Time) {}
+
+// directory lists all hosts of a test.
+type directory struct {
+	*host
+	all []flamingodoor.EntryPeer
+}
+
+func (d directory) Hosts(context.Context) ([]flamingodoor.EntryPeer, error) { return d.all, nil }
+
+// startHosts runs a leading host and others that know each other. An address
+// that is listed without a host never answers.
+func startHosts(t *testing.T, count int, silent ...flamingodoor.EntryPeer) []*host {
+	t.Helper()
+	hosts := make([]*host, count)
+	all := silent
+	servers := make([]*httptest.Server, count)
+	for i := range hosts {
+		hosts[i] = &host{leads: i == 0, learned: make(map[string]int)}
+		servers[i] = httptest.NewUnstartedServer(nil)
+		address := netip.MustParseAddrPort(servers[i].Listener.Addr().String())
+		all = append(all, flamingodoor.EntryPeer{ID: string(rune('a' + i)), Address: address, DataCentre: "dc"})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i, each := range hosts {
+		each.Exchanger = exchange.New(all[len(silent)+i], directory{each, all},
+			exchange.Feeds{Registrations: noRegistrations{}, Configuration: each}, each, each, log.NewNopLogger())
+		servers[i].Config.Handler = each.Handler()
+		servers[i].Start()
+		running.Go(func() { each.Run(ctx) })
+		running.Go(func() { each.RunDirectory(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		for _, server := range servers {
+			server.Close()
+		}
+	})
+	return hosts
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+// A confirmation counts from a moment before it was sent, so that a message
+// that was long on its way is no news.
+func TestConfirmationIsNeverTooLate(t *testing.T) {
+	const age = 700 * time.Millisecond
+	known := time.Now().Add(-age)
+	hosts := startHosts(t, 2)
+	hosts[0].Follow(9, known, time.Time{})
+	eventually(t, "no position", func() bool { next, _ := hosts[1].told(); return next == 9 })
+	_, confirmed := hosts[1].told()
+	assert.Assert(t, !confirmed.After(known.Add(2*time.Millisecond)), "%s after what the leading host knows", confirmed.Sub(known))
+	assert.Assert(t, confirmed.After(known.Add(-2*time.Second)))
+}
+
+// A host that takes messages and never answers holds up no message to others.
+func TestSilentPeerHoldsUpNobody(t *testing.T) {
+	silent := httptest.NewUnstartedServer(nil) // accepts connections without serving them
+	defer silent.Close()
+	address := netip.MustParseAddrPort(silent.Listener.Addr().String())
+	hosts := startHosts(t, 2, flamingodoor.EntryPeer{ID: "silent", Address: address, DataCentre: "dc"})
+	eventually(t, "nothing is heard", func() bool { return hosts[1].heard("a") > 0 })
+	before := hosts[1].heard("a")
+	time.Sleep(2 * time.Second)
+	assert.Assert(t, hosts[1].heard("a")-before >= 7, "%d messages in 2 s", hosts[1].heard("a")-before)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,9 @@
 	// followWait is how long one wait for changes of the configuration takes;
 	// its end confirms the configuration.
 	followWait = 2 * time.Second
+	// leaderWait is that of the leading host, whose confirmation others get
+	// by turns and second hand.
+	leaderWait = time.Second
 	// leaderReads is how often the leading host reads the registrations, which
 	// it passes on to the others.
 	leaderReads = 250 * time.Millisecond
@@ -86,13 +89,18 @@
 
 // Watcher follows the configuration and the registrations.
 type Watcher interface {
-	FollowOperators(ctx context.Context, wait time.Duration, book *catalogue.Book)
+	// FollowOperators waits for changes of the configuration, each time as long
+	// as `wait` says, unless the leading host does.
+	FollowOperators(ctx context.Context, wait func() time.Duration)
 	// FollowInstances reads the registrations as often as `every` says, unless
 	// they are fed.
 	FollowInstances(ctx context.Context, every func() time.Duration)
 	// Registrations returns the feed into the roster. `changed` is called after
 	// each read that brought news.
 	Registrations(instances *Instances, changed func()) flamingodoor.RegistrationFeed
+	// Configuration returns the follower that fills the book. `changed` is called after
+	// each read that brought news.
+	Configuration(book *catalogue.Book, changed func()) flamingodoor.ConfigurationFeed
 	Refresh()
 }
 
@@ -113,7 +121,6 @@
 	exchanger *exchange.Exchanger
 	planner   *planner.Planner
 	fleet     *fleet
-	feed      flamingodoor.RegistrationFeed
 	front     *frontServer
 }
 
@@ -132,9 +139,12 @@
 		Demand: g.demand, Logger: logger,
 	}, relay.WithObserver(metrics))
 	g.fleet = newFleet(g)
-	g.feed = platform.Watcher.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.passOn)
+	feeds := exchange.Feeds{
+		Registrations: platform.Watcher.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.passOn),
+		Configuration: platform.Watcher.Configuration(g.book, g.passConfiguration),
+	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre}
-	g.exchanger = exchange.New(self, platform.Directory, g.feed, g.fleet, g.fleet, logger)
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
 		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads,
 		Election:         platform.Election(g.electionLease()),
@@ -158,6 +168,22 @@
 	}
 }
 
+// passConfiguration tells all hosts of a change by the operators at once, if
+// this one leads.
+func (g *Gateway) passConfiguration() {
+	if g.planner.Leads() {
+		g.exchanger.HurryToAll()
+	}
+}
+
+// followFor is how long this host waits for a change by the operators.
+func (g *Gateway) followFor() time.Duration {
+	if g.planner.Leads() {
+		return leaderWait
+	}
+	return followWait
+}
+
 // readEvery is how often this host reads the registrations.
 func (g *Gateway) readEvery() time.Duration {
 	if g.planner.Leads() {
@@ -188,7 +214,7 @@
 	planning, stopPlanning := context.WithCancel(background)
 	defer stopPlanning()
 	for _, run := range []func(){
-		func() { g.platform.Watcher.FollowOperators(background, followWait, g.book) },
+		func() { g.platform.Watcher.FollowOperators(background, g.followFor) },
 		func() { g.platform.Watcher.FollowInstances(background, g.readEvery) },
 		func() { g.monitor.Run(background) },
 		func() { g.exchanger.Run(background) },
--- a/serving.go
+++ b/serving.go
@@ -147,9 +147,9 @@
 	HasPriority bool
 }
 
-// RegistrationBatch is what changed in the list of instances between two
-// offsets of the platform's log. Records are in the platform's format.
-type RegistrationBatch struct {
+// RecordBatch is what changed between two offsets of a topic of the platform's
+// log. Records are in the platform's format.
+type RecordBatch struct {
 	From    int64
 	Next    int64
 	Records [][]byte
@@ -162,10 +162,21 @@
 	Next() int64
 	// Since returns what changed from an offset on, or false if this host no
 	// longer knows.
-	Since(from int64) (RegistrationBatch, bool)
+	Since(from int64) (RecordBatch, bool)
 	// Accept applies a batch that follows what this host knows. Until the
 	// given time this host does not read the list itself.
-	Accept(batch RegistrationBatch, until time.Time)
+	Accept(batch RecordBatch, until time.Time)
+}
+
+// ConfigurationFeed tells how far a host read what operators wrote, so that
+// the others need not ask the platform whether there is news.
+type ConfigurationFeed interface {
+	// Position returns the offset of the next record and the time up to which
+	// nothing before it is missing, or false before the first read.
+	Position() (next int64, confirmed time.Time, known bool)
+	// Follow takes the position of another host. Until the second time this
+	// host reads only what is missing.
+	Follow(next int64, confirmed, until time.Time)
 }
 
 // InstanceClient asks instances and gives them orders.
