--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -9,9 +9,8 @@
 
 // takeFeeds applies what the leading host read.
 func (e *Exchanger) takeFeeds(message *exchangev1.ShareRequest, now time.Time) {
-	until := now.Add(e.feedLife())
 	if records := message.GetRegistrations(); records != nil {
-		e.feeds.Registrations.Accept(batchOf(records), until)
+		e.feeds.Registrations.Accept(batchOf(records), now.Add(e.feedLife()))
 	}
 	configuration := message.GetConfiguration()
 	if configuration == nil {
@@ -20,7 +19,7 @@
 	// The sender made the message after it had this host's clock, so that the
 	// time on the way does not count as knowledge.
 	confirmed := e.started.Add(milliseconds(configuration.GetClockMs()) - milliseconds(configuration.GetAgeMs()))
-	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed, until)
+	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed)
 }
 
 // withFeeds adds what the peer lacks, if this host leads.
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -48,7 +48,7 @@
 
 func (h *host) Position() (int64, time.Time, bool) { return h.next, h.confirmed, h.leads }
 
-func (h *host) Follow(next int64, confirmed, _ time.Time) {
+func (h *host) Follow(next int64, confirmed time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.next, h.confirmed = next, confirmed
@@ -126,7 +126,7 @@
 	const age = 700 * time.Millisecond
 	known := time.Now().Add(-age)
 	hosts := startHosts(t, 2)
-	hosts[0].Follow(9, known, time.Time{})
+	hosts[0].Follow(9, known)
 	eventually(t, "no position", func() bool { next, _ := hosts[1].told(); return next == 9 })
 	_, confirmed := hosts[1].told()
 	assert.Assert(t, !confirmed.After(known.Add(2*time.Millisecond)), "%s after what the leading host knows", confirmed.Sub(known))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,8 @@
 	// its end confirms the configuration.
 	followWait = 2 * time.Second
 	// leaderWait is that of the leading host, whose confirmation others get
-	// by turns and second hand.
-	leaderWait = time.Second
+	// by turns: it leaves them more than half of their patience.
+	leaderWait = 500 * time.Millisecond
 	// leaderReads is how often the leading host reads the registrations, which
 	// it passes on to the others.
 	leaderReads = 250 * time.Millisecond
--- a/serving.go
+++ b/serving.go
@@ -174,9 +174,8 @@
 	// Position returns the offset of the next record and the time up to which
 	// nothing before it is missing, or false before the first read.
 	Position() (next int64, confirmed time.Time, known bool)
-	// Follow takes the position of another host. Until the second time this
-	// host reads only what is missing.
-	Follow(next int64, confirmed, until time.Time)
+	// Follow takes the position of another host.
+	Follow(next int64, confirmed time.Time)
 }
 
 // InstanceClient asks instances and gives them orders.
