Name the process whose clock a confirmation repeats

Cause: the leading host kept the last answer of a host whose process was replaced. TestClockOfAnEarlierProcessConfirmsNothing fails without the check.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -127,7 +127,7 @@
 	}
 	e.takeFeeds(request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
-		RegistrationsNext: e.feeds.Registrations.Next(), ClockMs: e.clock(now),
+		RegistrationsNext: e.feeds.Registrations.Next(), Clock: e.clock(now),
 	}), nil
 }
 
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -13,12 +13,14 @@
 		e.feeds.Registrations.Accept(batchOf(records), now.Add(e.feedLife()))
 	}
 	configuration := message.GetConfiguration()
-	if configuration == nil {
+	clock := configuration.GetClock()
+	// The answer may be of an earlier process of this host.
+	if clock == nil || clock.GetStartedMs() != e.started.UnixMilli() {
 		return
 	}
 	// The sender made the message after it had this host's clock, so that the
 	// time on the way does not count as knowledge.
-	confirmed := e.started.Add(milliseconds(configuration.GetClockMs()) - milliseconds(configuration.GetAgeMs()))
+	confirmed := e.started.Add(milliseconds(clock.GetElapsedMs()) - milliseconds(configuration.GetAgeMs()))
 	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed)
 }
 
@@ -40,7 +42,7 @@
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		fed.Configuration = &exchangev1.Configuration{
-			Next: next, ClockMs: answer.GetClockMs(),
+			Next: next, Clock: answer.GetClock(),
 			AgeMs: max(0, e.now().Sub(confirmed).Milliseconds()) + 1, // rounded up
 		}
 	}
@@ -54,9 +56,8 @@
 	return feedSlack + time.Duration(2*turns)*shareEvery
 }
 
-// clock is the time since this process started, by its steady clock.
-func (e *Exchanger) clock(now time.Time) int64 {
-	return now.Sub(e.started).Milliseconds()
+func (e *Exchanger) clock(now time.Time) *exchangev1.Clock {
+	return &exchangev1.Clock{StartedMs: e.started.UnixMilli(), ElapsedMs: now.Sub(e.started).Milliseconds()}
 }
 
 func milliseconds(count int64) time.Duration {
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -2,24 +2,28 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1/exchangev1connect"
 	"flamingodoor.example/flamingodoor/internal/exchange"
 )
 
 // host is an entry host whose feeds and messages a test sees.
 type host struct {
 	*exchange.Exchanger
-	leads bool
+	leads   bool
+	address netip.AddrPort
 
 	mu        sync.Mutex
 	confirmed time.Time // told by the leading host, or its own
@@ -88,6 +92,7 @@
 		hosts[i] = &host{leads: i == 0, learned: make(map[string]int)}
 		servers[i] = httptest.NewUnstartedServer(nil)
 		address := netip.MustParseAddrPort(servers[i].Listener.Addr().String())
+		hosts[i].address = address
 		all = append(all, flamingodoor.EntryPeer{ID: string(rune('a' + i)), Address: address, DataCentre: "dc"})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -144,3 +149,29 @@
 	time.Sleep(2 * time.Second)
 	assert.Assert(t, hosts[1].heard("a")-before >= 7, "%d messages in 2 s", hosts[1].heard("a")-before)
 }
+
+// Pattern: hosts are replaced one after the other. The leading host still has
+// the clock of a host's earlier process, which ran for longer: its message once
+// confirmed the configuration for as long ahead.
+func TestClockOfAnEarlierProcessConfirmsNothing(t *testing.T) {
+	hosts := startHosts(t, 1)
+	client := exchangev1connect.NewExchangeServiceClient(http.DefaultClient, "http://"+hosts[0].address.String())
+	message := func(sequence uint64, clock *exchangev1.Clock) *exchangev1.ShareRequest {
+		return &exchangev1.ShareRequest{
+			HostId: "b", Address: "127.0.0.1:1", Sequence: sequence, Configuration: &exchangev1.Configuration{Next: 9, Clock: clock},
+		}
+	}
+	answer, err := client.Share(t.Context(), connect.NewRequest(message(1, nil)))
+	assert.NilError(t, err)
+	clock := answer.Msg.GetClock()
+	earlier := &exchangev1.Clock{StartedMs: clock.GetStartedMs() - 20_000, ElapsedMs: 19_000}
+	_, err = client.Share(t.Context(), connect.NewRequest(message(2, earlier)))
+	assert.NilError(t, err)
+	next, _ := hosts[0].told()
+	assert.Equal(t, next, int64(0))
+	_, err = client.Share(t.Context(), connect.NewRequest(message(3, clock)))
+	assert.NilError(t, err)
+	next, confirmed := hosts[0].told()
+	assert.Equal(t, next, int64(9))
+	assert.Assert(t, !confirmed.After(time.Now()))
+}
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -105,6 +105,11 @@
 	if len(choices) > 0 {
 		p.noteDemand(models)
 	}
+	if p.Quiet() && (len(choices) > 0 || len(p.pending) > 0) {
+		// Loads are short until the first request: they wait for the groups that
+		// show what each domain may need.
+		return choices
+	}
 	p.stage(ctx, service, view, byID, p.models(service, counts, len(view.ByService[service.Name])), now)
 	return choices
 }
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -25,13 +25,10 @@
 // left of the weight store, so that they can serve any model later.
 func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
 	quiet := p.Quiet()
-	if quiet && len(p.pending) > 0 {
-		return
-	}
 	p.forgetLoads(view)
 	targets := p.completing(service.Engine, idle, models, now)
 	if quiet {
-		targets = p.anyIdle(service.Engine, idle, models, now)
+		targets = p.anyIdle(service, view, idle, models, now)
 	}
 	targets = append(targets, p.membersLacking(service, view, idle, targets, models, now)...)
 	var orders errgroup.Group
@@ -153,16 +150,13 @@
 	return targets, true
 }
 
-// anyIdle gives every empty instance the model that is short of groups, while
+// anyIdle gives every empty instance the model that its domain may need, while
 // loads are short and free.
-func (p *Planner) anyIdle(engine *flamingodoor.EngineSpec, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) []stageTarget {
-	needed, ok := neediest(models)
-	if !ok {
-		return nil
-	}
+func (p *Planner) anyIdle(service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) []stageTarget {
 	var targets []stageTarget
 	for _, instance := range idle {
-		if len(p.weightsHeld(engine, instance, now)) == 0 {
+		needed, ok := p.spareModel(view, service.Name, instance.FabricDomain, models)
+		if ok && len(p.weightsHeld(service.Engine, instance, now)) == 0 {
 			targets = append(targets, stageTarget{instance: instance, modelID: needed, idle: true})
 		}
 	}
@@ -177,20 +171,29 @@
 	if !ok {
 		return nil
 	}
-	var targets []stageTarget
+	var spares, targets []stageTarget
 	for _, entry := range view.ByService[service.Name] {
 		_, free := idle[entry.ID]
-		if free && !p.idleForGood(service.Engine, entry.Instance, chosen, needed, now) {
+		wanted := needed
+		if free {
+			wanted, _ = p.spareModel(view, service.Name, entry.FabricDomain, models)
+		}
+		if free && !p.idleForGood(service.Engine, entry.Instance, chosen, wanted, now) {
 			continue
 		}
 		if (!free && entry.Membership.Group == "") || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
 			continue
 		}
-		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
+		modelID, lacks := p.lacking(service.Engine, entry.Instance, wanted, now)
+		switch {
+		case !lacks:
+		case free:
+			spares = append(spares, stageTarget{instance: entry.Instance, modelID: modelID, idle: true})
+		default:
 			targets = append(targets, stageTarget{instance: entry.Instance, modelID: modelID})
 		}
 	}
-	return targets
+	return append(spares, targets...)
 }
 
 // idleForGood reports whether an idle instance lacks the needed model and no
