Give spares the weights of their domain's groups

When members of large groups were lost, six survivors and two spares stood idle for 16 s. Until the first request spares now wait for the groups, and get the model whose groups in their domain lose most by a loss.

--- a/internal/planner/spare.go
+++ b/internal/planner/spare.go
@@ -8,29 +8,26 @@
 )
 
 // spareModel names the model whose weights an idle instance of a domain should
-// hold. A group there that loses a member gets it at once, which counts whole;
-// as part of one more group it counts for its share.
+// hold: the one whose groups there lose most by the loss of one instance. In a
+// domain without groups it is the one that is needed most everywhere.
 func (p *Planner) spareModel(view *roster.View, service, domain string, models []formation.Model) (string, bool) {
+	members := make(map[string]int)
+	for _, group := range view.Groups {
+		if group.Service == service && group.FabricDomain == domain && p.dissolving[group.Key()] == nil {
+			members[group.ModelID] += len(group.Members)
+		}
+	}
 	present := formation.Value(models)
-	best, most := "", 0.0
+	best, loss := "", 0.0
 	for i, model := range models {
-		changed := slices.Clone(models)
-		changed[i].Groups = model.Groups + 1
-		worth := (formation.Value(changed) - present) / float64(max(1, model.Size))
-		if p.servesIn(view, service, domain, model.ID) {
-			changed[i].Groups = max(0, model.Groups-1)
-			worth += present - formation.Value(changed)
-		}
-		if worth > most {
-			best, most = model.ID, worth
+		fewer := slices.Clone(models)
+		fewer[i].Groups = max(0, fewer[i].Groups-1)
+		if expected := float64(members[model.ID]) * (present - formation.Value(fewer)); expected > loss {
+			best, loss = model.ID, expected
 		}
 	}
-	return best, best != ""
-}
-
-// servesIn reports whether a group of the model is in the domain.
-func (p *Planner) servesIn(view *roster.View, service, domain, modelID string) bool {
-	return slices.ContainsFunc(view.Groups, func(group *roster.Group) bool {
-		return group.Service == service && group.FabricDomain == domain && group.ModelID == modelID && p.dissolving[group.Key()] == nil
-	})
+	if best == "" {
+		return neediest(models)
+	}
+	return best, true
 }
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -171,29 +171,20 @@
 	if !ok {
 		return nil
 	}
-	var spares, targets []stageTarget
+	var targets []stageTarget
 	for _, entry := range view.ByService[service.Name] {
 		_, free := idle[entry.ID]
-		wanted := needed
-		if free {
-			wanted, _ = p.spareModel(view, service.Name, entry.FabricDomain, models)
-		}
-		if free && !p.idleForGood(service.Engine, entry.Instance, chosen, wanted, now) {
+		if free && !p.idleForGood(service.Engine, entry.Instance, chosen, needed, now) {
 			continue
 		}
 		if (!free && entry.Membership.Group == "") || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
 			continue
 		}
-		modelID, lacks := p.lacking(service.Engine, entry.Instance, wanted, now)
-		switch {
-		case !lacks:
-		case free:
-			spares = append(spares, stageTarget{instance: entry.Instance, modelID: modelID, idle: true})
-		default:
+		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
 			targets = append(targets, stageTarget{instance: entry.Instance, modelID: modelID})
 		}
 	}
-	return append(spares, targets...)
+	return targets
 }
 
 // idleForGood reports whether an idle instance lacks the needed model and no
