Keep the turns among peers within the time that a host counts as alive

Cause: the bound of 40 messages a second made a turn among 42 far peers 3.15 s long, while a host counts as gone after 3 s without news. Only the leading host's messages stay bounded; the others reach 6 instead of 12 near peers a round, 60 messages a second at most after 90.

TestEveryPeerHearsOftenEnough fails on the code before (1 message in 3 s). Deployments of up to 7 hosts send as before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,13 +22,11 @@
 )
 
 const (
-	// shareEvery is the age that uses of other hosts have at most in small
-	// deployments.
+	// shareEvery separates two rounds; in deployments of up to 7 hosts each
+	// round reaches all peers.
 	shareEvery = 200 * time.Millisecond
-	// sendRate and feedRate bound the messages of a host a second, and of the
-	// leading one, so that processor time is left for requests. Deployments of
-	// up to 9 hosts stay below the first.
-	sendRate = 40
+	// feedRate bounds the messages a second of the leading host, so that
+	// processor time is left for requests.
 	feedRate = 120
 	// shareTimeout lets a lost packet be sent again once.
 	shareTimeout = 500 * time.Millisecond
@@ -52,7 +50,7 @@
 	// nearPeers and farPeers are how many peers of this data centre and of
 	// others a round reaches. Larger deployments take turns. Requests stay in
 	// their data centre while they can, so that the uses there matter most.
-	nearPeers = 12
+	nearPeers = 6
 	farPeers  = 6
 )
 
@@ -281,11 +279,10 @@
 
 // pauseAfter returns when the next round is due after one of so many messages.
 func (e *Exchanger) pauseAfter(messages int) time.Duration {
-	rate := sendRate
-	if e.source.Feeds() {
-		rate = feedRate
+	if !e.source.Feeds() {
+		return shareEvery
 	}
-	return max(shareEvery, time.Duration(messages)*time.Second/time.Duration(rate))
+	return max(shareEvery, time.Duration(messages)*time.Second/feedRate)
 }
 
 // round tells the next peers. One that has not answered the last message yet
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +212,55 @@
 		t.Fatal("the batch was passed on")
 	}
 }
+
+// counter is a peer that counts messages.
+type counter struct {
+	exchangev1connect.UnimplementedExchangeServiceHandler
+	messages atomic.Int32
+}
+
+func (c *counter) Share(context.Context, *connect.Request[exchangev1.ShareRequest]) (*connect.Response[exchangev1.ShareResponse], error) {
+	c.messages.Add(1)
+	return connect.NewResponse(&exchangev1.ShareResponse{}), nil
+}
+
+// Pattern: 62 hosts in three data centres. With turns that took longer than a
+// host counts as alive without news, each host took the fleet for smaller than
+// it is, and its share of the limits for larger (FAILBACK).
+func TestEveryPeerHearsOftenEnough(t *testing.T) {
+	const (
+		near, far = 20, 41
+		aliveFor  = 3 * time.Second
+		// leastMessages leaves room for one that is lost.
+		leastMessages = 2
+	)
+	self := flamingodoor.EntryPeer{ID: "self", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "dc-0"}
+	all := []flamingodoor.EntryPeer{self}
+	peers := make([]*counter, near+far)
+	for i := range peers {
+		peers[i] = &counter{}
+		mux := http.NewServeMux()
+		mux.Handle(exchangev1connect.NewExchangeServiceHandler(peers[i]))
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		dataCentre := "dc-0"
+		if i >= near {
+			dataCentre = "dc-1"
+		}
+		all = append(all, flamingodoor.EntryPeer{
+			ID: "peer-" + strconv.Itoa(i), Address: netip.MustParseAddrPort(server.Listener.Addr().String()), DataCentre: dataCentre,
+		})
+	}
+	sender := &host{list: registrations{onRead: func(int64) {}}}
+	sender.Exchanger = exchange.New(self, directory{sender, all},
+		exchange.Feeds{Registrations: sender.list, Configuration: sender}, sender, sender, log.NewNopLogger())
+	ctx, cancel := context.WithTimeout(t.Context(), aliveFor)
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { sender.RunDirectory(ctx) })
+	sender.Run(ctx)
+	running.Wait()
+	for i, each := range peers {
+		assert.Assert(t, each.messages.Load() >= leastMessages, "peer %d: %d messages", i, each.messages.Load())
+	}
+}
