--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -235,7 +235,8 @@
 		leastMessages = 2
 	)
 	self := flamingodoor.EntryPeer{ID: "self", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "dc-0"}
-	all := []flamingodoor.EntryPeer{self}
+	all := make([]flamingodoor.EntryPeer, 0, 1+near+far)
+	all = append(all, self)
 	peers := make([]*counter, near+far)
 	for i := range peers {
 		peers[i] = &counter{}
