--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -28,6 +28,7 @@
 	listener net.Listener
 }
 
+// NewFrontServer returns a server with the default limits and no connections yet.
 func NewFrontServer(handler http.Handler) *FrontServer {
 	f := &FrontServer{handler: handler}
 	f.Apply(defaultLimits)
