Divide the rate of cold instances among all hosts

Hosts that were cut off from each other, or had just started, counted fewer peers and took a larger part still. Change: of the rate, hosts get whole parts, and the rest goes to the first hosts in rendezvous order of the instance. A peer keeps its part for a minute without news unless it said that it stops. Requests that a cold instance does not bear go to warm ones; before, the emptiest instance was chosen first. Before: tests send 62 of 23, and 503 with a warm instance free. After: 23 of 23 and 200.

--- /dev/null
+++ b/internal/cold/limiter_test.go
@@ -0,0 +1,100 @@
+package cold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/cold"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func coldInstance(id string) flamingodoor.Instance {
+	return flamingodoor.Instance{ID: id, ColdUntil: start.Add(time.Minute)}
+}
+
+// limiters returns those of so many hosts that know each other.
+func limiters(count int) []*cold.Limiter {
+	ids := make([]string, 0, count)
+	for i := range count {
+		ids = append(ids, fmt.Sprintf("host-%d", i))
+	}
+	all := make([]*cold.Limiter, 0, count)
+	for _, id := range ids {
+		limiter := cold.NewLimiter(id)
+		limiter.SetHosts(ids)
+		all = append(all, limiter)
+	}
+	return all
+}
+
+// A data centre comes back cold before a fleet of more hosts than the requests
+// a second that an instance bears: with at least one for each host, 62 hosts
+// sent 48 to an instance that bears 23.
+func TestAllHostsTogetherKeepTheRate(t *testing.T) {
+	for _, hosts := range []int{1, 6, 7, 23, 62, 75, 390} {
+		for _, rate := range []float64{0.5, 1, 12, 23} {
+			all := limiters(hosts)
+			sent := 0
+			for range 30 {
+				for _, limiter := range all {
+					if limiter.Take(coldInstance("i-1"), rate, start) {
+						sent++
+					}
+				}
+			}
+			assert.Equal(t, sent, max(1, int(rate)), "%d hosts, %g a second", hosts, rate)
+		}
+	}
+}
+
+// Cold instances are spread over the hosts, so that no host has to take the
+// requests for all of them.
+func TestColdInstancesBelongToDifferentHosts(t *testing.T) {
+	const hosts, instances, rate = 62, 60, 23
+	shares := make([]int, hosts)
+	for i := range instances {
+		for at, limiter := range limiters(hosts) {
+			if limiter.Take(coldInstance(fmt.Sprintf("i-%d", i)), rate, start) {
+				shares[at]++
+			}
+		}
+	}
+	for at, share := range shares {
+		assert.Assert(t, share >= rate*instances/hosts/3, "host %d takes %d", at, share)
+	}
+}
+
+func TestRoomReturnsAfterASecond(t *testing.T) {
+	limiter := limiters(1)[0]
+	instance := coldInstance("i-1")
+	for range 3 {
+		assert.Assert(t, limiter.HasRoom(instance, 3, start))
+		assert.Assert(t, limiter.Take(instance, 3, start))
+	}
+	assert.Assert(t, !limiter.HasRoom(instance, 3, start.Add(999*time.Millisecond)))
+	assert.Assert(t, !limiter.Take(instance, 3, start.Add(999*time.Millisecond)))
+	assert.Assert(t, limiter.Take(instance, 3, start.Add(time.Second)))
+}
+
+// Pattern: all hosts restart at once while instances are cold. A host that took
+// itself for the only one sent each of them all that it bears.
+func TestHostThatKnowsNoOthersSendsNothing(t *testing.T) {
+	limiter := cold.NewLimiter("host-1")
+	assert.Assert(t, !limiter.HasRoom(coldInstance("i-1"), 23, start))
+	assert.Assert(t, !limiter.Take(coldInstance("i-1"), 23, start))
+	limiter.SetHosts([]string{"host-1"})
+	assert.Assert(t, limiter.Take(coldInstance("i-1"), 23, start))
+}
+
+func TestWarmInstancesAndServicesWithoutARateHaveNoLimit(t *testing.T) {
+	limiter := cold.NewLimiter("host-1")
+	for range 100 {
+		assert.Assert(t, limiter.Take(coldInstance("i-1"), 0, start))
+		assert.Assert(t, limiter.Take(coldInstance("i-2"), 1, start.Add(time.Minute)))
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -33,6 +33,10 @@
 	dialTimeout  = 300 * time.Millisecond
 	// peerLife is how long a peer counts as an entry host without news.
 	peerLife = 3 * time.Second
+	// limitLife is how long a peer counts for the limits that all hosts share:
+	// a cut between hosts, which still reach the endpoints, must not make each
+	// of them take the whole limit. It is longer than a usual partition.
+	limitLife = time.Minute
 	// listEvery is how often the list of hosts is read: new hosts announce
 	// themselves by sharing, so that it serves the first contact alone.
 	listEvery = 30 * time.Second
@@ -86,6 +90,7 @@
 	peers    map[string]*peer
 	sequence uint64
 	leaving  bool
+	listed   bool // the list of hosts was read
 	everyone bool // the next round reaches all peers
 	nearTurn int
 	farTurn  int
@@ -94,7 +99,9 @@
 type peer struct {
 	flamingodoor.EntryPeer
 	client   exchangev1connect.ExchangeServiceClient
+	added    time.Time
 	heard    time.Time
+	left     bool // it said that it stops
 	started  int64
 	sequence uint64
 	answer   *exchangev1.ShareResponse // the latest
@@ -107,14 +114,27 @@
 	Configuration flamingodoor.ConfigurationFeed
 }
 
+// Option changes a setting of an Exchanger.
+type Option func(*Exchanger)
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option {
+	return func(e *Exchanger) { e.now = now }
+}
+
 // New returns an exchanger.
-func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger) *Exchanger {
+func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Exchanger{
-		self: self, started: time.Now(), directory: directory, feeds: feeds, source: source, sink: sink,
+	e := &Exchanger{
+		self: self, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
 		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peer),
 	}
+	for _, option := range options {
+		option(e)
+	}
+	e.started = e.now()
+	return e
 }
 
 // Handler serves the other hosts.
@@ -210,14 +230,15 @@
 		return false
 	}
 	known.started, known.sequence, known.heard = message.GetStartedMs(), message.GetSequence(), now
-	if message.GetLeaving() {
+	known.left = message.GetLeaving()
+	if known.left {
 		known.heard = time.Time{}
 	}
 	return true
 }
 
 func (e *Exchanger) add(host flamingodoor.EntryPeer) *peer {
-	made := &peer{EntryPeer: host, client: exchangev1connect.NewExchangeServiceClient(e.client, "http://"+host.Address.String())}
+	made := &peer{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(e.client, "http://"+host.Address.String())}
 	e.peers[host.ID] = made
 	return made
 }
@@ -237,6 +258,32 @@
 	return count
 }
 
+// Listed reports whether this host has read the list of hosts.
+func (e *Exchanger) Listed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listed
+}
+
+// LimitHosts returns the entry hosts among which the limits that all share are
+// divided, this one included.
+func (e *Exchanger) LimitHosts() []string {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hosts := []string{e.self.ID}
+	for _, each := range e.peers {
+		news := each.heard
+		if news.IsZero() {
+			news = each.added
+		}
+		if !each.left && now.Sub(news) < limitLife {
+			hosts = append(hosts, each.ID)
+		}
+	}
+	return hosts
+}
+
 // Hurry shares at once.
 func (e *Exchanger) Hurry() {
 	select {
@@ -409,5 +456,6 @@
 		}
 		e.add(host)
 	}
+	e.listed = true
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,7 @@
 	g.book = catalogue.New(g.configured)
 	g.monitor = stall.New(g.inspect, g.groupStalled, func() int { return g.exchanger.Hosts() }, time.Now)
 	g.relay = relay.New(relay.Parts{
-		Headers: platform.Headers, Limits: settings.Limits, DataCentre: settings.DataCentre, Book: g.book,
+		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Book: g.book,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, Strikes: g.strikes,
 		Demand: g.demand, Logger: logger,
 	}, relay.WithObserver(metrics))
@@ -340,7 +340,9 @@
 			return
 		case <-ticker.C:
 			g.pool.Expire()
-			g.relay.SetHosts(g.exchanger.Hosts())
+			if g.exchanger.Listed() {
+				g.relay.SetHosts(g.exchanger.LimitHosts())
+			}
 		}
 	}
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -75,27 +75,23 @@
 		return place{}, errFull
 	}
 	now := r.now()
-	view := r.roster.View()
-	var places map[string]place
-	var candidates []balance.Candidate
-	if j.service.Engine != nil {
-		candidates, places = r.groupCandidates(j, view, now)
-	} else {
-		candidates, places = r.plainCandidates(j, view, now)
-	}
-	if len(candidates) == 0 {
+	found := r.choices(j, r.roster.View(), now)
+	if len(found.candidates) == 0 {
+		if found.limited {
+			return place{}, errFull
+		}
 		return place{}, errNoInstance
 	}
-	id, ok := r.tracker.Pick(candidates)
+	id, ok := r.tracker.Pick(found.candidates)
 	if !ok {
 		return place{}, errFull
 	}
-	found := places[id]
-	if !r.cold.allow(found.instance, r.coldShare(j.service), now) {
+	chosen := found.places[id]
+	if !r.cold.Take(chosen.instance, j.service.ColdRate, now) {
 		r.tracker.Release(id)
 		return place{}, errFull
 	}
-	return found, nil
+	return chosen, nil
 }
 
 // waitingRoom counts the first attempts that wait for a place.
@@ -134,29 +130,63 @@
 	return w.counts[waitingFor{service: j.service.Name, model: j.model}] > 0
 }
 
-func (r *Relay) groupCandidates(j *job, view *roster.View, now time.Time) ([]balance.Candidate, map[string]place) {
+// choices are the instances that may get a job.
+type choices struct {
+	candidates []balance.Candidate
+	places     map[string]place
+	limited    bool // a cold instance is left out that bears no more requests now
+}
+
+func (r *Relay) choices(j *job, view *roster.View, now time.Time) choices {
+	found := choices{places: make(map[string]place)}
+	if j.service.Engine != nil {
+		r.addGroups(&found, j, view, now)
+	} else {
+		r.addPlain(&found, j, view, now)
+	}
+	return found
+}
+
+func (r *Relay) addGroups(found *choices, j *job, view *roster.View, now time.Time) {
 	size := 0
 	for _, model := range j.service.Engine.Models {
 		if model.ID == j.model {
 			size = model.Size
 		}
 	}
-	places := make(map[string]place)
-	var candidates []balance.Candidate
 	for _, group := range view.Groups {
-		if group.Service != j.service.Name || group.ModelID != j.model || !view.Serving(group, size, now) {
-			continue
+		if group.Service == j.service.Name && group.ModelID == j.model && view.Serving(group, size, now) {
+			r.addChoice(found, j, place{instance: group.Head().Instance, group: group}, now)
 		}
-		head := group.Head()
-		if j.avoid[head.ID] || r.book.Evacuated(group.DataCentre) {
-			continue
+	}
+}
+
+func (r *Relay) addPlain(found *choices, j *job, view *roster.View, now time.Time) {
+	for _, entry := range view.ByService[j.service.Name] {
+		if !entry.Leaving && !view.Lost(entry.Instance, now) {
+			r.addChoice(found, j, place{instance: entry.Instance}, now)
 		}
-		places[head.ID] = place{instance: head.Instance, group: group}
-		candidates = append(candidates, balance.Candidate{
-			ID: head.ID, Capacity: j.capacity(head.Slots), Speed: r.monitor.Speed(head.ID), Local: group.DataCentre == r.local,
-		})
 	}
-	return candidates, places
+}
+
+// addChoice adds an instance unless the job or the moment rules it out.
+func (r *Relay) addChoice(found *choices, j *job, at place, now time.Time) {
+	instance := at.instance
+	if j.avoid[instance.ID] || r.book.Evacuated(instance.DataCentre) {
+		return
+	}
+	if !r.cold.HasRoom(instance, j.service.ColdRate, now) {
+		found.limited = true
+		return
+	}
+	capacity := instance.Slots
+	if at.group != nil {
+		capacity = j.capacity(instance.Slots)
+	}
+	found.places[instance.ID] = at
+	found.candidates = append(found.candidates, balance.Candidate{
+		ID: instance.ID, Capacity: capacity, Speed: r.monitor.Speed(instance.ID), Local: instance.DataCentre == r.local,
+	})
 }
 
 // resumeReserve of a group's slots, one in so many, is room beyond them for
@@ -170,56 +200,3 @@
 	}
 	return slots
 }
-
-func (r *Relay) plainCandidates(j *job, view *roster.View, now time.Time) ([]balance.Candidate, map[string]place) {
-	places := make(map[string]place)
-	var candidates []balance.Candidate
-	for _, entry := range view.ByService[j.service.Name] {
-		if entry.Leaving || j.avoid[entry.ID] || r.book.Evacuated(entry.DataCentre) || view.Lost(entry.Instance, now) {
-			continue
-		}
-		places[entry.ID] = place{instance: entry.Instance}
-		candidates = append(candidates, balance.Candidate{
-			ID: entry.ID, Capacity: entry.Slots, Speed: r.monitor.Speed(entry.ID), Local: entry.DataCentre == r.local,
-		})
-	}
-	return candidates, places
-}
-
-func (r *Relay) coldShare(service flamingodoor.ServiceSpec) int {
-	if service.ColdRate <= 0 {
-		return 0
-	}
-	return max(1, int(service.ColdRate/float64(r.hosts.Load())))
-}
-
-// coldLimiter bounds the requests a second to each cold instance.
-type coldLimiter struct {
-	mu    sync.Mutex
-	sends map[string][]time.Time
-}
-
-func newColdLimiter() *coldLimiter {
-	return &coldLimiter{sends: make(map[string][]time.Time)}
-}
-
-// allow takes one of `share` requests a second; a share of 0 has no limit.
-func (c *coldLimiter) allow(instance flamingodoor.Instance, share int, now time.Time) bool {
-	if share == 0 || !now.Before(instance.ColdUntil) {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	recent := c.sends[instance.ID][:0]
-	for _, sent := range c.sends[instance.ID] {
-		if now.Sub(sent) < time.Second {
-			recent = append(recent, sent)
-		}
-	}
-	allowed := len(recent) < share
-	if allowed {
-		recent = append(recent, now)
-	}
-	c.sends[instance.ID] = recent
-	return allowed
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"flamingodoor.example/flamingodoor/internal/admission"
 	"flamingodoor.example/flamingodoor/internal/balance"
 	"flamingodoor.example/flamingodoor/internal/catalogue"
+	"flamingodoor.example/flamingodoor/internal/cold"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/upstream"
@@ -77,7 +78,7 @@
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // by service
 	allowed map[string]time.Duration          // longest deadline of callers, by route
-	cold    *coldLimiter
+	cold    *cold.Limiter
 	waiting *waitingRoom
 }
 
@@ -104,6 +105,7 @@
 type Parts struct {
 	Headers    Headers
 	Limits     Limits
+	HostID     string
 	DataCentre string
 	Book       *catalogue.Book
 	Roster     *roster.Roster
@@ -122,13 +124,13 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: newColdLimiter(), waiting: newWaitingRoom(),
+		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: cold.NewLimiter(parts.HostID), waiting: newWaitingRoom(),
 	}
 	for _, option := range options {
 		option(r)
 	}
 	r.limits.Store(&parts.Limits)
-	r.SetHosts(1)
+	r.hosts.Store(1)
 	return r
 }
 
@@ -144,8 +146,9 @@
 }
 
 // SetHosts tells among how many entry hosts the limits are divided.
-func (r *Relay) SetHosts(count int) {
-	count = max(1, count)
+func (r *Relay) SetHosts(hosts []string) {
+	r.cold.SetHosts(hosts)
+	count := max(1, len(hosts))
 	if r.hosts.Swap(int64(count)) == int64(count) {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,7 +105,7 @@
 	s.monitor = monitor
 	s.relay = relay.New(relay.Parts{
 		Headers: headers, Limits: relay.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
-		DataCentre: "dc-a", Book: s.book, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
+		HostID: "host-1", DataCentre: "dc-a", Book: s.book, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
 		Monitor: monitor, Strikes: poison.New(), Demand: relay.NewDemand(), Logger: log.NewNopLogger(),
 	}, options...)
 	s.book.Configure(&flamingodoor.Catalogue{
@@ -401,7 +401,7 @@
 	changed.Version++
 	changed.Services = map[string]flamingodoor.ServiceSpec{"plain": {Name: "plain", ColdRate: 12}}
 	s.book.Configure(&changed)
-	s.relay.SetHosts(3)
+	s.relay.SetHosts([]string{"host-1", "host-2", "host-3"})
 	served := 0
 	for range 10 {
 		if s.ask("/post/x").status == http.StatusOK {
@@ -410,3 +410,21 @@
 	}
 	assert.Equal(t, served, 4)
 }
+
+// A data centre is back cold: its instances are the emptiest, but requests that
+// they do not bear go to the warm ones.
+func TestWarmInstancesServeBesideAColdOne(t *testing.T) {
+	s := newScene(t)
+	e := newEndpoint(t, signed("done"))
+	cold, warm := e.instance("i-1", "plain"), e.instance("i-2", "plain")
+	cold.Slots, cold.ColdUntil = 1000, time.Now().Add(time.Minute)
+	s.list(cold, warm)
+	changed := *s.book.Index().Catalogue
+	changed.Version++
+	changed.Services = map[string]flamingodoor.ServiceSpec{"plain": {Name: "plain", ColdRate: 1}}
+	s.book.Configure(&changed)
+	s.relay.SetHosts([]string{"host-1"})
+	for range 10 {
+		assert.Equal(t, s.ask("/post/x").status, http.StatusOK)
+	}
+}
