Keep a new group from being flooded and then given up by hosts

All hosts found the new group empty until the others had told their work, and sent it several times its places: 503, then a queue. A host whose requests waited in that queue saw no event for 1.2 s and ended the group for all, which left more to wait. Ruled out: members that do not answer (all inspections found every member alive at pace 1). Change: at a group that opened within the time that hosts take to hear of each other, each host uses its part of the places, in rendezvous order. A stall needs two inspections between which the work at the head did not change. An instance that turned a request away gets nothing for 100 ms, or 500 ms after a 421.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 type Candidate struct {
 	ID       string
 	Capacity int     // requests at once
+	Own      int     // of this host at most
 	Speed    float64 // relative to the nominal speed
 	Local    bool    // in this host's data centre
 }
@@ -24,8 +26,9 @@
 type Tracker struct {
 	mu      sync.Mutex
 	own     map[string]int
-	peers   map[string]peerUse // by host
-	total   map[string]int     // of all peers
+	peers   map[string]peerUse   // by host
+	total   map[string]int       // of all peers
+	refused map[string]time.Time // until when an instance gets nothing
 	changed chan struct{}
 }
 
@@ -38,19 +41,19 @@
 func New() *Tracker {
 	return &Tracker{
 		own: make(map[string]int), peers: make(map[string]peerUse), total: make(map[string]int),
-		changed: make(chan struct{}),
+		refused: make(map[string]time.Time), changed: make(chan struct{}),
 	}
 }
 
 // Pick reserves a place at the candidate with the most room, and prefers one
 // of this data centre if it is about as free. Without room it returns false.
-func (t *Tracker) Pick(candidates []Candidate) (string, bool) {
+func (t *Tracker) Pick(candidates []Candidate, now time.Time) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best, bestScore := -1, 0.0
 	for i, candidate := range candidates {
 		used := t.own[candidate.ID] + t.total[candidate.ID]
-		if used >= candidate.Capacity {
+		if used >= candidate.Capacity || t.own[candidate.ID] >= candidate.Own || now.Before(t.refused[candidate.ID]) {
 			continue
 		}
 		score := t.score(candidate, used)
@@ -87,6 +90,15 @@
 	return score
 }
 
+// Refuse keeps new work off an instance that turned a request away until the
+// deadline.
+func (t *Tracker) Refuse(id string, deadline, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.refused, func(_ string, until time.Time) bool { return !now.Before(until) })
+	t.refused[id] = deadline
+}
+
 // Release frees a place.
 func (t *Tracker) Release(id string) {
 	t.mu.Lock()
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -1,20 +1,22 @@
 package balance_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor/internal/balance"
+	"flamingodoor.example/flamingodoor/internal/share"
 )
 
 var start = time.Unix(1_800_000_000, 0)
 
 func candidates(capacity int) []balance.Candidate {
 	return []balance.Candidate{
-		{ID: "near", Capacity: capacity, Speed: 1, Local: true},
-		{ID: "far", Capacity: capacity, Speed: 1},
+		{ID: "near", Capacity: capacity, Own: capacity, Speed: 1, Local: true},
+		{ID: "far", Capacity: capacity, Own: capacity, Speed: 1},
 	}
 }
 
@@ -24,7 +26,7 @@
 	tracker := balance.New()
 	counts := make(map[string]int)
 	for range 40 {
-		id, ok := tracker.Pick(candidates(26))
+		id, ok := tracker.Pick(candidates(26), start)
 		assert.Assert(t, ok)
 		counts[id]++
 		if counts["far"] == 0 {
@@ -41,15 +43,15 @@
 	tracker.SetPeer("h2", map[string]int{"near": 2, "far": 1}, start)
 	tracker.SetPeer("h3", map[string]int{"far": 1}, start)
 	only := candidates(3)
-	id, ok := tracker.Pick(only)
+	id, ok := tracker.Pick(only, start)
 	assert.Assert(t, ok)
-	_, ok = tracker.Pick(only)
+	_, ok = tracker.Pick(only, start)
 	assert.Assert(t, ok)
-	_, ok = tracker.Pick(only)
+	_, ok = tracker.Pick(only, start)
 	assert.Assert(t, !ok)
 	assert.Equal(t, tracker.InFlight("near"), 3)
 	tracker.Release(id)
-	_, ok = tracker.Pick(only)
+	_, ok = tracker.Pick(only, start)
 	assert.Assert(t, ok)
 }
 
@@ -70,8 +72,8 @@
 	counts := make(map[string]int)
 	for range 30 {
 		id, ok := tracker.Pick([]balance.Candidate{
-			{ID: "slow", Capacity: 26, Speed: 0.2, Local: true}, {ID: "sound", Capacity: 26, Speed: 1, Local: true},
-		})
+			{ID: "slow", Capacity: 26, Own: 26, Speed: 0.2, Local: true}, {ID: "sound", Capacity: 26, Own: 26, Speed: 1, Local: true},
+		}, start)
 		assert.Assert(t, ok)
 		counts[id]++
 	}
@@ -81,7 +83,7 @@
 // Requests that wait for a place are woken when one becomes free.
 func TestReleaseWakesWaiting(t *testing.T) {
 	tracker := balance.New()
-	id, _ := tracker.Pick(candidates(1))
+	id, _ := tracker.Pick(candidates(1), start)
 	changed := tracker.Changed()
 	tracker.Release(id)
 	select {
@@ -90,3 +92,41 @@
 		t.Fatal("not woken")
 	}
 }
+
+// Pattern: a group opens after a loss, while requests wait at all 62 hosts. Each
+// host found it empty until the others told their work, and together they sent
+// it several times what it holds.
+func TestHostsShareTheirPlacesAtANewGroup(t *testing.T) {
+	const hosts, capacity = 62, 30
+	ids := make([]string, hosts)
+	for i := range ids {
+		ids[i] = fmt.Sprint("host-", i)
+	}
+	taken := 0
+	for _, id := range ids {
+		divider := share.NewDivider(id)
+		divider.SetHosts(ids)
+		tracker := balance.New()
+		candidate := balance.Candidate{ID: "new", Capacity: capacity, Own: divider.Part("new", capacity), Speed: 1}
+		for range 5 {
+			if _, ok := tracker.Pick([]balance.Candidate{candidate}, start); ok {
+				taken++
+			}
+		}
+	}
+	assert.Equal(t, taken, capacity)
+}
+
+// An instance that turned a request away gets nothing for a moment.
+func TestRefusedInstanceIsPassedOver(t *testing.T) {
+	tracker := balance.New()
+	tracker.Refuse("near", start.Add(100*time.Millisecond), start)
+	id, ok := tracker.Pick(candidates(26), start)
+	assert.Assert(t, ok)
+	assert.Equal(t, id, "far")
+	tracker.Refuse("far", start.Add(100*time.Millisecond), start)
+	_, ok = tracker.Pick(candidates(26), start.Add(99*time.Millisecond))
+	assert.Assert(t, !ok)
+	_, ok = tracker.Pick(candidates(26), start.Add(100*time.Millisecond))
+	assert.Assert(t, ok)
+}
--- a/internal/cold/limiter.go
+++ b/internal/cold/limiter.go
@@ -1,16 +1,14 @@
-// Package cold divides the requests that a cold instance bears among the entry
-// hosts, which do not ask each other for each request.
+// Package cold bounds the requests to instances that can bear only a little
+// after their start.
 package cold
 
 import (
-	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/share"
 )
 
 // window is the time over which requests to a cold instance are counted.
@@ -19,36 +17,16 @@
 // Limiter bounds the requests of this host to each cold instance. It is safe
 // for concurrent use.
 type Limiter struct {
-	hostID string
+	divider *share.Divider
 
 	mu    sync.Mutex
-	hosts []string               // all entry hosts, this one included
-	ranks map[string]int         // of this host among them, by instance
 	sends map[string][]time.Time // within the window, by instance
 }
 
-// NewLimiter returns the limiter of a host that does not know the others yet
-// and sends nothing to cold instances until it does.
-func NewLimiter(hostID string) *Limiter {
-	return &Limiter{
-		hostID: hostID, ranks: make(map[string]int), sends: make(map[string][]time.Time),
-	}
-}
-
-// SetHosts tells among which entry hosts the requests are divided.
-func (l *Limiter) SetHosts(hosts []string) {
-	hosts = slices.Clone(hosts)
-	if !slices.Contains(hosts, l.hostID) {
-		hosts = append(hosts, l.hostID)
-	}
-	slices.Sort(hosts)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if slices.Equal(hosts, l.hosts) {
-		return
-	}
-	l.hosts = hosts
-	clear(l.ranks)
+// NewLimiter returns a limiter that takes this host's part of what instances
+// bear. It sends them nothing until the hosts are known.
+func NewLimiter(divider *share.Divider) *Limiter {
+	return &Limiter{divider: divider, sends: make(map[string][]time.Time)}
 }
 
 // HasRoom reports whether the instance may get a request of this host. `rate`
@@ -59,7 +37,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.recent(instance.ID, now)) < l.share(instance.ID, rate)
+	return len(l.recent(instance.ID, now)) < l.divider.Part(instance.ID, max(1, int(rate)))
 }
 
 // Take counts a request to the instance and reports whether there was room.
@@ -70,7 +48,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	recent := l.recent(instance.ID, now)
-	if len(recent) >= l.share(instance.ID, rate) {
+	if len(recent) >= l.divider.Part(instance.ID, max(1, int(rate))) {
 		return false
 	}
 	l.sends[instance.ID] = append(recent, now)
@@ -87,39 +65,3 @@
 	l.sends[instanceID] = recent
 	return recent
 }
-
-// share is this host's part of the requests a second. Of what is left over
-// after an even division the first hosts in rendezvous order get one each, so
-// that more hosts than requests keep the limit too.
-func (l *Limiter) share(instanceID string, rate float64) int {
-	if len(l.hosts) == 0 {
-		return 0
-	}
-	whole := max(1, int(rate))
-	share := whole / len(l.hosts)
-	if l.rank(instanceID) < whole%len(l.hosts) {
-		share++
-	}
-	return share
-}
-
-func (l *Limiter) rank(instanceID string) int {
-	if rank, ok := l.ranks[instanceID]; ok {
-		return rank
-	}
-	own, rank := score(instanceID, l.hostID), 0
-	for _, host := range l.hosts {
-		if score(instanceID, host) > own {
-			rank++
-		}
-	}
-	l.ranks[instanceID] = rank
-	return rank
-}
-
-func score(instanceID, hostID string) uint64 {
-	var pair [16]byte
-	binary.LittleEndian.PutUint64(pair[:8], xxhash.Sum64String(instanceID))
-	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(hostID))
-	return xxhash.Sum64(pair[:])
-}
--- a/internal/cold/limiter_test.go
+++ b/internal/cold/limiter_test.go
@@ -9,6 +9,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/cold"
+	"flamingodoor.example/flamingodoor/internal/share"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -25,9 +26,9 @@
 	}
 	all := make([]*cold.Limiter, 0, count)
 	for _, id := range ids {
-		limiter := cold.NewLimiter(id)
-		limiter.SetHosts(ids)
-		all = append(all, limiter)
+		divider := share.NewDivider(id)
+		divider.SetHosts(ids)
+		all = append(all, cold.NewLimiter(divider))
 	}
 	return all
 }
@@ -84,15 +85,16 @@
 // Pattern: all hosts restart at once while instances are cold. A host that took
 // itself for the only one sent each of them all that it bears.
 func TestHostThatKnowsNoOthersSendsNothing(t *testing.T) {
-	limiter := cold.NewLimiter("host-1")
+	divider := share.NewDivider("host-1")
+	limiter := cold.NewLimiter(divider)
 	assert.Assert(t, !limiter.HasRoom(coldInstance("i-1"), 23, start))
 	assert.Assert(t, !limiter.Take(coldInstance("i-1"), 23, start))
-	limiter.SetHosts([]string{"host-1"})
+	divider.SetHosts([]string{"host-1"})
 	assert.Assert(t, limiter.Take(coldInstance("i-1"), 23, start))
 }
 
 func TestWarmInstancesAndServicesWithoutARateHaveNoLimit(t *testing.T) {
-	limiter := cold.NewLimiter("host-1")
+	limiter := limiters(1)[0]
 	for range 100 {
 		assert.Assert(t, limiter.Take(coldInstance("i-1"), 0, start))
 		assert.Assert(t, limiter.Take(coldInstance("i-2"), 1, start.Add(time.Minute)))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -258,6 +258,22 @@
 	return count
 }
 
+// Spread is how long the work of a host takes to be known to all others.
+func (e *Exchanger) Spread() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	near, far := 0, 0
+	for _, each := range e.peers {
+		if each.DataCentre == e.self.DataCentre {
+			near++
+		} else {
+			far++
+		}
+	}
+	turns := max((near+nearPeers-1)/nearPeers, (far+farPeers-1)/farPeers)
+	return time.Duration(1+turns) * shareEvery
+}
+
 // Listed reports whether this host has read the list of hosts.
 func (e *Exchanger) Listed() bool {
 	e.mu.Lock()
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -225,18 +225,21 @@
 	var mu sync.Mutex
 	verdict := stall.Verdict{Pace: slowPace}
 	var probes errgroup.Group
-	for _, member := range group.Members {
+	for rank, member := range group.Members {
 		if member.ID == "" {
 			continue
 		}
 		probes.Go(func() error {
-			pace, alive := g.probe(ctx, member.Instance)
+			report, alive := g.probe(ctx, member.Instance)
 			mu.Lock()
 			defer mu.Unlock()
-			verdict.Pace = max(verdict.Pace, pace)
+			verdict.Pace = max(verdict.Pace, report.Pace)
 			if !alive {
 				verdict.Lost = append(verdict.Lost, member.ID)
 			}
+			if rank == 0 {
+				verdict.Work = stall.Work{Running: report.Running, MemoryUsed: report.MemoryUsed}
+			}
 			return nil
 		})
 	}
@@ -245,13 +248,13 @@
 		g.loseMembers(group, verdict.Lost)
 	}
 	_ = level.Info(g.logger).Log("event", "group_inspected", "group", group.Name, "epoch", group.Epoch,
-		"lost", len(verdict.Lost), "pace", verdict.Pace)
+		"lost", len(verdict.Lost), "pace", verdict.Pace, "running", verdict.Work.Running, "memory", verdict.Work.MemoryUsed)
 	return verdict
 }
 
 // probe asks an instance twice, the second time on a new connection while the
 // first answer is still awaited, so that one lost packet is no loss.
-func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (pace float64, alive bool) {
+func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (report flamingodoor.InstanceReport, alive bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
 	type answer struct {
@@ -275,12 +278,12 @@
 			waiting--
 			if got.err == nil {
 				same := got.report.Born.IsZero() || instance.Born.IsZero() || got.report.Born.Equal(instance.Born)
-				return got.report.Pace, same
+				return got.report, same
 			}
 			_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", got.err)
 		}
 	}
-	return 0, false
+	return flamingodoor.InstanceReport{}, false
 }
 
 func (g *Gateway) loseMembers(group *roster.Group, lost []string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -341,7 +341,7 @@
 		case <-ticker.C:
 			g.pool.Expire()
 			if g.exchanger.Listed() {
-				g.relay.SetHosts(g.exchanger.LimitHosts())
+				g.relay.SetHosts(g.exchanger.LimitHosts(), g.exchanger.Spread())
 			}
 		}
 	}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -82,7 +82,7 @@
 		}
 		return place{}, errNoInstance
 	}
-	id, ok := r.tracker.Pick(found.candidates)
+	id, ok := r.tracker.Pick(found.candidates, now)
 	if !ok {
 		return place{}, errFull
 	}
@@ -185,7 +185,7 @@
 	}
 	found.places[instance.ID] = at
 	found.candidates = append(found.candidates, balance.Candidate{
-		ID: instance.ID, Capacity: capacity, Speed: r.monitor.Speed(instance.ID), Local: instance.DataCentre == r.local,
+		ID: instance.ID, Capacity: capacity, Own: r.ownLimit(at, capacity, now), Speed: r.monitor.Speed(instance.ID), Local: instance.DataCentre == r.local,
 	})
 }
 
@@ -200,3 +200,13 @@
 	}
 	return slots
 }
+
+// ownLimit bounds this host's requests at a group that opened a moment ago to
+// its part of the places: the other hosts find it empty as well, and what they
+// send is known only later. Other places have no such bound.
+func (r *Relay) ownLimit(at place, capacity int, now time.Time) int {
+	if at.group == nil || !r.divider.Known() || now.Sub(at.group.OpenSince) >= time.Duration(r.spread.Load()) {
+		return capacity
+	}
+	return r.divider.Part(at.instance.ID, capacity)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -21,6 +21,22 @@
 	leastTime = 10 * time.Millisecond
 )
 
+const (
+	// fullPause is how long a full endpoint gets nothing more of this host:
+	// about the time in which one of its places becomes free.
+	fullPause = 100 * time.Millisecond
+	// misdirectedPause is longer: the endpoint leads its group no more, which
+	// the registrations show soon.
+	misdirectedPause = 500 * time.Millisecond
+)
+
+func refusedPause(status int) time.Duration {
+	if status == http.StatusMisdirectedRequest {
+		return misdirectedPause
+	}
+	return fullPause
+}
+
 // outcome is how one attempt ended.
 type outcome int
 
@@ -166,6 +182,8 @@
 	j.cause = "not_run_" + strconv.Itoa(response.StatusCode)
 	_ = level.Info(r.logger).Log("event", "attempt_not_run", "request", j.id, "instance", found.instance.ID,
 		"status", response.StatusCode, "fault_instance", response.Header.Get(r.headers.FaultInstance))
+	now := r.now()
+	r.tracker.Refuse(found.instance.ID, now.Add(refusedPause(response.StatusCode)), now)
 	// The body is short; reading it keeps the connection.
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes)); err != nil {
 		_ = level.Debug(r.logger).Log("event", "answer_cut", "request", j.id, "err", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/cold"
 	"flamingodoor.example/flamingodoor/internal/roster"
+	"flamingodoor.example/flamingodoor/internal/share"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/upstream"
 )
@@ -72,12 +73,14 @@
 	random   func() float64
 
 	hosts    atomic.Int64 // entry hosts that share the limits
+	spread   atomic.Int64 // nanoseconds until the work of one host is known to all
 	stopping atomic.Bool
 	active   sync.WaitGroup
 
 	mu      sync.Mutex
 	budgets map[string]*admission.RetryBudget // by service
 	allowed map[string]time.Duration          // longest deadline of callers, by route
+	divider *share.Divider
 	cold    *cold.Limiter
 	waiting *waitingRoom
 }
@@ -119,12 +122,13 @@
 
 // New returns a relay.
 func New(parts Parts, options ...Option) *Relay {
+	divider := share.NewDivider(parts.HostID)
 	r := &Relay{
 		headers: parts.Headers, local: parts.DataCentre, book: parts.Book,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), cold: cold.NewLimiter(parts.HostID), waiting: newWaitingRoom(),
+		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiting: newWaitingRoom(),
 	}
 	for _, option := range options {
 		option(r)
@@ -145,9 +149,11 @@
 	r.shareBudgets()
 }
 
-// SetHosts tells among how many entry hosts the limits are divided.
-func (r *Relay) SetHosts(hosts []string) {
-	r.cold.SetHosts(hosts)
+// SetHosts tells among which entry hosts the limits are divided, and how long
+// the work of one takes to be known to all others.
+func (r *Relay) SetHosts(hosts []string, spread time.Duration) {
+	r.spread.Store(int64(spread))
+	r.divider.SetHosts(hosts)
 	count := max(1, len(hosts))
 	if r.hosts.Swap(int64(count)) == int64(count) {
 		return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -302,7 +302,7 @@
 	e := newEndpoint(t, signed("done"))
 	s.list(e.instance("i-1", "plain"))
 	for range 2 {
-		_, ok := s.tracker.Pick([]balance.Candidate{{ID: "i-1", Capacity: 2}})
+		_, ok := s.tracker.Pick([]balance.Candidate{{ID: "i-1", Capacity: 2, Own: 2}}, time.Now())
 		assert.Assert(t, ok)
 	}
 	begun := time.Now()
@@ -319,7 +319,7 @@
 	e := newEndpoint(t, signed("done"))
 	s.list(e.instance("i-1", "plain"))
 	for range 2 {
-		s.tracker.Pick([]balance.Candidate{{ID: "i-1", Capacity: 2}})
+		s.tracker.Pick([]balance.Candidate{{ID: "i-1", Capacity: 2, Own: 2}}, time.Now())
 	}
 	time.AfterFunc(10*time.Millisecond, func() { s.tracker.Release("i-1") })
 	assert.Equal(t, s.ask("/post/x").status, http.StatusOK)
@@ -401,7 +401,7 @@
 	changed.Version++
 	changed.Services = map[string]flamingodoor.ServiceSpec{"plain": {Name: "plain", ColdRate: 12}}
 	s.book.Configure(&changed)
-	s.relay.SetHosts([]string{"host-1", "host-2", "host-3"})
+	s.relay.SetHosts([]string{"host-1", "host-2", "host-3"}, 0)
 	served := 0
 	for range 10 {
 		if s.ask("/post/x").status == http.StatusOK {
@@ -423,7 +423,7 @@
 	changed.Version++
 	changed.Services = map[string]flamingodoor.ServiceSpec{"plain": {Name: "plain", ColdRate: 1}}
 	s.book.Configure(&changed)
-	s.relay.SetHosts([]string{"host-1"})
+	s.relay.SetHosts([]string{"host-1"}, 0)
 	for range 10 {
 		assert.Equal(t, s.ask("/post/x").status, http.StatusOK)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -36,7 +36,8 @@
 	ModelID      string
 	FabricDomain string
 	DataCentre   string
-	Members      []Entry // by rank; an empty ID where nobody reports the rank
+	Members      []Entry   // by rank; an empty ID where nobody reports the rank
+	OpenSince    time.Time // when this host first saw its head open
 }
 
 // Key identifies the group.
@@ -118,6 +119,7 @@
 	lostIDs    map[string]loss
 	lostGroups map[GroupKey]time.Time
 	retiring   map[GroupKey]time.Time
+	openSince  map[GroupKey]time.Time
 	dirty      bool
 	view       atomic.Pointer[View]
 	loaded     atomic.Bool
@@ -127,7 +129,7 @@
 func New() *Roster {
 	r := &Roster{
 		entries: make(map[string]Entry), lostIDs: make(map[string]loss), lostGroups: make(map[GroupKey]time.Time),
-		retiring: make(map[GroupKey]time.Time),
+		retiring: make(map[GroupKey]time.Time), openSince: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
 	return r
@@ -285,6 +287,7 @@
 	for _, group := range groups {
 		view.Groups = append(view.Groups, group)
 	}
+	r.noteOpen(groups, now)
 	slices.SortFunc(view.Groups, func(a, b *Group) int { return compareKeys(a.Key(), b.Key()) })
 	for _, entries := range view.ByService {
 		slices.SortFunc(entries, func(a, b Entry) int { return compareStrings(a.ID, b.ID) })
@@ -292,6 +295,20 @@
 	return view
 }
 
+// noteOpen keeps since when the heads of groups are open.
+func (r *Roster) noteOpen(groups map[GroupKey]*Group, now time.Time) {
+	maps.DeleteFunc(r.openSince, func(key GroupKey, _ time.Time) bool { return groups[key] == nil })
+	for key, group := range groups {
+		if len(group.Members) == 0 || group.Head().Membership.State != flamingodoor.MembershipStateOpen {
+			continue
+		}
+		if _, ok := r.openSince[key]; !ok {
+			r.openSince[key] = now
+		}
+		group.OpenSince = r.openSince[key]
+	}
+}
+
 func addMember(groups map[GroupKey]*Group, entry Entry) {
 	key := GroupKey{Name: entry.Membership.Group, Epoch: entry.Membership.Epoch}
 	group, ok := groups[key]
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -121,3 +121,18 @@
 	r.Upsert(older)
 	assert.Assert(t, serving(t, r, start))
 }
+
+func TestGroupIsOpenSinceItWasFirstSeenOpen(t *testing.T) {
+	r := filled()
+	head := member(0)
+	head.Membership.State = flamingodoor.MembershipStateReady
+	r.Upsert(head)
+	_, found := group(t, r)
+	assert.Assert(t, found.OpenSince.IsZero())
+	r.Upsert(member(0))
+	r.Publish(start.Add(time.Second))
+	r.Remove("i-1", start.Add(2*time.Second))
+	r.Publish(start.Add(2 * time.Second))
+	_, found = group(t, r)
+	assert.Equal(t, found.OpenSince, start.Add(time.Second))
+}
--- /dev/null
+++ b/internal/share/divider_test.go
@@ -0,0 +1,59 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/share"
+)
+
+func names(count int) []string {
+	all := make([]string, count)
+	for i := range all {
+		all[i] = fmt.Sprint("host-", i)
+	}
+	return all
+}
+
+func TestPartsAddUp(t *testing.T) {
+	for _, hosts := range []int{1, 7, 62, 390} {
+		for _, whole := range []int{0, 1, 23, 30, 1000} {
+			sum := 0
+			for _, id := range names(hosts) {
+				divider := share.NewDivider(id)
+				divider.SetHosts(names(hosts))
+				sum += divider.Part("i-1", whole)
+			}
+			assert.Equal(t, sum, whole, "%d hosts", hosts)
+		}
+	}
+}
+
+// A host that joins or leaves changes the parts of few keys.
+func TestHostsThatLeaveMoveFewParts(t *testing.T) {
+	const keys, whole = 200, 30
+	divider := share.NewDivider("host-0")
+	divider.SetHosts(names(62))
+	before := make([]int, keys)
+	for i := range before {
+		before[i] = divider.Part(fmt.Sprint("i-", i), whole)
+	}
+	divider.SetHosts(names(61))
+	moved := 0
+	for i := range before {
+		if divider.Part(fmt.Sprint("i-", i), whole) != before[i] {
+			moved++
+		}
+	}
+	assert.Assert(t, moved < keys/20, "%d", moved)
+}
+
+func TestNoPartUntilTheHostsAreKnown(t *testing.T) {
+	divider := share.NewDivider("host-0")
+	assert.Assert(t, !divider.Known())
+	assert.Equal(t, divider.Part("i-1", 10), 0)
+	divider.SetHosts(nil)
+	assert.Equal(t, divider.Part("i-1", 10), 10)
+}
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -51,6 +51,14 @@
 type Verdict struct {
 	Lost []string // members that do not answer
 	Pace float64  // of the slowest member
+	Work Work     // at the head
+}
+
+// Work is what the head of a group has to do. It changes while the group makes
+// progress for the requests of any host.
+type Work struct {
+	Running    int
+	MemoryUsed int // tokens
 }
 
 // Inspector asks the members of a group.
@@ -81,6 +89,8 @@
 	inspected time.Time
 	askAfter  time.Duration // beyond the silence that is usual
 	sound     int           // inspections in a row that found nothing
+	work      Work          // at the latest inspection
+	moved     time.Time     // when the work was last seen to change
 	busy      bool
 	ended     bool // all waits were ended since the last one began
 	pace      float64
@@ -222,12 +232,13 @@
 	if !waiting || silence <= m.quietTime(state, begun)+state.askAfter {
 		return
 	}
-	if silence > m.patience(state, stalledTime) {
+	// Requests of this host may wait in the queue of a group that answers others.
+	if state.sound >= leastInspections && min(silence, now.Sub(state.moved)) > m.patience(state, stalledTime) {
 		m.end(state, ErrStalled)
 		m.stalled(state.group.Key())
 		return
 	}
-	if state.busy || now.Sub(state.inspected) < askAgainAfter<<min(state.sound, maxSound) {
+	if state.busy || now.Sub(state.inspected) < askAgainAfter<<min(max(0, state.sound-1), maxSound) {
 		return
 	}
 	state.askAfter = m.spread()
@@ -263,6 +274,10 @@
 	if verdict.Pace > 0 {
 		state.pace = verdict.Pace
 	}
+	if state.sound > 0 && verdict.Work != state.work {
+		state.moved = m.now()
+	}
+	state.work = verdict.Work
 	state.sound++
 	if len(verdict.Lost) > 0 {
 		state.sound = 0
@@ -270,6 +285,9 @@
 	}
 }
 
+// leastInspections show whether the work at the head changes.
+const leastInspections = 2
+
 // maxSound doublings of the time between inspections are reached by a group
 // that is slow and not lost.
 const maxSound = 3
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -97,6 +97,24 @@
 	assert.DeepEqual(t, s.stalled, []roster.GroupKey{{Name: "g", Epoch: 1}})
 }
 
+// Pattern: a group opens while many wait, and its queue fills. A host whose
+// requests wait there saw no event for 1.2 s and ended a group that answered
+// others, which left all the more to wait.
+func TestQueuedRequestsAreNoStall(t *testing.T) {
+	s := newScene(t)
+	_, ctx := s.begin()
+	for i := range 6 {
+		s.mu.Lock()
+		s.verdict.Work = stall.Work{Running: 30, MemoryUsed: 10_000 + i}
+		s.mu.Unlock()
+		s.pass(400 * time.Millisecond)
+	}
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, len(s.stalled), 0)
+	s.pass(1800 * time.Millisecond)
+	assert.Assert(t, errors.Is(context.Cause(ctx), stall.ErrStalled), "%v", context.Cause(ctx))
+}
+
 // A slow member makes the group slow: it is waited for, since nothing is lost.
 func TestSlowGroupIsWaitedFor(t *testing.T) {
 	s := newScene(t)
--- a/serving.go
+++ b/serving.go
@@ -59,6 +59,7 @@
 	OrderSequence int64 // orders accepted since the start
 	Running       int
 	Queued        int
+	MemoryUsed    int     // tokens that cannot yield
 	Pace          float64 // above 1 for a slow instance
 }
 
