Charge the retry budget for sends alone

An answer of 500 to a stream charged twice. Ruled out: the route's limit (one send each). Change: what a job took from the budget holds until it is sent. Waiting requests look again when the pause of an instance that refused one ends.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -54,6 +54,7 @@
 	// What happened so far.
 	sends   int             // to endpoints that may have run the request
 	excused int             // sends to instances that are gone
+	paid    bool            // the next send is taken from the retry budget
 	begun   bool            // the caller has a part of the answer
 	mayHave bool            // some endpoint may have run it
 	avoid   map[string]bool // instances that failed it
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -30,6 +30,13 @@
 	misdirectedPause = 500 * time.Millisecond
 )
 
+// refusedBy keeps work off an instance for a while.
+func (r *Relay) refusedBy(found place, length time.Duration) {
+	now := r.now()
+	r.tracker.Refuse(found.instance.ID, now.Add(length), now)
+	time.AfterFunc(length, r.tracker.Wake)
+}
+
 func refusedPause(status int) time.Duration {
 	if status == http.StatusMisdirectedRequest {
 		return misdirectedPause
@@ -84,7 +91,8 @@
 	}
 }
 
-// mayRepeat takes a further attempt from the limits, if they allow one.
+// mayRepeat takes a further attempt from the limits, if they allow one. What it
+// took holds until the job is sent.
 func (r *Relay) mayRepeat(ctx context.Context, j *job) bool {
 	now := r.now()
 	if ctx.Err() != nil || j.deadline.Sub(now) < leastTime {
@@ -96,7 +104,11 @@
 	if j.sends == 0 {
 		return true
 	}
-	return j.sends-j.excused < j.route.MaxAttempts && r.budget(j.service.Name).Retry(now)
+	if j.sends-j.excused >= j.route.MaxAttempts {
+		return false
+	}
+	j.paid = j.paid || r.budget(j.service.Name).Retry(now)
+	return j.paid
 }
 
 // giveUp gives the final answer after the last attempt failed.
@@ -182,8 +194,7 @@
 	j.cause = "not_run_" + strconv.Itoa(response.StatusCode)
 	_ = level.Info(r.logger).Log("event", "attempt_not_run", "request", j.id, "instance", found.instance.ID,
 		"status", response.StatusCode, "fault_instance", response.Header.Get(r.headers.FaultInstance))
-	now := r.now()
-	r.tracker.Refuse(found.instance.ID, now.Add(refusedPause(response.StatusCode)), now)
+	r.refusedBy(found, refusedPause(response.StatusCode))
 	// The body is short; reading it keeps the connection.
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBytes)); err != nil {
 		_ = level.Debug(r.logger).Log("event", "answer_cut", "request", j.id, "err", err)
@@ -214,6 +225,7 @@
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
 		j.sends++
+		j.paid = false
 	}
 	return answer, err
 }
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -17,6 +17,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/balance"
+	"flamingodoor.example/flamingodoor/internal/relay"
 )
 
 func event(id int) string {
@@ -89,6 +90,24 @@
 	assert.Equal(t, other.received(headers.Priority), "0")
 }
 
+// Pattern: all instances of a data centre fail at once, and a stream that lost
+// its group finds others dead as well. Attempts that reached no instance once
+// used up the retry budget.
+func TestUnsentAttemptsLeaveTheRetryBudget(t *testing.T) {
+	s := newScene(t)
+	s.relay.SetLimits(relay.Limits{RevokeWithin: 5 * time.Second, RetryBurst: 1.25}) // one retry
+	dying, dead, sound := newEndpoint(t, events(6, 3)), newEndpoint(t, events(6, 0)), newEndpoint(t, events(6, 0))
+	second, third := dead.instance("i-2", "llm"), sound.instance("i-3", "llm")
+	dead.server.Close()
+	third.DataCentre = "dc-b"
+	second.Slots, third.Slots = 1, 1 // chosen in this order
+	s.list(dying.instance("i-1", "llm"), second, third)
+	got := s.ask("/stream/x")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, allEvents(6))
+	assert.Equal(t, dying.runs.Load(), int64(1))
+}
+
 // Links lose packets: instances run a request whose events never arrive. It
 // goes to no more of them than the route allows. Found by a hunt (Valach,
 // cold-and-evacuated, seed 450963603922): BUDGET.
