Feed large fleets through relays, and copy the configuration to stranded hosts

Now the leading host feeds two hosts of each data centre, those with the widest links, and they feed the others there. Messages from 2 KB on are compressed. Nobody feeds the leading host. TestManyRegistrationsAreLeftToTheStore has a larger batch, because the bound for a round is 512 KB before compression now.

--- a/gen/flamingodoor/exchange/v1/exchangev1connect/exchange.connect.go
+++ b/gen/flamingodoor/exchange/v1/exchangev1connect/exchange.connect.go
@@ -38,6 +38,9 @@
 	ExchangeServiceShareProcedure = "/flamingodoor.exchange.v1.ExchangeService/Share"
 	// ExchangeServiceReachProcedure is the fully-qualified name of the ExchangeService's Reach RPC.
 	ExchangeServiceReachProcedure = "/flamingodoor.exchange.v1.ExchangeService/Reach"
+	// ExchangeServiceCopyConfigurationProcedure is the fully-qualified name of the ExchangeService's
+	// CopyConfiguration RPC.
+	ExchangeServiceCopyConfigurationProcedure = "/flamingodoor.exchange.v1.ExchangeService/CopyConfiguration"
 )
 
 // ExchangeServiceClient is a client for the flamingodoor.exchange.v1.ExchangeService service.
@@ -46,6 +49,9 @@
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// Reach asks an instance that the caller does not reach.
 	Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error)
+	// CopyConfiguration returns the newest record of each key of the operators, for
+	// a host that the platform's store turns away.
+	CopyConfiguration(context.Context, *connect.Request[v1.CopyConfigurationRequest]) (*connect.Response[v1.CopyConfigurationResponse], error)
 }
 
 // NewExchangeServiceClient constructs a client for the flamingodoor.exchange.v1.ExchangeService
@@ -71,13 +77,20 @@
 			connect.WithSchema(exchangeServiceMethods.ByName("Reach")),
 			connect.WithClientOptions(opts...),
 		),
+		copyConfiguration: connect.NewClient[v1.CopyConfigurationRequest, v1.CopyConfigurationResponse](
+			httpClient,
+			baseURL+ExchangeServiceCopyConfigurationProcedure,
+			connect.WithSchema(exchangeServiceMethods.ByName("CopyConfiguration")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // exchangeServiceClient implements ExchangeServiceClient.
 type exchangeServiceClient struct {
-	share *connect.Client[v1.ShareRequest, v1.ShareResponse]
-	reach *connect.Client[v1.ReachRequest, v1.ReachResponse]
+	share             *connect.Client[v1.ShareRequest, v1.ShareResponse]
+	reach             *connect.Client[v1.ReachRequest, v1.ReachResponse]
+	copyConfiguration *connect.Client[v1.CopyConfigurationRequest, v1.CopyConfigurationResponse]
 }
 
 // Share calls flamingodoor.exchange.v1.ExchangeService.Share.
@@ -90,6 +103,11 @@
 	return c.reach.CallUnary(ctx, req)
 }
 
+// CopyConfiguration calls flamingodoor.exchange.v1.ExchangeService.CopyConfiguration.
+func (c *exchangeServiceClient) CopyConfiguration(ctx context.Context, req *connect.Request[v1.CopyConfigurationRequest]) (*connect.Response[v1.CopyConfigurationResponse], error) {
+	return c.copyConfiguration.CallUnary(ctx, req)
+}
+
 // ExchangeServiceHandler is an implementation of the flamingodoor.exchange.v1.ExchangeService
 // service.
 type ExchangeServiceHandler interface {
@@ -97,6 +115,9 @@
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 	// Reach asks an instance that the caller does not reach.
 	Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error)
+	// CopyConfiguration returns the newest record of each key of the operators, for
+	// a host that the platform's store turns away.
+	CopyConfiguration(context.Context, *connect.Request[v1.CopyConfigurationRequest]) (*connect.Response[v1.CopyConfigurationResponse], error)
 }
 
 // NewExchangeServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -118,12 +139,20 @@
 		connect.WithSchema(exchangeServiceMethods.ByName("Reach")),
 		connect.WithHandlerOptions(opts...),
 	)
+	exchangeServiceCopyConfigurationHandler := connect.NewUnaryHandler(
+		ExchangeServiceCopyConfigurationProcedure,
+		svc.CopyConfiguration,
+		connect.WithSchema(exchangeServiceMethods.ByName("CopyConfiguration")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/flamingodoor.exchange.v1.ExchangeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ExchangeServiceShareProcedure:
 			exchangeServiceShareHandler.ServeHTTP(w, r)
 		case ExchangeServiceReachProcedure:
 			exchangeServiceReachHandler.ServeHTTP(w, r)
+		case ExchangeServiceCopyConfigurationProcedure:
+			exchangeServiceCopyConfigurationHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -140,3 +169,7 @@
 func (UnimplementedExchangeServiceHandler) Reach(context.Context, *connect.Request[v1.ReachRequest]) (*connect.Response[v1.ReachResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingodoor.exchange.v1.ExchangeService.Reach is not implemented"))
 }
+
+func (UnimplementedExchangeServiceHandler) CopyConfiguration(context.Context, *connect.Request[v1.CopyConfigurationRequest]) (*connect.Response[v1.CopyConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingodoor.exchange.v1.ExchangeService.CopyConfiguration is not implemented"))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,12 +26,12 @@
 	// shareEvery separates two rounds; in deployments of up to 7 hosts each
 	// round reaches all peers.
 	shareEvery = 200 * time.Millisecond
-	// feedRate bounds the messages a second of the leading host, so that
-	// processor time is left for requests.
-	feedRate = 120
 	// shareTimeout lets a lost packet be sent again once.
 	shareTimeout = 500 * time.Millisecond
-	dialTimeout  = 300 * time.Millisecond
+	// gzipBytes is the size from which messages are compressed: registrations
+	// are text and shrink to about a quarter.
+	gzipBytes   = 2 << 10
+	dialTimeout = 300 * time.Millisecond
 	// peerLife is how long a peer counts as an entry host without news.
 	peerLife = 3 * time.Second
 	// limitLife is how long a peer counts for the limits that all hosts share:
@@ -45,9 +46,6 @@
 	// askedPeers of each data centre are asked for an instance that this host
 	// does not reach.
 	askedPeers = 4
-	// feedPeers is how many peers of each kind a round of the leading host
-	// reaches: all that it feeds wait for their turn.
-	feedPeers = 24
 	// feedSlack covers the leading host's own reads, a lost message and the
 	// time until its successor leads.
 	feedSlack = 1400 * time.Millisecond
@@ -85,6 +83,7 @@
 	now       func() time.Time
 	wake      chan struct{}
 	calls     sync.WaitGroup
+	copying   atomic.Bool // a configuration is on its way
 
 	mu       sync.Mutex
 	peers    map[string]*peer
@@ -92,6 +91,7 @@
 	leaving  bool
 	listed   bool // the list of hosts was read
 	everyone bool // the next round reaches all peers
+	duty     relayDuty
 	nearTurn int
 	farTurn  int
 }
@@ -140,17 +140,18 @@
 // Handler serves the other hosts.
 func (e *Exchanger) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(exchangev1connect.NewExchangeServiceHandler(e))
+	// Compressing a short answer would cost a third of the message's time.
+	mux.Handle(exchangev1connect.NewExchangeServiceHandler(e, connect.WithCompressMinBytes(gzipBytes)))
 	return mux
 }
 
 // Share takes what another host told.
-func (e *Exchanger) Share(_ context.Context, request *connect.Request[exchangev1.ShareRequest]) (*connect.Response[exchangev1.ShareResponse], error) {
+func (e *Exchanger) Share(ctx context.Context, request *connect.Request[exchangev1.ShareRequest]) (*connect.Response[exchangev1.ShareResponse], error) {
 	now := e.now()
 	if e.accept(request.Msg, now) {
 		e.sink.Learn(request.Msg, now)
 	}
-	e.takeFeeds(request.Msg, now)
+	e.takeFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.Next(), Clock: e.clock(now),
 	}), nil
@@ -229,6 +230,7 @@
 		(message.GetStartedMs() == known.started && message.GetSequence() <= known.sequence) {
 		return false
 	}
+	known.LinkMbps = int(message.GetLinkMbps())
 	known.started, known.sequence, known.heard = message.GetStartedMs(), message.GetSequence(), now
 	known.left = message.GetLeaving()
 	if known.left {
@@ -238,7 +240,8 @@
 }
 
 func (e *Exchanger) add(host flamingodoor.EntryPeer) *peer {
-	made := &peer{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(e.client, "http://"+host.Address.String())}
+	made := &peer{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(
+		e.client, "http://"+host.Address.String(), connect.WithSendGzip(), connect.WithCompressMinBytes(gzipBytes))}
 	e.peers[host.ID] = made
 	return made
 }
@@ -336,39 +339,31 @@
 		case <-timer.C:
 		case <-e.wake:
 		}
-		timer.Reset(e.pauseAfter(e.round(ctx)))
+		e.round(ctx)
+		timer.Reset(shareEvery)
 	}
 }
 
-// pauseAfter returns when the next round is due after one of so many messages.
-func (e *Exchanger) pauseAfter(messages int) time.Duration {
-	if !e.source.Feeds() {
-		return shareEvery
-	}
-	return max(shareEvery, time.Duration(messages)*time.Second/feedRate)
-}
-
 // round tells the next peers. One that has not answered the last message yet
 // is passed over, so that it does not hold up the others.
-func (e *Exchanger) round(ctx context.Context) (messages int) {
-	request, peers := e.prepare()
-	mostBytes := feedBytes / max(1, len(peers))
+func (e *Exchanger) round(ctx context.Context) {
+	request, peers, fed := e.prepare()
+	mostBytes := feedBytes / max(1, len(fed.targets))
 	for _, each := range peers {
 		if !each.busy.CompareAndSwap(false, true) {
 			continue
 		}
 		e.calls.Go(func() {
 			defer each.busy.Store(false)
-			e.share(ctx, request, each, mostBytes)
+			e.share(ctx, e.withFeeds(request, each, fed, mostBytes), each)
 		})
 	}
-	return len(peers)
 }
 
-func (e *Exchanger) share(ctx context.Context, request *exchangev1.ShareRequest, to *peer, mostBytes int) {
+func (e *Exchanger) share(ctx context.Context, request *exchangev1.ShareRequest, to *peer) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	response, err := to.client.Share(ctx, connect.NewRequest(e.withFeeds(request, to, mostBytes)))
+	response, err := to.client.Share(ctx, connect.NewRequest(request))
 	if err != nil {
 		_ = level.Debug(e.logger).Log("event", "share_failed", "peer", to.ID, "err", err)
 		return
@@ -378,13 +373,16 @@
 	to.answer = response.Msg
 }
 
-func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer) {
+// prepare returns the next message, the peers that get it, and those among
+// them that get the feeds too.
+func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer, feeding) {
 	now := e.now()
+	leads := e.source.Feeds()
 	e.mu.Lock()
 	e.sequence++
 	request := &exchangev1.ShareRequest{
 		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started.UnixMilli(), Sequence: e.sequence,
-		Leaving: e.leaving,
+		Leaving: e.leaving, LinkMbps: int32(e.self.LinkMbps), //nolint:gosec // a capacity in megabits
 	}
 	var peers []*peer
 	for _, each := range e.peers {
@@ -393,19 +391,26 @@
 			peers = append(peers, each)
 		}
 	}
+	sortPeers(peers)
+	fed := e.feeding(peers, leads, now)
 	everyone := e.everyone
 	e.everyone = false
 	e.mu.Unlock()
 	e.source.Describe(request, now)
 	if everyone {
-		return request, peers
+		return request, peers, fed
 	}
-	return request, e.choose(peers)
+	chosen := e.choose(peers)
+	for _, each := range peers {
+		if _, ok := fed.targets[each.ID]; ok && !slices.Contains(chosen, each) {
+			chosen = append(chosen, each)
+		}
+	}
+	return request, chosen, fed
 }
 
 // choose takes turns among many peers.
 func (e *Exchanger) choose(peers []*peer) []*peer {
-	sortPeers(peers)
 	var near, far []*peer
 	for _, each := range peers {
 		if each.DataCentre == e.self.DataCentre {
@@ -414,11 +419,7 @@
 			far = append(far, each)
 		}
 	}
-	nearCount, farCount := nearPeers, farPeers
-	if e.source.Feeds() {
-		nearCount, farCount = feedPeers, feedPeers
-	}
-	return append(inTurn(near, nearCount, &e.nearTurn), inTurn(far, farCount, &e.farTurn)...)
+	return append(slices.Clone(inTurn(near, nearPeers, &e.nearTurn)), inTurn(far, farPeers, &e.farTurn)...)
 }
 
 // inTurn takes the next peers of a list, starting over at its end.
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -1,23 +1,105 @@
 package exchange
 
 import (
+	"cmp"
+	"context"
+	"slices"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 )
 
-// feedBytes bounds the registrations that a round of the leading host passes
-// on: half of what the narrowest links carry meanwhile, 20 Mbit/s for 0.1 s.
-// What is more comes from the store, whose network is wider.
-const feedBytes = 128 << 10
+const (
+	// feedBytes bounds the registrations that a round passes on: half of what
+	// the narrowest links carry meanwhile, 20 Mbit/s for 0.2 s, compressed to
+	// half or less. What is more comes from the store, whose network is wider.
+	feedBytes = 512 << 10
+	// directPeers is up to how many peers the leading host feeds itself.
+	directPeers = 24
+	// relaysPerCentre hosts of each data centre pass the feeds on in larger
+	// fleets, so that one that stops cuts off only a part of it.
+	relaysPerCentre = 2
+	// relayLife is how long a host relays without news of the leading host.
+	relayLife = 3 * shareEvery
+	// copyTimeout lets a configuration of a megabyte pass the narrowest links.
+	copyTimeout = time.Second
+)
+
+// relayDuty is what the leading host asks of a host that relays.
+type relayDuty struct {
+	leader   string
+	part     int
+	parts    int
+	told     time.Time // when the leading host last said so
+	deadline time.Time
+}
+
+// feeding says which peers get the feeds in a round.
+type feeding struct {
+	leads   bool
+	targets map[string]*exchangev1.RelayDuty // by peer; nil for one that relays nothing
+	age     time.Duration                    // of what the leading host told this one
+}
+
+// feeding chooses the peers that this host feeds: all or those that relay if
+// it leads, its part of the data centre if it relays.
+func (e *Exchanger) feeding(peers []*peer, leads bool, now time.Time) feeding {
+	fed := feeding{leads: leads, targets: make(map[string]*exchangev1.RelayDuty)}
+	switch {
+	case leads && len(peers) <= directPeers:
+		for _, each := range peers {
+			fed.targets[each.ID] = nil
+		}
+	case leads:
+		chooseRelays(peers, fed.targets)
+	case now.Before(e.duty.deadline):
+		fed.age = now.Sub(e.duty.told)
+		for _, each := range peers {
+			if each.DataCentre == e.self.DataCentre && each.ID != e.duty.leader && partOf(each.ID, e.duty.parts) == e.duty.part {
+				fed.targets[each.ID] = nil
+			}
+		}
+	}
+	return fed
+}
+
+// chooseRelays takes the hosts with the widest links of each data centre.
+func chooseRelays(peers []*peer, targets map[string]*exchangev1.RelayDuty) {
+	centres := make(map[string][]*peer)
+	for _, each := range peers {
+		if !each.heard.IsZero() {
+			centres[each.DataCentre] = append(centres[each.DataCentre], each)
+		}
+	}
+	for _, hosts := range centres {
+		slices.SortStableFunc(hosts, func(a, b *peer) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+		hosts = hosts[:min(len(hosts), relaysPerCentre)]
+		for part, each := range hosts {
+			targets[each.ID] = &exchangev1.RelayDuty{Part: int32(part), Parts: int32(len(hosts))} //nolint:gosec // a few
+		}
+	}
+}
+
+// partOf spreads the hosts of a data centre over those that relay.
+func partOf(hostID string, parts int) int {
+	return int(xxhash.Sum64String(hostID) % uint64(max(1, parts))) //nolint:gosec // below parts
+}
 
 // takeFeeds applies what the leading host read.
-func (e *Exchanger) takeFeeds(message *exchangev1.ShareRequest, now time.Time) {
+func (e *Exchanger) takeFeeds(ctx context.Context, message *exchangev1.ShareRequest, now time.Time) {
+	if e.source.Feeds() {
+		return // this host reads itself
+	}
+	e.takeDuty(message, now)
 	if records := message.GetRegistrations(); records.GetOmitted() {
 		e.feeds.Registrations.ReadFrom(records.GetNext())
 	} else if records != nil {
-		e.feeds.Registrations.Accept(batchOf(records), now.Add(e.feedLife()))
+		e.feeds.Registrations.Accept(batchOf(records), now.Add(e.feedLife()-milliseconds(records.GetAgeMs())))
 	}
 	configuration := message.GetConfiguration()
 	clock := configuration.GetClock()
@@ -29,38 +111,93 @@
 	// time on the way does not count as knowledge.
 	confirmed := e.started.Add(milliseconds(clock.GetElapsedMs()) - milliseconds(configuration.GetAgeMs()))
 	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed)
+	if e.feeds.Configuration.Stranded() && e.copying.CompareAndSwap(false, true) {
+		e.calls.Go(func() {
+			defer e.copying.Store(false)
+			e.copyConfiguration(ctx, message.GetHostId())
+		})
+	}
 }
 
-// withFeeds adds what the peer lacks, if this host leads.
-func (e *Exchanger) withFeeds(request *exchangev1.ShareRequest, to *peer, mostBytes int) *exchangev1.ShareRequest {
+// copyConfiguration asks a peer for what the platform's store does not give
+// this host: its keys would count as unknown before long.
+func (e *Exchanger) copyConfiguration(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	e.mu.Lock()
+	to, ok := e.peers[from]
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	response, err := to.client.CopyConfiguration(ctx, connect.NewRequest(&exchangev1.CopyConfigurationRequest{}))
+	if err != nil {
+		_ = level.Warn(e.logger).Log("event", "configuration_copy_failed", "peer", from, "err", err)
+		return
+	}
+	e.feeds.Configuration.Restore(batchOf(response.Msg.GetRecords()))
+}
+
+// CopyConfiguration serves a host that the platform's store turns away.
+func (e *Exchanger) CopyConfiguration(context.Context, *connect.Request[exchangev1.CopyConfigurationRequest]) (*connect.Response[exchangev1.CopyConfigurationResponse], error) {
+	batch, known := e.feeds.Configuration.Copy()
+	if !known {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoConfiguration)
+	}
+	return connect.NewResponse(&exchangev1.CopyConfigurationResponse{
+		Records: &exchangev1.RecordBatch{Next: batch.Next, Records: batch.Records},
+	}), nil
+}
+
+var errNoConfiguration = flamingodoor.Errorf(flamingodoor.CodeNotFresh, "this host has no configuration")
+
+func (e *Exchanger) takeDuty(message *exchangev1.ShareRequest, now time.Time) {
+	duty := message.GetRelayDuty()
+	if duty == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.duty = relayDuty{
+		leader: message.GetHostId(), part: int(duty.GetPart()), parts: int(duty.GetParts()), told: now, deadline: now.Add(relayLife),
+	}
+}
+
+// withFeeds adds what the peer lacks, if this host feeds it.
+func (e *Exchanger) withFeeds(request *exchangev1.ShareRequest, to *peer, fed feeding, mostBytes int) *exchangev1.ShareRequest {
 	e.mu.Lock()
 	answer := to.answer
 	e.mu.Unlock()
-	if answer == nil || !e.source.Feeds() {
+	duty, target := fed.targets[to.ID]
+	if answer == nil || (!target && !fed.leads) {
 		return request
 	}
-	fed := &exchangev1.ShareRequest{
+	message := &exchangev1.ShareRequest{
 		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
 		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
-		Address: request.GetAddress(), DataCentre: request.GetDataCentre(),
+		Address: request.GetAddress(), DataCentre: request.GetDataCentre(), LinkMbps: request.GetLinkMbps(), RelayDuty: duty,
 	}
-	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok {
-		fed.Registrations = messageOf(batch, mostBytes)
+	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok && target {
+		message.Registrations = messageOf(batch, mostBytes)
+		message.Registrations.AgeMs = fed.age.Milliseconds()
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
-		fed.Configuration = &exchangev1.Configuration{
+		message.Configuration = &exchangev1.Configuration{
 			Next: next, Clock: answer.GetClock(),
 			AgeMs: max(0, e.now().Sub(confirmed).Milliseconds()) + 1, // rounded up
 		}
 	}
-	return fed
+	return message
 }
 
-// feedLife is how long a batch stands for reads: two turns of the leading host
-// among its peers.
+// feedLife is how long a batch stands for reads: two rounds for each host on
+// the way from the leading host.
 func (e *Exchanger) feedLife() time.Duration {
-	turns := (e.Hosts() + feedPeers - 1) / feedPeers
-	return feedSlack + time.Duration(2*turns)*shareEvery
+	hops := 1
+	if e.Hosts() > directPeers {
+		hops = 2
+	}
+	return feedSlack + time.Duration(2*hops)*shareEvery
 }
 
 func (e *Exchanger) clock(now time.Time) *exchangev1.Clock {
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -32,6 +32,8 @@
 	confirmed time.Time // told by the leading host, or its own
 	next      int64
 	learned   int
+	stranded  bool // lacks records that it cannot read
+	copied    flamingodoor.RecordBatch
 }
 
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
@@ -53,7 +55,11 @@
 	return h.learned
 }
 
-func (h *host) Position() (int64, time.Time, bool) { return h.next, h.confirmed, h.leads }
+func (h *host) Position() (int64, time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next, h.confirmed, h.leads
+}
 
 func (h *host) Follow(next int64, confirmed time.Time) {
 	h.mu.Lock()
@@ -61,6 +67,22 @@
 	h.next, h.confirmed = next, confirmed
 }
 
+func (h *host) Stranded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stranded
+}
+
+func (h *host) Copy() (flamingodoor.RecordBatch, bool) {
+	return flamingodoor.RecordBatch{Next: 9, Records: [][]byte{[]byte("configuration")}}, h.leads
+}
+
+func (h *host) Restore(records flamingodoor.RecordBatch) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.copied, h.stranded = records, false
+}
+
 func (h *host) told() (int64, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -69,8 +91,9 @@
 
 // registrations feeds one batch.
 type registrations struct {
-	batch  [][]byte
-	onRead func(next int64)
+	batch    [][]byte
+	onRead   func(next int64)
+	onAccept func()
 }
 
 func (r registrations) Next() int64 { return 1 }
@@ -79,8 +102,12 @@
 	return flamingodoor.RecordBatch{From: from, Next: from + int64(len(r.batch)), Records: r.batch}, true
 }
 
-func (r registrations) Accept(flamingodoor.RecordBatch, time.Time) {}
-func (r registrations) ReadFrom(next int64)                        { r.onRead(next) }
+func (r registrations) Accept(flamingodoor.RecordBatch, time.Time) {
+	if r.onAccept != nil {
+		r.onAccept()
+	}
+}
+func (r registrations) ReadFrom(next int64) { r.onRead(next) }
 
 // directory lists all hosts of a test.
 type directory struct {
@@ -99,19 +126,25 @@
 
 // startListed runs a leading host that passes on a batch of registrations.
 func startListed(t *testing.T, count int, list *registrations, silent ...flamingodoor.EntryPeer) []*host {
+	t.Helper()
+	if list == nil {
+		list = &registrations{onRead: func(int64) {}}
+	}
+	return startFleet(t, count, func(int) *registrations { return list }, silent...)
+}
+
+// startFleet runs a leading host and others, each with its registrations.
+func startFleet(t *testing.T, count int, listOf func(i int) *registrations, silent ...flamingodoor.EntryPeer) []*host {
 	t.Helper()
 	hosts := make([]*host, count)
 	all := silent
 	servers := make([]*httptest.Server, count)
 	for i := range hosts {
-		hosts[i] = &host{leads: i == 0, list: registrations{onRead: func(int64) {}}}
-		if list != nil {
-			hosts[i].list = *list
-		}
+		hosts[i] = &host{leads: i == 0, list: *listOf(i)}
 		servers[i] = httptest.NewUnstartedServer(nil)
 		address := netip.MustParseAddrPort(servers[i].Listener.Addr().String())
 		hosts[i].address = address
-		all = append(all, flamingodoor.EntryPeer{ID: string(rune('a' + i)), Address: address, DataCentre: "dc"})
+		all = append(all, flamingodoor.EntryPeer{ID: "host-" + strconv.Itoa(i), Address: address, DataCentre: "dc"})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -172,28 +205,47 @@
 // the clock of a host's earlier process, which ran for longer: its message once
 // confirmed the configuration for as long ahead.
 func TestClockOfAnEarlierProcessConfirmsNothing(t *testing.T) {
-	hosts := startHosts(t, 1)
-	client := exchangev1connect.NewExchangeServiceClient(http.DefaultClient, "http://"+hosts[0].address.String())
-	message := func(sequence uint64, clock *exchangev1.Clock) *exchangev1.ShareRequest {
-		return &exchangev1.ShareRequest{
+	receiver := &host{list: registrations{onRead: func(int64) {}}}
+	self := flamingodoor.EntryPeer{ID: "a", Address: netip.MustParseAddrPort("127.0.0.1:2"), DataCentre: "dc"}
+	receiver.Exchanger = exchange.New(self, directory{receiver, nil},
+		exchange.Feeds{Registrations: receiver.list, Configuration: receiver}, receiver, receiver, log.NewNopLogger())
+	share := func(sequence uint64, clock *exchangev1.Clock) *exchangev1.Clock {
+		answer, err := receiver.Share(t.Context(), connect.NewRequest(&exchangev1.ShareRequest{
 			HostId: "b", Address: "127.0.0.1:1", Sequence: sequence, Configuration: &exchangev1.Configuration{Next: 9, Clock: clock},
-		}
+		}))
+		assert.NilError(t, err)
+		return answer.Msg.GetClock()
 	}
-	answer, err := client.Share(t.Context(), connect.NewRequest(message(1, nil)))
-	assert.NilError(t, err)
-	clock := answer.Msg.GetClock()
-	earlier := &exchangev1.Clock{StartedMs: clock.GetStartedMs() - 20_000, ElapsedMs: 19_000}
-	_, err = client.Share(t.Context(), connect.NewRequest(message(2, earlier)))
-	assert.NilError(t, err)
-	next, _ := hosts[0].told()
+	clock := share(1, nil)
+	share(2, &exchangev1.Clock{StartedMs: clock.GetStartedMs() - 20_000, ElapsedMs: 19_000})
+	next, _ := receiver.told()
 	assert.Equal(t, next, int64(0))
-	_, err = client.Share(t.Context(), connect.NewRequest(message(3, clock)))
-	assert.NilError(t, err)
-	next, confirmed := hosts[0].told()
+	share(3, clock)
+	next, confirmed := receiver.told()
 	assert.Equal(t, next, int64(9))
 	assert.Assert(t, !confirmed.After(time.Now()))
 }
 
+// Pattern: a fleet of more hosts than one can feed. Two hosts of each data
+// centre relay what the leading host reads, and nobody feeds the leading host,
+// which would stop reading.
+func TestRelaysFeedALargeFleet(t *testing.T) {
+	const count = 30
+	accepted := make([]atomic.Int32, count)
+	hosts := startFleet(t, count, func(i int) *registrations {
+		return &registrations{onRead: func(int64) {}, onAccept: func() { accepted[i].Add(1) }}
+	})
+	eventually(t, "a host is not fed", func() bool {
+		for i := range hosts[1:] {
+			if accepted[i+1].Load() < 3 {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, accepted[0].Load(), int32(0))
+}
+
 // Pattern: all groups of a large fleet form at once, and every instance's entry
 // changes several times. Passed on to 74 hosts over a link of 20 Mbit/s, the
 // changes held up the leading host's lease.
@@ -201,18 +253,32 @@
 	reads := make(chan int64, 100)
 	record := make([]byte, 500)
 	list := &registrations{onRead: func(next int64) { reads <- next }}
-	for range 300 {
+	for range 600 {
 		list.batch = append(list.batch, record)
 	}
 	startListed(t, 3, list)
 	select {
 	case next := <-reads:
-		assert.Equal(t, next, int64(301))
+		assert.Equal(t, next, int64(601))
 	case <-time.After(5 * time.Second):
 		t.Fatal("the batch was passed on")
 	}
 }
 
+// Pattern: the platform's store turns some hosts away while keys change. They
+// take the configuration from a host that has it.
+func TestStrandedHostCopiesTheConfiguration(t *testing.T) {
+	hosts := startHosts(t, 2)
+	hosts[1].mu.Lock()
+	hosts[1].stranded = true
+	hosts[1].mu.Unlock()
+	eventually(t, "no copy", func() bool { return !hosts[1].Stranded() })
+	hosts[1].mu.Lock()
+	defer hosts[1].mu.Unlock()
+	assert.Equal(t, hosts[1].copied.Next, int64(9))
+	assert.DeepEqual(t, hosts[1].copied.Records, [][]byte{[]byte("configuration")})
+}
+
 // counter is a peer that counts messages.
 type counter struct {
 	exchangev1connect.UnimplementedExchangeServiceHandler
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 type Settings struct {
 	HostID      string
 	DataCentre  string
+	LinkMbps    int // capacity of the host's network link
 	Front       netip.AddrPort
 	Ready       netip.AddrPort
 	Peer        netip.AddrPort
@@ -143,7 +144,7 @@
 		Registrations: platform.Watcher.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.passOn),
 		Configuration: platform.Watcher.Configuration(g.book, g.passConfiguration),
 	}
-	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre}
+	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
 	g.exchanger = exchange.New(self, platform.Directory, feeds, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
 		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads,
--- a/serving.go
+++ b/serving.go
@@ -180,6 +180,12 @@
 	Position() (next int64, confirmed time.Time, known bool)
 	// Follow takes the position of another host.
 	Follow(next int64, confirmed time.Time)
+	// Stranded reports whether this host lacks records and cannot read them.
+	Stranded() bool
+	// Copy returns the newest record of each key, or false before the first read.
+	Copy() (RecordBatch, bool)
+	// Restore takes a copy of another host, unless this one knows as much.
+	Restore(records RecordBatch)
 }
 
 // InstanceClient asks instances and gives them orders.
@@ -261,4 +267,5 @@
 	ID         string         `json:"id"`
 	Address    netip.AddrPort `json:"address"`
 	DataCentre string         `json:"data_centre"`
+	LinkMbps   int            `json:"link_mbps"` // capacity of its network link
 }
