Compress batches with shared compressors

Ruled out: the records kept for followers (512 at most). Change: batches from 2 KB on are compressed by compressors that all connections share; messages are not. A batch that cannot be read makes the host read the store (FuzzPackedBatch). Log lines of requests say when a place and the first event came.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -140,8 +140,7 @@
 // Handler serves the other hosts.
 func (e *Exchanger) Handler() http.Handler {
 	mux := http.NewServeMux()
-	// Compressing a short answer would cost a third of the message's time.
-	mux.Handle(exchangev1connect.NewExchangeServiceHandler(e, connect.WithCompressMinBytes(gzipBytes)))
+	mux.Handle(exchangev1connect.NewExchangeServiceHandler(e))
 	return mux
 }
 
@@ -239,9 +238,11 @@
 	return true
 }
 
+// add knows a peer. Its client does not compress: a compressor for each would
+// take most of a host's memory, and its time on the short messages.
 func (e *Exchanger) add(host flamingodoor.EntryPeer) *peer {
 	made := &peer{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(
-		e.client, "http://"+host.Address.String(), connect.WithSendGzip(), connect.WithCompressMinBytes(gzipBytes))}
+		e.client, "http://"+host.Address.String(), connect.WithAcceptCompression("gzip", nil, nil))}
 	e.peers[host.ID] = made
 	return made
 }
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -96,11 +96,7 @@
 		return // this host reads itself
 	}
 	e.takeDuty(message, now)
-	if records := message.GetRegistrations(); records.GetOmitted() {
-		e.feeds.Registrations.ReadFrom(records.GetNext())
-	} else if records != nil {
-		e.feeds.Registrations.Accept(batchOf(records), now.Add(e.feedLife()-milliseconds(records.GetAgeMs())))
-	}
+	e.takeRegistrations(message.GetRegistrations(), now)
 	configuration := message.GetConfiguration()
 	clock := configuration.GetClock()
 	// The answer may be of an earlier process of this host.
@@ -135,7 +131,12 @@
 		_ = level.Warn(e.logger).Log("event", "configuration_copy_failed", "peer", from, "err", err)
 		return
 	}
-	e.feeds.Configuration.Restore(batchOf(response.Msg.GetRecords()))
+	batch, err := batchOf(response.Msg.GetRecords())
+	if err != nil {
+		_ = level.Warn(e.logger).Log("event", "configuration_copy_failed", "peer", from, "err", err)
+		return
+	}
+	e.feeds.Configuration.Restore(batch)
 }
 
 // CopyConfiguration serves a host that the platform's store turns away.
@@ -144,13 +145,30 @@
 	if !known {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfiguration)
 	}
-	return connect.NewResponse(&exchangev1.CopyConfigurationResponse{
-		Records: &exchangev1.RecordBatch{Next: batch.Next, Records: batch.Records},
-	}), nil
+	records, err := messageOf(batch)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&exchangev1.CopyConfigurationResponse{Records: records}), nil
 }
 
 var errNoConfiguration = flamingodoor.Errorf(flamingodoor.CodeNotFresh, "this host has no configuration")
 
+func (e *Exchanger) takeRegistrations(records *exchangev1.RecordBatch, now time.Time) {
+	if records == nil {
+		return
+	}
+	batch, err := batchOf(records)
+	if err != nil {
+		_ = level.Warn(e.logger).Log("event", "registrations_unreadable", "err", err)
+	}
+	if err != nil || records.GetOmitted() {
+		e.feeds.Registrations.ReadFrom(records.GetNext())
+		return
+	}
+	e.feeds.Registrations.Accept(batch, now.Add(e.feedLife()-milliseconds(records.GetAgeMs())))
+}
+
 func (e *Exchanger) takeDuty(message *exchangev1.ShareRequest, now time.Time) {
 	duty := message.GetRelayDuty()
 	if duty == nil {
@@ -178,8 +196,7 @@
 		Address: request.GetAddress(), DataCentre: request.GetDataCentre(), LinkMbps: request.GetLinkMbps(), RelayDuty: duty,
 	}
 	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok && target {
-		message.Registrations = messageOf(batch, mostBytes)
-		message.Registrations.AgeMs = fed.age.Milliseconds()
+		message.Registrations = e.registrations(batch, mostBytes, fed.age)
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		message.Configuration = &exchangev1.Configuration{
@@ -190,6 +207,22 @@
 	return message
 }
 
+// registrations encodes a batch, and leaves the records out if they have more
+// bytes than that.
+func (e *Exchanger) registrations(batch flamingodoor.RecordBatch, mostBytes int, age time.Duration) *exchangev1.RecordBatch {
+	omitted := &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Omitted: true}
+	if sizeOf(batch) > mostBytes {
+		return omitted
+	}
+	message, err := messageOf(batch)
+	if err != nil {
+		_ = level.Error(e.logger).Log("event", "registrations_unencodable", "err", err)
+		return omitted
+	}
+	message.AgeMs = age.Milliseconds()
+	return message
+}
+
 // feedLife is how long a batch stands for reads: two rounds for each host on
 // the way from the leading host.
 func (e *Exchanger) feedLife() time.Duration {
@@ -207,19 +240,3 @@
 func milliseconds(count int64) time.Duration {
 	return time.Duration(count) * time.Millisecond
 }
-
-func batchOf(message *exchangev1.RecordBatch) flamingodoor.RecordBatch {
-	return flamingodoor.RecordBatch{From: message.GetFrom(), Next: message.GetNext(), Records: message.GetRecords()}
-}
-
-// messageOf leaves the records out if they have more bytes than that.
-func messageOf(batch flamingodoor.RecordBatch, mostBytes int) *exchangev1.RecordBatch {
-	size := 0
-	for _, record := range batch.Records {
-		size += len(record)
-	}
-	if size > mostBytes {
-		return &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Omitted: true}
-	}
-	return &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Records: batch.Records}
-}
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -93,7 +93,7 @@
 type registrations struct {
 	batch    [][]byte
 	onRead   func(next int64)
-	onAccept func()
+	onAccept func(batch flamingodoor.RecordBatch)
 }
 
 func (r registrations) Next() int64 { return 1 }
@@ -102,9 +102,9 @@
 	return flamingodoor.RecordBatch{From: from, Next: from + int64(len(r.batch)), Records: r.batch}, true
 }
 
-func (r registrations) Accept(flamingodoor.RecordBatch, time.Time) {
+func (r registrations) Accept(batch flamingodoor.RecordBatch, _ time.Time) {
 	if r.onAccept != nil {
-		r.onAccept()
+		r.onAccept(batch)
 	}
 }
 func (r registrations) ReadFrom(next int64) { r.onRead(next) }
@@ -233,7 +233,7 @@
 	const count = 30
 	accepted := make([]atomic.Int32, count)
 	hosts := startFleet(t, count, func(i int) *registrations {
-		return &registrations{onRead: func(int64) {}, onAccept: func() { accepted[i].Add(1) }}
+		return &registrations{onRead: func(int64) {}, onAccept: func(flamingodoor.RecordBatch) { accepted[i].Add(1) }}
 	})
 	eventually(t, "a host is not fed", func() bool {
 		for i := range hosts[1:] {
--- /dev/null
+++ b/internal/exchange/pack_test.go
@@ -0,0 +1,87 @@
+package exchange_test
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/exchange"
+)
+
+// follower takes batches without a network.
+type follower struct {
+	sut      *exchange.Exchanger
+	accepted []flamingodoor.RecordBatch
+	reads    []int64
+}
+
+func (f *follower) Next() int64 { return 1 }
+
+func (f *follower) Since(int64) (flamingodoor.RecordBatch, bool) {
+	return flamingodoor.RecordBatch{}, false
+}
+
+func (f *follower) Accept(batch flamingodoor.RecordBatch, _ time.Time) {
+	f.accepted = append(f.accepted, batch)
+}
+
+func (f *follower) ReadFrom(next int64) { f.reads = append(f.reads, next) }
+
+func newFollower() *follower {
+	f := &follower{}
+	peer := &host{}
+	self := flamingodoor.EntryPeer{ID: "self", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "dc"}
+	f.sut = exchange.New(self, directory{peer, nil}, exchange.Feeds{Registrations: f, Configuration: peer}, peer, peer, log.NewNopLogger())
+	return f
+}
+
+func (f *follower) take(tb testing.TB, batch *exchangev1.RecordBatch) {
+	tb.Helper()
+	_, err := f.sut.Share(tb.Context(), connect.NewRequest(&exchangev1.ShareRequest{
+		HostId: "peer", Address: "127.0.0.1:2", Sequence: 1, Registrations: batch,
+	}))
+	assert.NilError(tb, err)
+}
+
+// A batch passes two hosts as it was read, compressed or not.
+func TestLargeBatchArrivesWhole(t *testing.T) {
+	for _, size := range []int{10, 10_000} {
+		record := bytes.Repeat([]byte("x"), size)
+		fed := make(chan flamingodoor.RecordBatch, 100)
+		startFleet(t, 2, func(int) *registrations {
+			return &registrations{batch: [][]byte{record, {1}}, onRead: func(int64) {}, onAccept: func(batch flamingodoor.RecordBatch) {
+				select {
+				case fed <- batch:
+				default:
+				}
+			}}
+		})
+		select {
+		case batch := <-fed:
+			assert.DeepEqual(t, batch, flamingodoor.RecordBatch{From: 1, Next: 3, Records: [][]byte{record, {1}}})
+		case <-time.After(5 * time.Second):
+			t.Fatal("nothing was fed")
+		}
+	}
+}
+
+// What cannot be read is left to the store.
+func FuzzPackedBatch(f *testing.F) {
+	f.Add([]byte("no gzip"))
+	f.Add([]byte{0x1f, 0x8b, 8, 0, 0, 0, 0, 0, 0, 0xff, 1, 0, 0, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		if len(packed) == 0 {
+			return
+		}
+		receiver := newFollower()
+		receiver.take(t, &exchangev1.RecordBatch{From: 1, Next: 7, Packed: packed})
+		assert.Equal(t, len(receiver.accepted)+len(receiver.reads), 1)
+	})
+}
--- a/internal/exchange/share_bench_test.go
+++ b/internal/exchange/share_bench_test.go
@@ -25,7 +25,7 @@
 		exchange.Feeds{Registrations: receiver.list, Configuration: receiver}, receiver, receiver, log.NewNopLogger())
 	server := httptest.NewServer(receiver.Handler())
 	defer server.Close()
-	client := exchangev1connect.NewExchangeServiceClient(&http.Client{Transport: &http.Transport{DisableCompression: true}}, server.URL)
+	client := exchangev1connect.NewExchangeServiceClient(&http.Client{Transport: &http.Transport{DisableCompression: true}}, server.URL, connect.WithAcceptCompression("gzip", nil, nil))
 	request := &exchangev1.ShareRequest{HostId: "b", Address: "127.0.0.1:1", DataCentre: "dc"}
 	for i := range 10 {
 		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: "i-0123456789" + strconv.Itoa(i), Requests: 3})
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -60,6 +60,17 @@
 	avoid   map[string]bool // instances that failed it
 	target  string          // the instance that gave the answer
 	cause   string          // of the last failure
+	placed  time.Time       // when it first got a place
+	first   time.Time       // when the first event came
+}
+
+// sinceReceived returns the milliseconds from the request to a moment, -1 if it
+// never came.
+func (j *job) sinceReceived(moment time.Time) int64 {
+	if moment.IsZero() {
+		return -1
+	}
+	return moment.Sub(j.received).Milliseconds()
 }
 
 // repeatable reports whether the request may run more than once.
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -56,6 +56,9 @@
 	for {
 		changed := r.tracker.Changed()
 		found, err := r.tryAcquire(j)
+		if err == nil && j.placed.IsZero() {
+			j.placed = r.now()
+		}
 		if err == nil || errors.Is(err, errNoInstance) {
 			return found, err
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -338,7 +338,7 @@
 	_ = level.Info(r.logger).Log("event", "request", "request", j.id, "route", j.route.Name, "workspace", j.workspace,
 		"model", j.model, "result", result, "status", status, "instance", j.target, "sends", j.sends,
 		"may_have_run", j.mayHave, "events", events, "cause", j.cause,
-		"took_ms", now.Sub(j.received).Milliseconds(), "left_ms", j.deadline.Sub(now).Milliseconds(),
+		"placed_ms", j.sinceReceived(j.placed), "first_ms", j.sinceReceived(j.first), "took_ms", now.Sub(j.received).Milliseconds(), "left_ms", j.deadline.Sub(now).Milliseconds(),
 		"config", r.book.Index().Version)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -134,7 +134,8 @@
 			watch.Progress()
 		}
 		if out.events == 1 {
-			r.observer.FirstToken(j.workspace, r.now().Sub(j.received))
+			j.first = r.now()
+			r.observer.FirstToken(j.workspace, j.first.Sub(j.received))
 		}
 	})
 	if err == nil {
