Keep the weight loads under way in the store

The leading host changed eight times; each new one forgot what was loading, gave the same instances a second order and started more loads than the weight store bears at once, which makes each of them longer. Ruled out: fragments of domains (most idle instances had no weights at all), and the choice of loads. Loads that are over are dropped with the next call.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	Instances flamingodoor.InstanceClient
 	Epochs    flamingodoor.EpochLog
 	Heads     flamingodoor.HeadRegister
+	Loads     flamingodoor.LoadRegister
 	Election  func(ttl time.Duration) flamingodoor.Election
 	Directory flamingodoor.HostDirectory
 	Headers   relay.Headers
@@ -147,7 +148,7 @@
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
 	g.exchanger = exchange.New(self, platform.Directory, feeds, g.fleet, g.fleet, logger)
 	g.planner = planner.New(planner.Parts{
-		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads,
+		Book: g.book, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Watcher,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere,
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -75,6 +75,7 @@
 	Instances flamingodoor.InstanceClient
 	Epochs    flamingodoor.EpochLog
 	Heads     flamingodoor.HeadRegister
+	Loads     flamingodoor.LoadRegister
 	Election  flamingodoor.Election
 	Refresher Refresher
 	// ReachedElsewhere reports whether another host gets an answer from an
@@ -111,7 +112,8 @@
 	retiring   map[roster.GroupKey]time.Time
 	heads      map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host led
 	probed     map[string]time.Time
-	loads      map[string]weightLoad // under way, by instance
+	loads      map[string]flamingodoor.WeightLoad // under way, by instance
+	loaded     []string                           // instances whose loads are over, still in the register
 	wasLeading bool
 	summarised time.Time
 	rebalanced time.Time
@@ -130,13 +132,6 @@
 	stagedBy  time.Time // when the staging under way is over
 }
 
-// weightLoad is a load from the weight store.
-type weightLoad struct {
-	modelID  string
-	begun    time.Time
-	deadline time.Time // it is over by then
-}
-
 // pendingGroup is a group that forms.
 type pendingGroup struct {
 	service  string
@@ -166,7 +161,7 @@
 	p := &Planner{
 		Parts: parts, now: time.Now, pause: sleep, renewals: make(chan struct{}, 1), members: make(map[string]*memberState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
-		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]weightLoad),
+		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]flamingodoor.WeightLoad),
 	}
 	for _, option := range options {
 		option(p)
@@ -269,29 +264,38 @@
 
 // begin forgets what only the previous time as leader knew.
 func (p *Planner) begin(ctx context.Context, leads bool) {
-	if leads {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		// Without it, the first claim finds the epoch by a conflict.
-		epoch, err := p.Epochs.Newest(ctx)
-		if err != nil {
-			_ = level.Warn(p.Logger).Log("event", "epoch_unknown", "err", err)
-		}
-		p.epoch = max(p.epoch, epoch)
-		p.loadHeads(ctx)
-	}
 	clear(p.pending)
 	clear(p.dissolving)
 	clear(p.members)
 	clear(p.firstSeen)
 	clear(p.retiring)
 	clear(p.loads)
+	p.loaded = nil
+	if leads {
+		p.readEpoch(ctx)
+		p.loadHeads(ctx)
+		p.recallLoads(ctx)
+	}
 	p.hold()
 }
 
+// readEpoch asks for the newest epoch. Without it, the first claim finds it by
+// a conflict.
+func (p *Planner) readEpoch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	epoch, err := p.Epochs.Newest(ctx)
+	if err != nil {
+		_ = level.Warn(p.Logger).Log("event", "epoch_unknown", "err", err)
+	}
+	p.epoch = max(p.epoch, epoch)
+}
+
 // loadHeads reads which instances led groups, for those whose entry lapsed
 // before this host started.
 func (p *Planner) loadHeads(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	p.heads = nil
 	heads, err := p.Heads.Load(ctx)
 	if err != nil {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -39,6 +39,7 @@
 type scene struct {
 	t        *testing.T
 	fleet    *fleet.Fleet
+	loads    *fleet.LoadRegister
 	book     *catalogue.Book
 	roster   *roster.Roster
 	work     map[string]float64
@@ -52,7 +53,7 @@
 	t.Helper()
 	spec := engine()
 	s := &scene{
-		t: t, fleet: fleet.New(spec, start), roster: roster.New(), work: map[string]float64{large: 1.5, small: 1.5},
+		t: t, fleet: fleet.New(spec, start), loads: fleet.NewLoadRegister(), roster: roster.New(), work: map[string]float64{large: 1.5, small: 1.5},
 		book: catalogue.New(func(*flamingodoor.Catalogue) {}),
 	}
 	s.book.Configure(&flamingodoor.Catalogue{Version: 1, Services: map[string]flamingodoor.ServiceSpec{service: {Name: service, Engine: spec}}})
@@ -73,7 +74,7 @@
 	s.t.Helper()
 	election := alwaysLeads{until: func() time.Time { return s.fleet.Now().Add(time.Hour) }}
 	p := planner.New(planner.Parts{
-		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Heads: s.fleet, Election: election, Refresher: noRefresh{},
+		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Heads: s.fleet, Loads: s.loads, Election: election, Refresher: noRefresh{},
 		InFlight:         func(string) int { return s.inFlight },
 		ReachedElsewhere: func(context.Context, flamingodoor.Instance) bool { return s.reached },
 		Retire: func(key roster.GroupKey) {
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
 	"flamingodoor.example/flamingodoor"
@@ -26,6 +27,7 @@
 func (p *Planner) stage(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, models []formation.Model, now time.Time) {
 	quiet := p.Quiet()
 	p.forgetLoads(view)
+	var begun []flamingodoor.WeightLoad
 	targets := p.completing(service.Engine, idle, models, now)
 	if quiet {
 		targets = p.anyIdle(service, view, idle, models, now)
@@ -42,6 +44,9 @@
 			length /= quietLoadShare
 		}
 		state.staging, state.stagedBy = target.modelID, now.Add(length+formSlack)
+		if load, ok := p.loads[target.instance.ID]; ok {
+			begun = append(begun, load)
+		}
 		orders.Go(func() error {
 			result := p.order(ctx, target.instance, state, flamingodoor.InstanceOrder{Kind: flamingodoor.OrderKindStage, ModelID: target.modelID})
 			if result == flamingodoor.OrderResultConflict {
@@ -52,6 +57,46 @@
 		})
 	}
 	_ = orders.Wait() // results show in the members' entries
+	p.saveLoads(ctx, begun)
+}
+
+// saveLoads registers loads for a host that leads later.
+func (p *Planner) saveLoads(ctx context.Context, begun []flamingodoor.WeightLoad) {
+	if len(begun) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := p.Loads.Save(ctx, begun, p.loaded); err != nil {
+		_ = level.Warn(p.Logger).Log("event", "loads_unsaved", "loads", len(begun), "err", err)
+		return
+	}
+	p.loaded = nil
+}
+
+// recallLoads reads what earlier leading hosts load: a second order would
+// start a load again, and more at once than the weight store bears slow down
+// all of them.
+func (p *Planner) recallLoads(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	loads, err := p.Loads.Load(ctx)
+	if err != nil {
+		_ = level.Warn(p.Logger).Log("event", "loads_unknown", "err", err)
+		return
+	}
+	now := p.now()
+	for _, load := range loads {
+		if now.After(load.Deadline) {
+			p.loaded = append(p.loaded, load.InstanceID)
+			continue
+		}
+		p.loads[load.InstanceID] = load
+		p.members[load.InstanceID] = &memberState{
+			born: load.Born, sequence: -1, staging: load.ModelID, stagedBy: load.Deadline,
+		}
+	}
+	_ = level.Info(p.Logger).Log("event", "loads_recalled", "under_way", len(p.loads))
 }
 
 // completion is a group that loads can complete.
@@ -233,8 +278,9 @@
 func (p *Planner) forgetLoads(view *roster.View) {
 	for id, load := range p.loads {
 		entry, ok := view.Entries[id]
-		if !ok || !entry.Listed || slices.Contains(entry.Staged, load.modelID) || view.At.After(load.deadline) {
+		if !ok || !entry.Listed || slices.Contains(entry.Staged, load.ModelID) || view.At.After(load.Deadline) {
 			delete(p.loads, id)
+			p.loaded = append(p.loaded, id)
 		}
 	}
 }
@@ -244,7 +290,7 @@
 func (p *Planner) mayLoad(engine *flamingodoor.EngineSpec, target stageTarget, now time.Time) bool {
 	recent := 0
 	for _, load := range p.loads {
-		if now.Sub(load.begun) < time.Second {
+		if now.Sub(load.Begun) < time.Second {
 			recent++
 		}
 	}
@@ -255,8 +301,9 @@
 	if len(p.loads) >= atOnce || float64(recent+1) > max(1, engine.LoadsPerS) {
 		return false
 	}
-	p.loads[target.instance.ID] = weightLoad{
-		modelID: target.modelID, begun: now, deadline: now.Add(loadTime(engine, target.modelID) + formSlack),
+	p.loads[target.instance.ID] = flamingodoor.WeightLoad{
+		InstanceID: target.instance.ID, Born: target.instance.Born, ModelID: target.modelID,
+		Begun: now, Deadline: now.Add(loadTime(engine, target.modelID) + formSlack),
 	}
 	return true
 }
--- /dev/null
+++ b/internal/planner/stage_test.go
@@ -0,0 +1,49 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/standin/fleet"
+)
+
+// stages counts the orders to load weights, by instance.
+func (s *scene) stages() map[string]int {
+	counts := make(map[string]int)
+	s.fleet.SetHooks(fleet.Hooks{LoseAnswer: func(id string, order flamingodoor.InstanceOrder) bool {
+		if order.Kind == flamingodoor.OrderKindStage {
+			counts[id]++
+		}
+		return false
+	}})
+	return counts
+}
+
+// Pattern: the leading host is replaced while a domain waits for weights. Each
+// new leader once loaded again what was under way, and more besides: half of a
+// fleet had no weights for 25 s.
+func TestNewLeaderKnowsTheLoadsUnderWay(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 3}
+	s.add("d0", 3, large)
+	s.add("d0", 1)
+	s.add("d1", 9)
+	counts := s.stages()
+	s.run(3*time.Second, s.lead())
+	first := len(counts)
+	assert.Assert(t, first > 0)
+	s.run(3*time.Second, s.lead())
+	s.run(3*time.Second, s.lead())
+	for id, count := range counts {
+		assert.Equal(t, count, 1, "instance %s", id)
+	}
+	assert.Assert(t, len(counts) <= engine().LoadsAtOnce, "%d loads at once", len(counts))
+	loads, err := s.loads.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(loads), len(counts))
+	s.run(20*time.Second, s.lead())
+	assert.Assert(t, s.fleet.OpenGroups(large) > 0)
+}
--- /dev/null
+++ b/internal/standin/fleet/loads.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+// LoadRegister keeps weight loads in memory.
+type LoadRegister struct {
+	mu    sync.Mutex
+	loads map[string]flamingodoor.WeightLoad
+}
+
+// NewLoadRegister returns an empty register.
+func NewLoadRegister() *LoadRegister {
+	return &LoadRegister{loads: make(map[string]flamingodoor.WeightLoad)}
+}
+
+// Save adds loads and drops those that are over.
+func (r *LoadRegister) Save(_ context.Context, loads []flamingodoor.WeightLoad, over []string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range over {
+		delete(r.loads, id)
+	}
+	for _, load := range loads {
+		r.loads[load.InstanceID] = load
+	}
+	return nil
+}
+
+// Load returns the loads that were not dropped.
+func (r *LoadRegister) Load(context.Context) ([]flamingodoor.WeightLoad, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.loads)), nil
+}
--- a/serving.go
+++ b/serving.go
@@ -246,6 +246,23 @@
 	Load(ctx context.Context) ([]Instance, error)
 }
 
+// WeightLoad is a load from the weight store onto an instance's host.
+type WeightLoad struct {
+	InstanceID string
+	Born       time.Time // of the instance
+	ModelID    string
+	Begun      time.Time
+	Deadline   time.Time // it is over by then
+}
+
+// LoadRegister keeps the loads under way beyond the life of entry hosts:
+// instances do not say what they load, and more at once slow each other down.
+type LoadRegister interface {
+	// Save adds loads and drops those of instances for which they are over.
+	Save(ctx context.Context, loads []WeightLoad, over []string) error
+	Load(ctx context.Context) ([]WeightLoad, error)
+}
+
 // Election tells which host leads.
 type Election interface {
 	// Renew joins or keeps the election and reports whether this host leads
