Tell all hosts of a loss at once

Cause: news of a lost member went to the next 12 peers in turn, so that with 62 hosts most found the loss by their own silence, question and time-out, up to a second later, each with questions of its own. Ruled out at 7 hosts: a turn reaches all there. After: within a round.

--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -300,6 +300,53 @@
 		// leastMessages leaves room for one that is lost.
 		leastMessages = 2
 	)
+	sender, peers := newSender(t, near, far)
+	ctx, cancel := context.WithTimeout(t.Context(), aliveFor)
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { sender.RunDirectory(ctx) })
+	sender.Run(ctx)
+	running.Wait()
+	for i, each := range peers {
+		assert.Assert(t, each.messages.Load() >= leastMessages, "peer %d: %d messages", i, each.messages.Load())
+	}
+}
+
+// Pattern: a group of 16 loses a member, and streams of most of 62 hosts wait
+// for it. With the news passed on by turns, each host found the loss by itself
+// up to a second later.
+func TestUrgentNewsReachesEveryPeerAtOnce(t *testing.T) {
+	// quickly is shorter than a round.
+	const quickly = 150 * time.Millisecond
+	sender, peers := newSender(t, 20, 41)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { sender.RunDirectory(ctx) })
+	running.Go(func() { sender.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	heard := func(least []int32) bool {
+		for i, each := range peers {
+			if each.messages.Load() <= least[i] {
+				return false
+			}
+		}
+		return true
+	}
+	before := make([]int32, len(peers))
+	eventually(t, "a peer hears nothing", func() bool { return heard(before) })
+	for i, each := range peers {
+		before[i] = each.messages.Load()
+	}
+	sender.HurryToAll()
+	begun := time.Now()
+	eventually(t, "a peer hears no news", func() bool { return heard(before) })
+	assert.Assert(t, time.Since(begun) < quickly, "%s", time.Since(begun))
+}
+
+// newSender returns a host with peers in its data centre and in another, which
+// count its messages.
+func newSender(t *testing.T, near, far int) (*host, []*counter) {
+	t.Helper()
 	self := flamingodoor.EntryPeer{ID: "self", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "dc-0"}
 	all := make([]flamingodoor.EntryPeer, 0, 1+near+far)
 	all = append(all, self)
@@ -321,13 +368,5 @@
 	sender := &host{list: registrations{onRead: func(int64) {}}}
 	sender.Exchanger = exchange.New(self, directory{sender, all},
 		exchange.Feeds{Registrations: sender.list, Configuration: sender}, sender, sender, log.NewNopLogger())
-	ctx, cancel := context.WithTimeout(t.Context(), aliveFor)
-	defer cancel()
-	var running sync.WaitGroup
-	running.Go(func() { sender.RunDirectory(ctx) })
-	sender.Run(ctx)
-	running.Wait()
-	for i, each := range peers {
-		assert.Assert(t, each.messages.Load() >= leastMessages, "peer %d: %d messages", i, each.messages.Load())
-	}
+	return sender, peers
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -301,7 +301,7 @@
 		}
 	}
 	g.roster.Publish(now)
-	g.exchanger.Hurry()
+	g.exchanger.HurryToAll()
 	g.tracker.Wake()
 }
 
@@ -313,7 +313,7 @@
 	g.fleet.mu.Lock()
 	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, retiring: true, at: now})
 	g.fleet.mu.Unlock()
-	g.exchanger.Hurry()
+	g.exchanger.HurryToAll()
 }
 
 // groupStalled tells the peers of a group that stands still.
@@ -325,5 +325,5 @@
 	g.fleet.mu.Lock()
 	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, at: now})
 	g.fleet.mu.Unlock()
-	g.exchanger.Hurry()
+	g.exchanger.HurryToAll()
 }
