Retire several groups of a domain for a large one

One small group frees 4: never enough. Ruled out: weights (members hold those of the other model) and the valuation, which finds the gain once two groups are tried together.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -51,7 +51,11 @@
 
 func newScene(t *testing.T) *scene {
 	t.Helper()
-	spec := engine()
+	return newSceneOf(t, engine())
+}
+
+func newSceneOf(t *testing.T, spec *flamingodoor.EngineSpec) *scene {
+	t.Helper()
 	s := &scene{
 		t: t, fleet: fleet.New(spec, start), loads: fleet.NewLoadRegister(), roster: roster.New(), work: map[string]float64{large: 1.5, small: 1.5},
 		book: catalogue.New(func(*flamingodoor.Catalogue) {}),
@@ -432,6 +436,26 @@
 	assert.Assert(t, s.fleet.OpenGroups(large) >= 1)
 }
 
+// Pattern: losses leave a large model without enough free instances in any
+// domain, while a small one has plenty of groups. One of those alone frees too
+// few, and the large model stayed short for a whole day beside 58 idle
+// instances.
+func TestSeveralGroupsRetireForALargeOne(t *testing.T) {
+	spec := engine()
+	spec.Models[0].Size = 8
+	s := newSceneOf(t, spec)
+	s.work = map[string]float64{large: 0.01, small: 8}
+	s.add("d0", 12, small)
+	p := s.lead()
+	s.run(200*time.Second, p) // the others' weights are loaded meanwhile
+	assert.Equal(t, s.fleet.OpenGroups(small), 4)
+	s.work = map[string]float64{large: 4, small: 0.5}
+	s.run(20*time.Second, p)
+	assert.Assert(t, len(s.retired) >= 2, "%d groups retired", len(s.retired))
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	assert.Assert(t, s.fleet.OpenGroups(small) >= 1)
+}
+
 // Empty instances are added: loads go where they complete a group, and no more
 // run at once than the weight store bears.
 func TestLoadsCompleteAGroup(t *testing.T) {
