Split the exchange by what it does

The file of the feeds held relays and copies too, and exchange.go what the fleet looks like: each has a file of its own now. A round's feeds are named feedRound and feedTargets. No other change of behaviour.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -247,63 +247,6 @@
 	return made
 }
 
-// Hosts returns the number of entry hosts that were heard lately, this one
-// included.
-func (e *Exchanger) Hosts() int {
-	now := e.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	count := 1
-	for _, each := range e.peers {
-		if now.Sub(each.heard) < peerLife {
-			count++
-		}
-	}
-	return count
-}
-
-// Spread is how long the work of a host takes to be known to all others.
-func (e *Exchanger) Spread() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	near, far := 0, 0
-	for _, each := range e.peers {
-		if each.DataCentre == e.self.DataCentre {
-			near++
-		} else {
-			far++
-		}
-	}
-	turns := max((near+nearPeers-1)/nearPeers, (far+farPeers-1)/farPeers)
-	return time.Duration(1+turns) * shareEvery
-}
-
-// Listed reports whether this host has read the list of hosts.
-func (e *Exchanger) Listed() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.listed
-}
-
-// LimitHosts returns the entry hosts among which the limits that all share are
-// divided, this one included.
-func (e *Exchanger) LimitHosts() []string {
-	now := e.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	hosts := []string{e.self.ID}
-	for _, each := range e.peers {
-		news := each.heard
-		if news.IsZero() {
-			news = each.added
-		}
-		if !each.left && now.Sub(news) < limitLife {
-			hosts = append(hosts, each.ID)
-		}
-	}
-	return hosts
-}
-
 // Hurry shares at once.
 func (e *Exchanger) Hurry() {
 	select {
@@ -376,7 +319,7 @@
 
 // prepare returns the next message, the peers that get it, and those among
 // them that get the feeds too.
-func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer, feeding) {
+func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer, feedRound) {
 	now := e.now()
 	leads := e.source.Feeds()
 	e.mu.Lock()
@@ -393,7 +336,7 @@
 		}
 	}
 	sortPeers(peers)
-	fed := e.feeding(peers, leads, now)
+	fed := e.feedTargets(peers, leads, now)
 	everyone := e.everyone
 	e.everyone = false
 	e.mu.Unlock()
