--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -50,23 +50,23 @@
 // The uses of other hosts are a moment old. If each host took the freest
 // candidate, all would send there until the news had spread, and then to the
 // next. `unseen` estimates the requests of that moment: candidates are chosen
-// as if so many requests were poured in to level the loads.
+// as if so many requests levelled the loads (water-filling).
 func (t *Tracker) Pick(candidates []Candidate, unseen float64, now time.Time) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	open := make([]vessel, 0, len(candidates))
+	open := make([]loaded, 0, len(candidates))
 	for _, candidate := range candidates {
 		used := t.own[candidate.ID] + t.total[candidate.ID]
 		if used < candidate.Capacity && t.own[candidate.ID] < candidate.Own && !now.Before(t.refused[candidate.ID]) {
-			open = append(open, vesselOf(candidate, used))
+			open = append(open, loadOf(candidate, used))
 		}
 	}
 	if len(open) == 0 {
 		return "", false
 	}
-	id := freest(open)
+	id := leastLoaded(open)
 	if unseen >= 1 {
-		id = pour(open, unseen)
+		id = waterFill(open, unseen)
 	}
 	t.own[id]++
 	return id, true
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -136,11 +136,11 @@
 // one had 54 requests and others none.
 func TestHostsWithOldNewsSpreadTheirRequests(t *testing.T) {
 	const hosts, each = 62, 3
-	freest := mostAtOneGroup(t, hosts, each, 0)
-	poured := mostAtOneGroup(t, hosts, each, hosts*each/2)
+	leastLoaded := mostAtOneGroup(t, hosts, each, 0)
+	waterFilled := mostAtOneGroup(t, hosts, each, hosts*each/2)
 	// About 21 run at each group on average, of 62 x 3 x 3 / 26.
-	assert.Assert(t, poured <= 40, "%d requests at one group", poured)
-	assert.Assert(t, freest >= poured*5/4, "%d after %d", poured, freest)
+	assert.Assert(t, waterFilled <= 40, "%d requests at one group", waterFilled)
+	assert.Assert(t, leastLoaded >= waterFilled*5/4, "%d after %d", waterFilled, leastLoaded)
 }
 
 // mostAtOneGroup simulates hosts that hear of the others' requests after each
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -218,5 +218,5 @@
 // that this one knows of: news is half as old as it gets.
 func (r *Relay) unseen(j *job, now time.Time) float64 {
 	age := time.Duration(r.spread.Load()) / 2
-	return r.asked.perSecond(j.key(), now) * float64(r.hosts.Load()) * age.Seconds()
+	return r.arrivals.perSecond(j.key(), now) * float64(r.hosts.Load()) * age.Seconds()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,13 +77,13 @@
 	stopping atomic.Bool
 	active   sync.WaitGroup
 
-	mu      sync.Mutex
-	budgets map[string]*admission.RetryBudget // by service
-	allowed map[string]time.Duration          // longest deadline of callers, by route
-	divider *share.Divider
-	cold    *cold.Limiter
-	waiting *waitingRoom
-	asked   *arrivals
+	mu       sync.Mutex
+	budgets  map[string]*admission.RetryBudget // by service
+	allowed  map[string]time.Duration          // longest deadline of callers, by route
+	divider  *share.Divider
+	cold     *cold.Limiter
+	waiting  *waitingRoom
+	arrivals *arrivals
 }
 
 // Observer counts finished requests.
@@ -129,7 +129,7 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		strikes: parts.Strikes, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiting: newWaitingRoom(), asked: newArrivals(),
+		budgets: make(map[string]*admission.RetryBudget), allowed: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiting: newWaitingRoom(), arrivals: newArrivals(),
 	}
 	for _, option := range options {
 		option(r)
@@ -245,7 +245,7 @@
 		return
 	}
 	r.budget(j.service.Name).Request(received)
-	r.asked.add(j.key(), received)
+	r.arrivals.add(j.key(), received)
 	ctx, cancel := context.WithDeadline(request.Context(), j.deadline)
 	defer cancel()
 	if route.Kind == flamingodoor.RouteKindStreaming {
