--- /dev/null
+++ b/cmd/flamingodoor-entry/main_test.go
@@ -0,0 +1,149 @@
+package main_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// eventTime bounds the wait for one log line.
+const eventTime = 20 * time.Second
+
+// entry is a process whose log a test reads.
+type entry struct {
+	t        *testing.T
+	process  *exec.Cmd
+	settings string
+	ports    []int
+	store    string
+	lines    chan string
+}
+
+// startEntry builds and starts an entry host before a store that is down.
+func startEntry(t *testing.T) *entry {
+	t.Helper()
+	store := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(store.Close)
+	folder := t.TempDir()
+	program := filepath.Join(folder, "flamingodoor-entry")
+	built, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, ".").CombinedOutput()
+	assert.NilError(t, err, string(built))
+	e := &entry{
+		t: t, settings: filepath.Join(folder, "node.yaml"), ports: freePorts(t, 4),
+		store: store.Listener.Addr().String(), lines: make(chan string, 1000),
+	}
+	e.write(5000)
+	e.process = exec.CommandContext(t.Context(), program, "--settings", e.settings, "--metrics-port", fmt.Sprint(e.ports[3])) //nolint:gosec // built above
+	output, err := e.process.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, e.process.Start())
+	t.Cleanup(func() {
+		_ = e.process.Process.Kill() // it may have ended
+	})
+	go func() {
+		defer close(e.lines)
+		for scanner := bufio.NewScanner(output); scanner.Scan(); {
+			e.lines <- scanner.Text()
+		}
+	}()
+	return e
+}
+
+func freePorts(t *testing.T, count int) []int {
+	t.Helper()
+	ports := make([]int, count)
+	for i := range ports {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = listener.Close() }()
+		ports[i] = listener.Addr().(*net.TCPAddr).Port //nolint:forcetypeassert // a TCP listener
+	}
+	return ports
+}
+
+// write replaces the settings file.
+func (e *entry) write(revokeMS int) {
+	e.t.Helper()
+	text := fmt.Sprintf(`node_name: "edge-1"
+ip: "127.0.0.1"
+zone: "a"
+listen: {front: "127.0.0.1:%d", ready: "127.0.0.1:%d"}
+internal_ports: [%d, %d]
+bounds: {grace_s: 3, revoke_ms: %d, budget_ratio: 0.2, budget_burst: 10}
+platform: {address: "%s", ttl_min_ms: 1000}
+`, e.ports[0], e.ports[1], e.ports[2], e.ports[2], revokeMS, e.store)
+	assert.NilError(e.t, os.WriteFile(e.settings, []byte(text), 0o600))
+}
+
+// await returns the next line with the event.
+func (e *entry) await(event string) string {
+	e.t.Helper()
+	timer := time.NewTimer(eventTime)
+	defer timer.Stop()
+	for {
+		select {
+		case line, ok := <-e.lines:
+			assert.Assert(e.t, ok, "the process ended before %s", event)
+			if strings.Contains(line, "event="+event+" ") || strings.HasSuffix(line, "event="+event) {
+				return line
+			}
+		case <-timer.C:
+			e.t.Fatalf("no line with event=%s", event)
+		}
+	}
+}
+
+func (e *entry) signal(signal syscall.Signal) {
+	e.t.Helper()
+	assert.NilError(e.t, e.process.Process.Signal(signal))
+}
+
+// SIGHUP reads the settings again. A wrong file changes nothing, and the
+// process goes on either way until SIGTERM ends it without a failure.
+func TestSignals(t *testing.T) {
+	e := startEntry(t)
+	e.await("started")
+	e.write(4000)
+	e.signal(syscall.SIGHUP)
+	e.await("reloaded")
+	assert.NilError(t, os.WriteFile(e.settings, []byte("zone: ["), 0o600))
+	e.signal(syscall.SIGHUP)
+	assert.Assert(t, strings.Contains(e.await("reload_failed"), "err="))
+	e.write(5000)
+	e.signal(syscall.SIGHUP)
+	e.await("reloaded")
+	e.signal(syscall.SIGTERM)
+	e.await("stopping")
+	e.await("stopped")
+	assert.NilError(t, e.process.Wait())
+}
+
+// Wrong settings and wrong flags end the process at once with the status for
+// wrong use.
+func TestWrongUse(t *testing.T) {
+	folder := t.TempDir()
+	program := filepath.Join(folder, "flamingodoor-entry")
+	built, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, ".").CombinedOutput()
+	assert.NilError(t, err, string(built))
+	settings := filepath.Join(folder, "node.yaml")
+	assert.NilError(t, os.WriteFile(settings, []byte("zone: a\n"), 0o600))
+	for _, arguments := range [][]string{{"--settings", settings, "--check"}, {"--settings", settings + "x"}, {"--no-such-flag"}} {
+		command := exec.CommandContext(t.Context(), program, arguments...) //nolint:gosec // built above
+		output, err := command.CombinedOutput()
+		assert.Assert(t, err != nil, "%v", arguments)
+		assert.Equal(t, command.ProcessState.ExitCode(), 2, "%v: %s", arguments, output)
+	}
+}
