--- a/cmd/flamingodoor-entry/main_test.go
+++ b/cmd/flamingodoor-entry/main_test.go
@@ -46,7 +46,7 @@
 		store: store.Listener.Addr().String(), lines: make(chan string, 1000),
 	}
 	e.write(5000)
-	e.process = exec.CommandContext(t.Context(), program, "--settings", e.settings, "--metrics-port", fmt.Sprint(e.ports[3])) //nolint:gosec // built above
+	e.process = exec.CommandContext(t.Context(), program, "--settings", e.settings, "--metrics-port", fmt.Sprint(e.ports[3]))
 	output, err := e.process.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, e.process.Start())
@@ -141,7 +141,7 @@
 	settings := filepath.Join(folder, "node.yaml")
 	assert.NilError(t, os.WriteFile(settings, []byte("zone: a\n"), 0o600))
 	for _, arguments := range [][]string{{"--settings", settings, "--check"}, {"--settings", settings + "x"}, {"--no-such-flag"}} {
-		command := exec.CommandContext(t.Context(), program, arguments...) //nolint:gosec // built above
+		command := exec.CommandContext(t.Context(), program, arguments...)
 		output, err := command.CombinedOutput()
 		assert.Assert(t, err != nil, "%v", arguments)
 		assert.Equal(t, command.ProcessState.ExitCode(), 2, "%v: %s", arguments, output)
