Tell how old the registrations are that a host passes on

Cause: a leading host that the store turns away passed on batches without news and with an age of 0, each of which stood for a read of the receiver for up to 2.2 s; a relay counted the age from the leading host's message. Change: a host knows when the read began that its registrations stand for, and tells the age of that read; the relay's own reckoning goes away. Before: TestFeedOfAHostThatCannotReadGrowsOld fails with the age left out (as of 5.4 s after the read). After: it passes with all tests of the package.

--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -52,7 +52,8 @@
 		e.feeds.Registrations.ReadFrom(records.GetNext())
 		return
 	}
-	e.feeds.Registrations.Accept(batch, now.Add(e.feedLife()-milliseconds(records.GetAgeMs())))
+	asOf := now.Add(-milliseconds(records.GetAgeMs()))
+	e.feeds.Registrations.Accept(batch, asOf, asOf.Add(e.feedLife()))
 }
 
 // withFeeds adds what the peer lacks, if this host feeds it.
@@ -70,7 +71,7 @@
 		Address: request.GetAddress(), DataCentre: request.GetDataCentre(), LinkMbps: request.GetLinkMbps(), RelayDuty: duty,
 	}
 	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok && target {
-		message.Registrations = e.registrations(batch, mostBytes, fed.age)
+		message.Registrations = e.registrations(batch, mostBytes)
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		message.Configuration = &exchangev1.Configuration{
@@ -83,7 +84,7 @@
 
 // registrations encodes a batch, and leaves the records out if they have more
 // bytes than that.
-func (e *Exchanger) registrations(batch flamingodoor.RecordBatch, mostBytes int, age time.Duration) *exchangev1.RecordBatch {
+func (e *Exchanger) registrations(batch flamingodoor.RecordBatch, mostBytes int) *exchangev1.RecordBatch {
 	omitted := &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Omitted: true}
 	if sizeOf(batch) > mostBytes {
 		return omitted
@@ -93,12 +94,12 @@
 		_ = level.Error(e.logger).Log("event", "registrations_unencodable", "err", err)
 		return omitted
 	}
-	message.AgeMs = age.Milliseconds()
+	message.AgeMs = max(0, e.now().Sub(e.feeds.Registrations.AsOf()).Milliseconds())
 	return message
 }
 
-// feedLife is how long a batch stands for reads: two rounds for each host on
-// the way from the leading host.
+// feedLife is how long a read of the leading host stands for those of a host
+// that is fed: two rounds for each host on the way.
 func (e *Exchanger) feedLife() time.Duration {
 	hops := 1
 	if e.Hosts() > directPeers {
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -94,6 +94,8 @@
 	batch    [][]byte
 	onRead   func(next int64)
 	onAccept func(batch flamingodoor.RecordBatch)
+	onFed    func(asOf, until time.Time)
+	asOf     time.Time // of all reads; now if it is zero
 }
 
 func (r registrations) Next() int64 { return 1 }
@@ -102,7 +104,17 @@
 	return flamingodoor.RecordBatch{From: from, Next: from + int64(len(r.batch)), Records: r.batch}, true
 }
 
-func (r registrations) Accept(batch flamingodoor.RecordBatch, _ time.Time) {
+func (r registrations) AsOf() time.Time {
+	if r.asOf.IsZero() {
+		return time.Now()
+	}
+	return r.asOf
+}
+
+func (r registrations) Accept(batch flamingodoor.RecordBatch, asOf, until time.Time) {
+	if r.onFed != nil {
+		r.onFed(asOf, until)
+	}
 	if r.onAccept != nil {
 		r.onAccept(batch)
 	}
@@ -246,6 +258,25 @@
 	assert.Equal(t, accepted[0].Load(), int32(0))
 }
 
+// Pattern: the store turns the leading host away while it still leads. What it
+// passes on no longer stands for reads, so that the others read by themselves.
+func TestFeedOfAHostThatCannotReadGrowsOld(t *testing.T) {
+	read := time.Now().Add(-5 * time.Second)
+	type period struct{ asOf, until time.Time }
+	fed := make(chan period, 100)
+	startFleet(t, 2, func(int) *registrations {
+		return &registrations{asOf: read, onRead: func(int64) {}, onFed: func(asOf, until time.Time) {
+			select {
+			case fed <- period{asOf, until}:
+			default:
+			}
+		}}
+	})
+	got := <-fed
+	assert.Assert(t, got.asOf.Sub(read) < time.Second, "as of %s after the read", got.asOf.Sub(read))
+	assert.Assert(t, got.until.Before(time.Now()), "no reads for %s", time.Until(got.until))
+}
+
 // Pattern: all groups of a large fleet form at once, and every instance's entry
 // changes several times. Passed on to 74 hosts over a link of 20 Mbit/s, the
 // changes held up the leading host's lease.
--- a/internal/exchange/pack_test.go
+++ b/internal/exchange/pack_test.go
@@ -28,7 +28,9 @@
 	return flamingodoor.RecordBatch{}, false
 }
 
-func (f *follower) Accept(batch flamingodoor.RecordBatch, _ time.Time) {
+func (f *follower) AsOf() time.Time { return time.Now() }
+
+func (f *follower) Accept(batch flamingodoor.RecordBatch, _, _ time.Time) {
 	f.accepted = append(f.accepted, batch)
 }
 
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -25,7 +25,6 @@
 	leader   string
 	part     int
 	parts    int
-	told     time.Time // when the leading host last said so
 	deadline time.Time
 }
 
@@ -33,7 +32,6 @@
 type feedRound struct {
 	leads   bool
 	targets map[string]*exchangev1.RelayDuty // by peer; nil for one that relays nothing
-	age     time.Duration                    // of what the leading host told this one
 }
 
 // feedTargets chooses the peers that this host feeds: all or those that relay if
@@ -48,7 +46,6 @@
 	case leads:
 		chooseRelays(peers, fed.targets)
 	case now.Before(e.duty.deadline):
-		fed.age = now.Sub(e.duty.told)
 		for _, each := range peers {
 			if each.DataCentre == e.self.DataCentre && each.ID != e.duty.leader && partOf(each.ID, e.duty.parts) == e.duty.part {
 				fed.targets[each.ID] = nil
@@ -88,6 +85,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.duty = relayDuty{
-		leader: message.GetHostId(), part: int(duty.GetPart()), parts: int(duty.GetParts()), told: now, deadline: now.Add(relayLife),
+		leader: message.GetHostId(), part: int(duty.GetPart()), parts: int(duty.GetParts()), deadline: now.Add(relayLife),
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -67,8 +67,9 @@
 type Refresher interface {
 	// Refresh reads them at once, also on a host that is fed.
 	Refresh()
-	// ReadAt is when the latest read that succeeded began.
-	ReadAt() time.Time
+	// AsOf is when the latest read began that is known here. A leading host
+	// takes none of others.
+	AsOf() time.Time
 }
 
 // Parts are what a planner works with.
@@ -250,7 +251,7 @@
 		return
 	}
 	now := p.now()
-	if p.Refresher.ReadAt().Before(p.ledSince) {
+	if p.Refresher.AsOf().Before(p.ledSince) {
 		// What this host was fed may lack the last groups of an earlier planner.
 		p.Refresher.Refresh()
 		return
@@ -344,7 +345,7 @@
 	if now.Before(p.holdUntil) {
 		return false
 	}
-	if p.Refresher.ReadAt().Before(p.holdUntil) {
+	if p.Refresher.AsOf().Before(p.holdUntil) {
 		p.Refresher.Refresh()
 		return false
 	}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -76,7 +76,7 @@
 
 func (refresher) Refresh() {}
 
-func (r refresher) ReadAt() time.Time { return r.scene.readAt }
+func (r refresher) AsOf() time.Time { return r.scene.readAt }
 
 // lead returns a planner that leads from now on.
 func (s *scene) lead() *planner.Planner {
--- a/serving.go
+++ b/serving.go
@@ -164,9 +164,13 @@
 	// Since returns what changed from an offset on, or false if this host no
 	// longer knows.
 	Since(from int64) (RecordBatch, bool)
-	// Accept applies a batch that follows what this host knows. Until the
-	// given time this host does not read the list itself.
-	Accept(batch RecordBatch, until time.Time)
+	// AsOf is when the latest read began that this host knows the outcome of,
+	// its own or that of a host that fed it.
+	AsOf() time.Time
+	// Accept applies a batch that follows what this host knows, with the time
+	// of the read that it stands for. Until the given time this host does not
+	// read the list itself.
+	Accept(batch RecordBatch, asOf, until time.Time)
 	// ReadFrom makes this host read the list at once if it knows no more than
 	// what comes before the offset.
 	ReadFrom(next int64)
