Try hosts again that were silent for long

Cause: a host that had not heard from a peer for 3 s sent it nothing more. After a cut of that length both sides waited for the other, until one of them started again. Ruled out: the list of hosts, which is read each 30 s, adds addresses alone. Change: each round also tries two silent peers by turns. A peer that said that it stops is no longer tried. Before: TestHostsFindEachOtherAfterACut fails. After: it passes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,6 +54,10 @@
 	// their data centre while they can, so that the uses there matter most.
 	nearPeers = 6
 	farPeers  = 6
+	// silentPeers is how many peers without news a round tries, so that hosts
+	// find each other again after a cut. Those that are gone take a dial
+	// time-out each.
+	silentPeers = 2
 )
 
 // Source gives what this host tells the others.
@@ -93,6 +97,7 @@
 	duty     relayDuty
 	nearTurn int
 	farTurn  int
+	lostTurn int
 }
 
 type peer struct {
@@ -342,14 +347,19 @@
 		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started.UnixMilli(), Sequence: e.sequence,
 		Leaving: e.leaving, LinkMbps: int32(e.self.LinkMbps), //nolint:gosec // a capacity in megabits
 	}
-	var peers []*peer
+	var peers, silent []*peer
 	for _, each := range e.peers {
-		// One that was never heard is tried until it is.
-		if each.heard.IsZero() || now.Sub(each.heard) < peerLife {
+		switch {
+		case each.left:
+		// One that was never heard is tried in each turn until it is.
+		case each.heard.IsZero(), now.Sub(each.heard) < peerLife:
 			peers = append(peers, each)
+		default:
+			silent = append(silent, each)
 		}
 	}
 	sortPeers(peers)
+	sortPeers(silent)
 	fed := e.feedTargets(peers, leads, now)
 	urgent := takeUrgent(peers)
 	e.mu.Unlock()
@@ -357,7 +367,7 @@
 	if len(urgent) > 0 {
 		return request, urgent, fed
 	}
-	chosen := e.choose(peers)
+	chosen := append(e.choose(peers), inTurn(silent, silentPeers, &e.lostTurn)...)
 	for _, each := range peers {
 		if _, ok := fed.targets[each.ID]; ok && !slices.Contains(chosen, each) {
 			chosen = append(chosen, each)
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -394,6 +394,34 @@
 	assert.Assert(t, time.Since(begun) < turn/4, "%s", time.Since(begun))
 }
 
+// Pattern: hosts are cut off from each other for longer than they count as alive
+// without news. Each stopped to tell the other, and none began again after the
+// cut: hosts that were cut off read the store by themselves for the rest of the
+// day (Valach grown, scale-2).
+func TestHostsFindEachOtherAfterACut(t *testing.T) {
+	const (
+		cutFor = 4 * time.Second // above the 3 s for which a peer counts without news
+		soon   = 3 * time.Second
+	)
+	sender, peers := newSender(t, 1, 1)
+	run(t, sender)
+	share := func(i int) {
+		_, err := sender.Share(t.Context(), connect.NewRequest(&exchangev1.ShareRequest{
+			HostId: "peer-" + strconv.Itoa(i), Sequence: 1,
+		}))
+		assert.NilError(t, err)
+	}
+	eventually(t, "no message", func() bool { return peers[0].messages.Load() > 0 && peers[1].messages.Load() > 0 })
+	share(0)
+	share(1)
+	time.Sleep(cutFor) // without a word of the peers
+	before := []int32{peers[0].messages.Load(), peers[1].messages.Load()}
+	time.Sleep(soon)
+	for i, each := range peers {
+		assert.Assert(t, each.messages.Load() > before[i], "peer %d is not told any more", i)
+	}
+}
+
 // run lets a host share until the test ends.
 func run(t *testing.T, sender *host) {
 	t.Helper()
