Tell large fleets the work of all hosts through relays

Cause: each host told 12 peers a round by turns. With 62 hosts the work of one reached all others after 1.4 s at 60 messages a second and host; with more than about 90 hosts in three data centres turns took longer than the 3 s for which a host counts as alive, so that each took the fleet for smaller than it is. Change: the hosts that relay registrations also sum up the work and the demand of their part of the data centre. A host tells its relay alone, relays tell each other, and each relay tells its hosts the summaries of all. Hosts without a relay, and those that just started, go on by turns. There is a relay for every 16 hosts of a data centre, two at least. A host that stops tells all peers. Ruled out: more messages a round, 250 a second at 300 hosts.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,6 +32,8 @@
 	// are text and shrink to about a quarter.
 	gzipBytes   = 2 << 10
 	dialTimeout = 300 * time.Millisecond
+	// idleTime is above the turns among the peers of a fleet without relays.
+	idleTime = 5 * time.Second
 	// peerLife is how long a peer counts as an entry host without news.
 	peerLife = 3 * time.Second
 	// limitLife is how long a peer counts for the limits that all hosts share:
@@ -70,6 +72,8 @@
 // Sink takes what another host told.
 type Sink interface {
 	Learn(request *exchangev1.ShareRequest, now time.Time)
+	// Forget drops what a host told of its work.
+	Forget(hostID string, now time.Time)
 	// Answers reports whether this life of an instance answers.
 	Answers(ctx context.Context, instance flamingodoor.Instance) bool
 }
@@ -91,6 +95,7 @@
 
 	mu       sync.Mutex
 	peers    map[string]*peer
+	byHash   map[uint32]*peer
 	sequence uint64
 	leaving  bool
 	listed   bool // the list of hosts was read
@@ -98,6 +103,10 @@
 	nearTurn int
 	farTurn  int
 	lostTurn int
+
+	summaries  map[string]heldSummary // by relay
+	relayID    string                 // the host that relays for this one
+	relayUntil time.Time
 }
 
 type peer struct {
@@ -111,6 +120,9 @@
 	answer   *exchangev1.ShareResponse // the latest
 	busy     atomic.Bool               // a message is on its way
 	urgent   bool                      // news for it came up since its latest message
+	work     ownWork                   // of its latest message
+	// coveredUntil is until when summaries tell of its work.
+	coveredUntil time.Time
 }
 
 // Feeds pass on what the leading host reads from the platform.
@@ -132,8 +144,9 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	e := &Exchanger{
 		self: self, directory: directory, feeds: feeds, source: source, sink: sink,
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime}},
 		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peer),
+		byHash: make(map[uint32]*peer), summaries: make(map[string]heldSummary),
 	}
 	for _, option := range options {
 		option(e)
@@ -152,9 +165,10 @@
 // Share takes what another host told.
 func (e *Exchanger) Share(ctx context.Context, request *connect.Request[exchangev1.ShareRequest]) (*connect.Response[exchangev1.ShareResponse], error) {
 	now := e.now()
-	if e.accept(request.Msg, now) {
-		e.sink.Learn(request.Msg, now)
+	if message, ok := e.accept(request.Msg, now); ok {
+		e.sink.Learn(message, now)
 	}
+	e.takeSummaries(request.Msg, now)
 	e.takeFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.Next(), Clock: e.clock(now),
@@ -217,8 +231,9 @@
 	return peers
 }
 
-// accept drops messages that arrive after newer ones.
-func (e *Exchanger) accept(message *exchangev1.ShareRequest, now time.Time) bool {
+// accept drops messages that arrive after newer ones. It leaves out the work of
+// a host that summaries tell of, which would count twice.
+func (e *Exchanger) accept(message *exchangev1.ShareRequest, now time.Time) (*exchangev1.ShareRequest, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known, ok := e.peers[message.GetHostId()]
@@ -226,21 +241,35 @@
 		address, err := netip.ParseAddrPort(message.GetAddress())
 		if err != nil {
 			_ = level.Warn(e.logger).Log("event", "peer_unreadable", "peer", message.GetHostId(), "err", err)
-			return false
+			return nil, false
 		}
 		known = e.add(flamingodoor.EntryPeer{ID: message.GetHostId(), Address: address, DataCentre: message.GetDataCentre()})
 	}
 	if message.GetStartedMs() < known.started ||
 		(message.GetStartedMs() == known.started && message.GetSequence() <= known.sequence) {
-		return false
+		return nil, false
 	}
 	known.LinkMbps = int(message.GetLinkMbps())
 	known.started, known.sequence, known.heard = message.GetStartedMs(), message.GetSequence(), now
 	known.left = message.GetLeaving()
+	known.work = ownWork{uses: message.GetUses(), demands: message.GetDemands(), at: now}
 	if known.left {
-		known.heard = time.Time{}
+		known.heard, known.coveredUntil, known.work = time.Time{}, time.Time{}, ownWork{}
+	}
+	if known.covered(now) {
+		message = copyOf(message)
+		message.Uses, message.Demands = nil, nil
+	}
+	return message, true
+}
+
+// copyOf copies a message without what only its first receiver gets.
+func copyOf(message *exchangev1.ShareRequest) *exchangev1.ShareRequest {
+	return &exchangev1.ShareRequest{
+		HostId: message.GetHostId(), StartedMs: message.GetStartedMs(), Sequence: message.GetSequence(), Uses: message.GetUses(),
+		Losses: message.GetLosses(), Demands: message.GetDemands(), Strikes: message.GetStrikes(), Leaving: message.GetLeaving(),
+		Address: message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
 	}
-	return true
 }
 
 // add knows a peer. Its client does not compress: a compressor for each would
@@ -248,7 +277,7 @@
 func (e *Exchanger) add(host flamingodoor.EntryPeer) *peer {
 	made := &peer{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(
 		e.client, "http://"+host.Address.String(), connect.WithAcceptCompression("gzip", nil, nil))}
-	e.peers[host.ID] = made
+	e.peers[host.ID], e.byHash[hostHash(host.ID)] = made, made
 	return made
 }
 
@@ -276,7 +305,7 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.Hurry()
+	e.HurryToAll()
 }
 
 // Run shares until the context ends.
@@ -296,17 +325,26 @@
 	}
 }
 
+// plan is what a round tells whom.
+type plan struct {
+	request   *exchangev1.ShareRequest
+	peers     []*peer
+	fed       feedRound
+	summaries map[string][]*exchangev1.Summary // by peer
+}
+
 // round tells the next peers. One that has not answered the last message yet
 // is passed over, so that it does not hold up the others.
 func (e *Exchanger) round(ctx context.Context) {
-	request, peers, fed := e.prepare()
-	mostBytes := feedBytes / max(1, len(fed.targets))
-	for _, each := range peers {
+	made := e.prepare()
+	mostBytes := feedBytes / max(1, len(made.fed.targets))
+	for _, each := range made.peers {
 		if !each.busy.CompareAndSwap(false, true) {
 			continue
 		}
 		e.calls.Go(func() {
-			e.share(ctx, e.withFeeds(request, each, fed, mostBytes), each)
+			message := e.withFeeds(made, each, mostBytes)
+			e.share(ctx, message, each)
 			each.busy.Store(false)
 			if e.owesNews(each) {
 				e.Hurry()
@@ -336,18 +374,51 @@
 	to.answer = response.Msg
 }
 
-// prepare returns the next message, the peers that get it, and those among
-// them that get the feeds too.
-func (e *Exchanger) prepare() (*exchangev1.ShareRequest, []*peer, feedRound) {
+// prepare returns what the next round tells whom.
+func (e *Exchanger) prepare() plan {
 	now := e.now()
 	leads := e.source.Feeds()
+	request := e.describe(now)
+	e.mu.Lock()
+	silentRelays := e.dropOldSummaries(now)
+	peers, silent := e.livePeers(now)
+	made := plan{request: request, fed: e.feedTargets(peers, leads, now)}
+	relays := !leads && e.relays(now)
+	if relays {
+		sum := e.sumUp(request, peers, now)
+		made.summaries = make(map[string][]*exchangev1.Summary)
+		for _, each := range e.relayPeers(peers) {
+			made.summaries[each.ID] = e.summariesFor(each, sum, now)
+		}
+	}
+	made.peers = takeUrgent(peers)
+	if len(made.peers) == 0 {
+		made.peers = e.choose(peers, made, relays, now)
+		made.peers = append(made.peers, inTurn(silent, silentPeers, &e.lostTurn)...)
+	}
+	e.mu.Unlock()
+	for _, id := range silentRelays {
+		e.sink.Forget(summaryName(id), now)
+	}
+	return made
+}
+
+// describe returns the next message.
+func (e *Exchanger) describe(now time.Time) *exchangev1.ShareRequest {
 	e.mu.Lock()
 	e.sequence++
 	request := &exchangev1.ShareRequest{
 		HostId: e.self.ID, Address: e.self.Address.String(), DataCentre: e.self.DataCentre, StartedMs: e.started.UnixMilli(), Sequence: e.sequence,
 		Leaving: e.leaving, LinkMbps: int32(e.self.LinkMbps), //nolint:gosec // a capacity in megabits
 	}
-	var peers, silent []*peer
+	e.mu.Unlock()
+	e.source.Describe(request, now)
+	return request
+}
+
+// livePeers returns the peers that are told in turn, and those that were silent
+// for long.
+func (e *Exchanger) livePeers(now time.Time) (peers, silent []*peer) {
 	for _, each := range e.peers {
 		switch {
 		case each.left:
@@ -360,20 +431,29 @@
 	}
 	sortPeers(peers)
 	sortPeers(silent)
-	fed := e.feedTargets(peers, leads, now)
-	urgent := takeUrgent(peers)
-	e.mu.Unlock()
-	e.source.Describe(request, now)
-	if len(urgent) > 0 {
-		return request, urgent, fed
+	return peers, silent
+}
+
+// choose returns whom a usual round tells: the relay that tells the others, the
+// hosts for which this one relays, or the next in turn, and those it feeds.
+func (e *Exchanger) choose(peers []*peer, made plan, relays bool, now time.Time) []*peer {
+	relay := e.relayOf(peers, now)
+	introduced := now.Sub(e.started) >= introduceFor
+	var chosen []*peer
+	switch {
+	case relays && introduced:
+	case relay != nil && !relays:
+		chosen = append(chosen, relay)
+	default:
+		chosen = e.inTurns(peers)
 	}
-	chosen := append(e.choose(peers), inTurn(silent, silentPeers, &e.lostTurn)...)
 	for _, each := range peers {
-		if _, ok := fed.targets[each.ID]; ok && !slices.Contains(chosen, each) {
+		_, fed := made.fed.targets[each.ID]
+		if (fed || made.summaries[each.ID] != nil) && !slices.Contains(chosen, each) {
 			chosen = append(chosen, each)
 		}
 	}
-	return request, chosen, fed
+	return chosen
 }
 
 // takeUrgent returns the peers that have to hear news now. Those to which a
@@ -389,8 +469,8 @@
 	return urgent
 }
 
-// choose takes turns among many peers.
-func (e *Exchanger) choose(peers []*peer) []*peer {
+// inTurns takes turns among many peers.
+func (e *Exchanger) inTurns(peers []*peer) []*peer {
 	var near, far []*peer
 	for _, each := range peers {
 		if each.DataCentre == e.self.DataCentre {
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -56,20 +56,23 @@
 	e.feeds.Registrations.Accept(batch, asOf, asOf.Add(e.feedLife()))
 }
 
-// withFeeds adds what the peer lacks, if this host feeds it.
-func (e *Exchanger) withFeeds(request *exchangev1.ShareRequest, to *peer, fed feedRound, mostBytes int) *exchangev1.ShareRequest {
+// withFeeds adds what the peer lacks, if this host relays to it or feeds it.
+func (e *Exchanger) withFeeds(made plan, to *peer, mostBytes int) *exchangev1.ShareRequest {
 	e.mu.Lock()
 	answer := to.answer
 	e.mu.Unlock()
-	duty, target := fed.targets[to.ID]
-	if answer == nil || (!target && !fed.leads) {
-		return request
+	summaries := made.summaries[to.ID]
+	duty, target := made.fed.targets[to.ID]
+	feeds := answer != nil && (target || made.fed.leads)
+	if !feeds && summaries == nil {
+		return made.request
 	}
-	message := &exchangev1.ShareRequest{
-		HostId: request.GetHostId(), StartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Uses: request.GetUses(),
-		Losses: request.GetLosses(), Demands: request.GetDemands(), Strikes: request.GetStrikes(), Leaving: request.GetLeaving(),
-		Address: request.GetAddress(), DataCentre: request.GetDataCentre(), LinkMbps: request.GetLinkMbps(), RelayDuty: duty,
+	message := copyOf(made.request)
+	message.Summaries = summaries
+	if !feeds {
+		return message
 	}
+	message.RelayDuty = duty
 	if batch, ok := e.feeds.Registrations.Since(answer.GetRegistrationsNext()); ok && target {
 		message.Registrations = e.registrations(batch, mostBytes)
 	}
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -32,21 +32,57 @@
 	confirmed time.Time // told by the leading host, or its own
 	next      int64
 	learned   int
-	stranded  bool // lacks records that it cannot read
+	uses      int32            // of this host's own, at one instance
+	known     map[string]int32 // uses by who told them
+	stranded  bool             // lacks records that it cannot read
 	copied    flamingodoor.RecordBatch
 }
 
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
 func (h *host) Withdraw(context.Context, string) error                 { return nil }
 
-func (h *host) Describe(*exchangev1.ShareRequest, time.Time)                {}
-func (h *host) Feeds() bool                                                 { return h.leads }
+func (h *host) Describe(request *exchangev1.ShareRequest, _ time.Time) {
+	if h.uses > 0 {
+		request.Uses = []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: h.uses}}
+	}
+}
+
+func (h *host) Feeds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leads
+}
+
 func (h *host) Answers(context.Context, flamingodoor.Instance) (alive bool) { return true }
 
-func (h *host) Learn(*exchangev1.ShareRequest, time.Time) {
+func (h *host) Learn(request *exchangev1.ShareRequest, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.learned++
+	if h.known == nil {
+		h.known = make(map[string]int32)
+	}
+	h.known[request.GetHostId()] = 0
+	for _, use := range request.GetUses() {
+		h.known[request.GetHostId()] += use.GetRequests()
+	}
+}
+
+func (h *host) Forget(hostID string, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.known, hostID)
+}
+
+// total is the work of all other hosts, as this one knows it.
+func (h *host) total() int32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := int32(0)
+	for _, uses := range h.known {
+		total += uses
+	}
+	return total
 }
 
 func (h *host) heard() int {
@@ -147,16 +183,23 @@
 
 // startFleet runs a leading host and others, each with its registrations.
 func startFleet(t *testing.T, count int, listOf func(i int) *registrations, silent ...flamingodoor.EntryPeer) []*host {
+	t.Helper()
+	return startFleetOf(t, count, listOf, func(*host) {}, silent...)
+}
+
+// startFleetOf prepares each host before it runs.
+func startFleetOf(t *testing.T, count int, listOf func(i int) *registrations, prepare func(each *host), silent ...flamingodoor.EntryPeer) []*host {
 	t.Helper()
 	hosts := make([]*host, count)
 	all := silent
 	servers := make([]*httptest.Server, count)
 	for i := range hosts {
 		hosts[i] = &host{leads: i == 0, list: *listOf(i)}
+		prepare(hosts[i])
 		servers[i] = httptest.NewUnstartedServer(nil)
 		address := netip.MustParseAddrPort(servers[i].Listener.Addr().String())
 		hosts[i].address = address
-		all = append(all, flamingodoor.EntryPeer{ID: "host-" + strconv.Itoa(i), Address: address, DataCentre: "dc"})
+		all = append(all, flamingodoor.EntryPeer{ID: "host-" + strconv.Itoa(i), Address: address, DataCentre: "dc-" + strconv.Itoa(i%3)})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
--- a/internal/exchange/fleet.go
+++ b/internal/exchange/fleet.go
@@ -31,6 +31,9 @@
 			far++
 		}
 	}
+	if now := e.now(); now.Before(e.relayUntil) || e.relays(now) {
+		return (1 + summaryHops) * shareEvery
+	}
 	turns := max((near+nearPeers-1)/nearPeers, (far+farPeers-1)/farPeers)
 	return time.Duration(1+turns) * shareEvery
 }
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -13,19 +13,28 @@
 const (
 	// directPeers is up to how many peers the leading host feeds itself.
 	directPeers = 24
-	// relaysPerCentre hosts of each data centre pass the feeds on in larger
-	// fleets, so that one that stops cuts off only a part of it.
-	relaysPerCentre = 2
-	// relayLife is how long a host relays without news of the leading host.
-	relayLife = 3 * shareEvery
+	// leastRelays hosts of each data centre relay in larger fleets, so that one
+	// that stops cuts off only a part of it.
+	leastRelays = 2
+	// hostsPerRelay bounds the messages of a relay: five a second to and from
+	// each of its hosts.
+	hostsPerRelay = 16
+	// feedingLife is how long a relay feeds others without news of the leading
+	// host.
+	feedingLife = 3 * shareEvery
+	// dutyLife is how long it sums up the work of its hosts: longer than it takes
+	// to find another leading host.
+	dutyLife = peerLife
 )
 
 // relayDuty is what the leading host asks of a host that relays.
 type relayDuty struct {
-	leader   string
-	part     int
-	parts    int
-	deadline time.Time
+	leader       string
+	part         int
+	parts        int
+	relayIDs     map[string]bool // all hosts that relay
+	feedDeadline time.Time
+	deadline     time.Time
 }
 
 // feedRound says which peers get the feeds in a round.
@@ -45,7 +54,7 @@
 		}
 	case leads:
 		chooseRelays(peers, fed.targets)
-	case now.Before(e.duty.deadline):
+	case now.Before(e.duty.feedDeadline):
 		for _, each := range peers {
 			if each.DataCentre == e.self.DataCentre && each.ID != e.duty.leader && partOf(each.ID, e.duty.parts) == e.duty.part {
 				fed.targets[each.ID] = nil
@@ -63,13 +72,19 @@
 			centres[each.DataCentre] = append(centres[each.DataCentre], each)
 		}
 	}
+	var relayIDs []string
 	for _, hosts := range centres {
 		slices.SortStableFunc(hosts, func(a, b *peer) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
-		hosts = hosts[:min(len(hosts), relaysPerCentre)]
+		hosts = hosts[:min(len(hosts), max(leastRelays, len(hosts)/hostsPerRelay))]
 		for part, each := range hosts {
 			targets[each.ID] = &exchangev1.RelayDuty{Part: int32(part), Parts: int32(len(hosts))} //nolint:gosec // a few
+			relayIDs = append(relayIDs, each.ID)
 		}
 	}
+	slices.Sort(relayIDs)
+	for _, duty := range targets {
+		duty.RelayIds = relayIDs
+	}
 }
 
 // partOf spreads the hosts of a data centre over those that relay.
@@ -85,6 +100,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.duty = relayDuty{
-		leader: message.GetHostId(), part: int(duty.GetPart()), parts: int(duty.GetParts()), deadline: now.Add(relayLife),
+		leader: message.GetHostId(), part: int(duty.GetPart()), parts: int(duty.GetParts()), relayIDs: make(map[string]bool),
+		feedDeadline: now.Add(feedingLife), deadline: now.Add(dutyLife),
+	}
+	for _, id := range duty.GetRelayIds() {
+		e.duty.relayIDs[id] = true
 	}
 }
--- /dev/null
+++ b/internal/exchange/summary_test.go
@@ -0,0 +1,78 @@
+package exchange_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fleetHosts is above the number of peers that the leading host feeds itself.
+const fleetHosts = 36
+
+// startWorking runs a large fleet in which each host has one request under way.
+func startWorking(t *testing.T) []*host {
+	t.Helper()
+	quiet := &registrations{onRead: func(int64) {}}
+	return startFleetOf(t, fleetHosts, func(int) *registrations { return quiet }, func(each *host) { each.uses = 1 })
+}
+
+func knowAll(hosts []*host) bool {
+	for _, each := range hosts {
+		if each.total() != int32(len(hosts)-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// Pattern: a fleet of more hosts than messages can reach by turns while the news
+// still counts. Relays tell each host the work of all others, once.
+func TestRelaysTellTheWorkOfALargeFleet(t *testing.T) {
+	const (
+		settled = 6 * time.Second // past the introductions
+		watched = 2 * time.Second
+		// mostMessages is one each 200 ms from a relay, its summaries counted one
+		// by one, and a few of hosts that ask for news.
+		mostMessages = 10 * (1 + 6) * 2
+	)
+	hosts := startWorking(t)
+	time.Sleep(settled)
+	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
+	before := make([]int, len(hosts))
+	for i, each := range hosts {
+		before[i] = each.heard()
+	}
+	wrong := 0
+	for begun := time.Now(); time.Since(begun) < watched; time.Sleep(20 * time.Millisecond) {
+		if !knowAll(hosts) {
+			wrong++
+		}
+	}
+	assert.Assert(t, wrong <= 5, "wrong %d times in %s", wrong, watched)
+	few := 0
+	for i, each := range hosts {
+		assert.Equal(t, each.Hosts(), fleetHosts)
+		if each.heard()-before[i] <= mostMessages {
+			few++
+		}
+	}
+	// All but those that relay.
+	assert.Assert(t, few >= fleetHosts-3*2, "%d of %d hosts got few messages", few, fleetHosts)
+}
+
+// Pattern: the leading host of a large fleet is lost, and no host names relays.
+// The hosts tell each other by turns, and no work counts twice for long.
+func TestHostsTellEachOtherWithoutRelays(t *testing.T) {
+	const relaysStop = 6 * time.Second // the duty of relays, and what they told, lapse
+	hosts := startWorking(t)
+	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
+	hosts[0].mu.Lock()
+	hosts[0].leads = false
+	hosts[0].mu.Unlock()
+	time.Sleep(relaysStop)
+	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
+	for _, each := range hosts {
+		assert.Equal(t, each.Hosts(), fleetHosts)
+	}
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -124,6 +124,14 @@
 	f.learnLosses(request, now)
 }
 
+// Forget drops what a host told of its work.
+func (f *fleet) Forget(hostID string, now time.Time) {
+	f.gateway.tracker.DropPeer(hostID, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.demands, hostID)
+}
+
 // Answers asks an instance for a peer that does not reach it.
 func (f *fleet) Answers(ctx context.Context, instance flamingodoor.Instance) bool {
 	_, alive := f.gateway.probe(ctx, instance)
