Ask instances that a host found lost, and tell all hosts of those that answer

A host that was short of processor time got no answers within 0.32 s and told all hosts that every member of a group was lost. The planner ended the group, but asked a lost head only whether it is gone: it answered, so that its members waited until the losses lapsed, 8.5 s later. Ruled out: the election (a new leading host had the same view), and a dead instance (all answered the planner at once). Change: a lost head that answers is told to leave. The planner asks listed instances that a host found lost, beside its steps, and tells all hosts of one that answers; a loss counts only if it was found after the latest answer, and from when it was found, not from when the news came. Relays pass losses on. Before: TestMembersThatAnswerServeAgainAtOnce fails (no group serves after 2 s, with the question left out). After: it passes, with TestAnswerEndsEarlierLosses.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,15 +55,22 @@
 	deadline time.Time
 }
 
-// ownLoss is an instance or a group that this host found lost.
+// ownLoss is what this host found of an instance or a group, or passes on.
 type ownLoss struct {
 	instanceID string
 	born       time.Time
 	group      roster.GroupKey
 	retiring   bool
+	found      bool // it answers after all
 	at         time.Time
 }
 
+// same reports whether two tell of the same instance or group.
+func (l ownLoss) same(other ownLoss) bool {
+	return l.instanceID == other.instanceID && l.born.Equal(other.born) && l.group == other.group &&
+		l.retiring == other.retiring && l.found == other.found
+}
+
 func newFleet(gateway *Gateway) *fleet {
 	return &fleet{gateway: gateway, demands: make(map[string]peerDemand)}
 }
@@ -95,7 +103,7 @@
 		recent = append(recent, loss)
 		message := &exchangev1.Loss{
 			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
-			Retiring: loss.retiring,
+			Retiring: loss.retiring, Found: loss.found,
 		}
 		if !loss.born.IsZero() {
 			message.BornMs = loss.born.UnixMilli()
@@ -149,33 +157,64 @@
 }
 
 func (f *fleet) learnLosses(request *exchangev1.ShareRequest, now time.Time) {
+	if len(request.GetLosses()) == 0 {
+		return
+	}
 	g := f.gateway
 	lost := false
-	for _, loss := range request.GetLosses() {
-		if loss.GetRetiring() {
-			g.roster.MarkRetiring(roster.GroupKey{Name: loss.GetGroup(), Epoch: loss.GetEpoch()}, now)
-			g.roster.Publish(now)
-			continue
+	relays := g.exchanger.Relays()
+	for _, message := range request.GetLosses() {
+		loss := lossOf(message, now)
+		if relays {
+			f.passOn(loss)
 		}
-		if loss.GetGroup() != "" {
-			key := roster.GroupKey{Name: loss.GetGroup(), Epoch: loss.GetEpoch()}
-			g.roster.MarkStalled(key, now)
+		switch {
+		case loss.retiring:
+			g.roster.MarkRetiring(loss.group, now)
+		case loss.found:
+			g.roster.MarkFound(loss.instanceID, loss.born, loss.at)
+		case loss.group.Name != "":
+			g.roster.MarkStalled(loss.group, now)
+			lost = true
+		default:
+			g.roster.MarkLost(loss.instanceID, loss.born, loss.at)
 			lost = true
-			continue
-		}
-		var born time.Time
-		if loss.GetBornMs() > 0 {
-			born = time.UnixMilli(loss.GetBornMs())
 		}
-		g.roster.MarkLost(loss.GetInstanceId(), born, now)
-		lost = true
-	}
-	if !lost {
-		return
 	}
 	g.roster.Publish(now)
-	g.endLostWaits(now)
-	g.tracker.Wake()
+	if lost {
+		g.endLostWaits(now)
+		g.tracker.Wake()
+	}
+}
+
+func lossOf(message *exchangev1.Loss, now time.Time) ownLoss {
+	loss := ownLoss{
+		instanceID: message.GetInstanceId(), retiring: message.GetRetiring(), found: message.GetFound(),
+		group: roster.GroupKey{Name: message.GetGroup(), Epoch: message.GetEpoch()},
+		at:    now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
+	}
+	if message.GetBornMs() > 0 {
+		loss.born = time.UnixMilli(message.GetBornMs())
+	}
+	return loss
+}
+
+// passOn tells others what a host told this relay, unless it does already.
+func (f *fleet) passOn(loss ownLoss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.ContainsFunc(f.losses, loss.same) {
+		f.losses = append(f.losses, loss)
+	}
+}
+
+// tell keeps a loss for the messages to the peers, and sends it at once.
+func (f *fleet) tell(losses ...ownLoss) {
+	f.mu.Lock()
+	f.losses = append(f.losses, losses...)
+	f.mu.Unlock()
+	f.gateway.exchanger.HurryToAll()
 }
 
 // endLostWaits ends the streams of groups that lost a member.
@@ -296,20 +335,23 @@
 
 func (g *Gateway) loseMembers(group *roster.Group, lost []string) {
 	now := time.Now()
-	f := g.fleet
+	var losses []ownLoss
 	for _, member := range group.Members {
-		for _, id := range lost {
-			if member.ID != id {
-				continue
-			}
-			g.roster.MarkLost(id, member.Born, now)
-			f.mu.Lock()
-			f.losses = append(f.losses, ownLoss{instanceID: id, born: member.Born, at: now})
-			f.mu.Unlock()
+		if slices.Contains(lost, member.ID) {
+			g.roster.MarkLost(member.ID, member.Born, now)
+			losses = append(losses, ownLoss{instanceID: member.ID, born: member.Born, at: now})
 		}
 	}
 	g.roster.Publish(now)
-	g.exchanger.HurryToAll()
+	g.fleet.tell(losses...)
+	g.tracker.Wake()
+}
+
+// found tells the peers that an instance answers which a host found lost.
+func (g *Gateway) found(instance flamingodoor.Instance, at time.Time) {
+	g.roster.MarkFound(instance.ID, instance.Born, at)
+	g.roster.Publish(time.Now())
+	g.fleet.tell(ownLoss{instanceID: instance.ID, born: instance.Born, found: true, at: at})
 	g.tracker.Wake()
 }
 
@@ -318,10 +360,7 @@
 	now := time.Now()
 	g.roster.MarkRetiring(key, now)
 	g.roster.Publish(now)
-	g.fleet.mu.Lock()
-	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, retiring: true, at: now})
-	g.fleet.mu.Unlock()
-	g.exchanger.HurryToAll()
+	g.fleet.tell(ownLoss{group: key, retiring: true, at: now})
 }
 
 // groupStalled tells the peers of a group that stands still.
@@ -330,8 +369,5 @@
 	_ = level.Info(g.logger).Log("event", "group_stalled", "group", key.Name, "epoch", key.Epoch)
 	g.roster.MarkStalled(key, now)
 	g.roster.Publish(now)
-	g.fleet.mu.Lock()
-	g.fleet.losses = append(g.fleet.losses, ownLoss{group: key, at: now})
-	g.fleet.mu.Unlock()
-	g.exchanger.HurryToAll()
+	g.fleet.tell(ownLoss{group: key, at: now})
 }
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -244,7 +244,10 @@
 // dismiss reports whether the head no longer leads the group.
 func (p *Planner) dismiss(ctx context.Context, view *roster.View, head roster.Entry, state *memberState, key roster.GroupKey, now time.Time) bool {
 	if view.Lost(head.Instance, now) {
-		return p.headGone(ctx, head)
+		gone, answers := p.askHead(ctx, head)
+		if !answers {
+			return gone
+		}
 	}
 	switch p.order(ctx, head.Instance, state, flamingodoor.InstanceOrder{
 		Kind: flamingodoor.OrderKindLeave, Group: key.Name, Epoch: key.Epoch,
@@ -252,26 +255,28 @@
 	case flamingodoor.OrderResultBegun, flamingodoor.OrderResultHolds, flamingodoor.OrderResultOther:
 		return true
 	case flamingodoor.OrderResultUnknown:
-		return p.headGone(ctx, head)
+		gone, _ := p.askHead(ctx, head)
+		return gone
 	default:
 		return p.headElsewhere(ctx, head, key)
 	}
 }
 
-// headGone reports whether a head that does not answer is gone: its host has
-// no process at the address, or it left the list and answers no other host
-// either. One that lost the store and some hosts may still serve the rest.
-func (p *Planner) headGone(ctx context.Context, head roster.Entry) bool {
+// askHead reports whether a head answers or is gone: its host has no process at
+// the address, or it left the list and answers no other host either. One that
+// lost the store and some hosts may still serve the rest.
+func (p *Planner) askHead(ctx context.Context, head roster.Entry) (gone, answers bool) {
 	asked, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := p.Instances.Report(asked, head.Address)
 	if err == nil {
-		return report.ID != "" && (report.ID != head.ID || !report.Born.Equal(head.Born))
+		gone = report.ID != "" && (report.ID != head.ID || !report.Born.Equal(head.Born))
+		return gone, !gone
 	}
 	if connectionRefused(err) {
-		return true
+		return true, false
 	}
-	return !head.Listed && !p.ReachedElsewhere(ctx, head.Instance)
+	return !head.Listed && !p.ReachedElsewhere(ctx, head.Instance), false
 }
 
 // headElsewhere reports whether the head says that it is in another group.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -87,6 +87,8 @@
 	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) bool
 	// InFlight is the work of all hosts at a head.
 	InFlight func(instanceID string) int
+	// Found tells all hosts that an instance answered at a time.
+	Found func(instance flamingodoor.Instance, at time.Time)
 	// Retire takes new work off a group on all hosts.
 	Retire func(key roster.GroupKey)
 	// Work is the engine seconds asked a second of a model by all hosts.
@@ -99,8 +101,9 @@
 // Planner forms and dissolves groups while it leads.
 type Planner struct {
 	Parts
-	now   func() time.Time
-	pause func(ctx context.Context, length time.Duration)
+	now        func() time.Time
+	pause      func(ctx context.Context, length time.Duration)
+	background func(work func())
 
 	renewals chan struct{}
 
@@ -161,10 +164,15 @@
 	return func(p *Planner) { p.now, p.pause = now, pause }
 }
 
+// WithBackground sets how work runs for which a step does not wait.
+func WithBackground(run func(work func())) Option {
+	return func(p *Planner) { p.background = run }
+}
+
 // New returns a planner.
 func New(parts Parts, options ...Option) *Planner {
 	p := &Planner{
-		Parts: parts, now: time.Now, pause: sleep, renewals: make(chan struct{}, 1), members: make(map[string]*memberState),
+		Parts: parts, now: time.Now, pause: sleep, background: func(work func()) { go work() }, renewals: make(chan struct{}, 1), members: make(map[string]*memberState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		firstSeen: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probed: make(map[string]time.Time), loads: make(map[string]flamingodoor.WeightLoad),
 	}
@@ -260,6 +268,7 @@
 	view := p.Roster.View()
 	p.summarise(index, view, now)
 	p.probeGhosts(ctx, view, now)
+	p.checkLosses(ctx, view, now)
 	p.advance(ctx, view, now)
 	p.review(index, view, now)
 	p.dissolve(ctx, view, now)
@@ -434,6 +443,29 @@
 	_ = group.Wait() // probes report through the roster
 }
 
+// checkLosses asks listed instances that a host found lost. The host may be the
+// one that is cut off or slow.
+func (p *Planner) checkLosses(ctx context.Context, view *roster.View, now time.Time) {
+	for _, entry := range view.Entries {
+		if !entry.Listed || !view.Lost(entry.Instance, now) || now.Sub(p.probed[entry.ID]) < probeEvery {
+			continue
+		}
+		p.probed[entry.ID] = now
+		p.background(func() { p.checkLoss(ctx, entry.Instance, now) })
+	}
+}
+
+func (p *Planner) checkLoss(ctx context.Context, instance flamingodoor.Instance, asked time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := p.Instances.Report(ctx, instance.Address)
+	if err != nil || !report.Born.Equal(instance.Born) {
+		return // lost, or replaced by another life
+	}
+	_ = level.Info(p.Logger).Log("event", "member_found", "instance", instance.ID)
+	p.Found(instance, asked)
+}
+
 func (p *Planner) probe(ctx context.Context, instance flamingodoor.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -86,13 +86,15 @@
 		Book: s.book, Roster: s.roster, Instances: s.fleet, Epochs: s.fleet, Heads: s.fleet, Loads: s.loads, Election: election, Refresher: refresher{s},
 		InFlight:         func(string) int { return s.inFlight },
 		ReachedElsewhere: func(context.Context, flamingodoor.Instance) bool { return s.reached },
+		Found:            func(instance flamingodoor.Instance, at time.Time) { s.roster.MarkFound(instance.ID, instance.Born, at) },
 		Retire: func(key roster.GroupKey) {
 			s.retired = append(s.retired, key)
 			s.roster.MarkRetiring(key, s.fleet.Now())
 		},
 		Work:  func(_, modelID string) float64 { return s.work[modelID] },
 		Quiet: func() bool { return s.quiet }, Logger: log.NewNopLogger(),
-	}, planner.WithClock(s.fleet.Now, func(_ context.Context, length time.Duration) { s.fleet.Advance(length) }))
+	}, planner.WithClock(s.fleet.Now, func(_ context.Context, length time.Duration) { s.fleet.Advance(length) }),
+		planner.WithBackground(func(work func()) { work() }))
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -226,6 +228,30 @@
 	assert.Assert(t, s.head() != head)
 }
 
+// Pattern: a host that is slow or cut off finds all members of a group lost,
+// which serve the others. The planner once waited until the losses lapsed, 9 s,
+// while the group stood still.
+func TestMembersThatAnswerServeAgainAtOnce(t *testing.T) {
+	s := newScene(t)
+	s.work = map[string]float64{large: 2}
+	s.add("d0", 4, large)
+	p := s.lead()
+	s.run(5*time.Second, p)
+	assert.Equal(t, s.fleet.OpenGroups(large), 1)
+	for _, instance := range s.fleet.Listed() {
+		s.roster.MarkLost(instance.ID, instance.Born, s.fleet.Now())
+	}
+	s.run(2*time.Second, p)
+	view := s.roster.View()
+	serving := 0
+	for _, each := range view.Groups {
+		if view.Serving(each, 4, s.fleet.Now()) {
+			serving++
+		}
+	}
+	assert.Equal(t, serving, 1)
+}
+
 // A head lost the store and the leading host, and serves the callers of other
 // hosts: its members wait. Found by a hunt (Kivuko, leader-under-orders, seed
 // 315343835264): TWO.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,9 +69,16 @@
 
 type loss struct {
 	born     time.Time
+	at       time.Time
 	deadline time.Time
 }
 
+// answer is the latest proof that an instance lives.
+type answer struct {
+	born time.Time
+	at   time.Time
+}
+
 // Lost reports whether the instance stopped answering.
 func (v *View) Lost(instance flamingodoor.Instance, now time.Time) bool {
 	lost, ok := v.lostIDs[instance.ID]
@@ -117,6 +124,7 @@
 	mu         sync.Mutex
 	entries    map[string]Entry
 	lostIDs    map[string]loss
+	answers    map[string]answer
 	lostGroups map[GroupKey]time.Time
 	retiring   map[GroupKey]time.Time
 	openSince  map[GroupKey]time.Time
@@ -128,7 +136,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	r := &Roster{
-		entries: make(map[string]Entry), lostIDs: make(map[string]loss), lostGroups: make(map[GroupKey]time.Time),
+		entries: make(map[string]Entry), lostIDs: make(map[string]loss), answers: make(map[string]answer), lostGroups: make(map[GroupKey]time.Time),
 		retiring: make(map[GroupKey]time.Time), openSince: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
@@ -221,14 +229,33 @@
 	r.dirty = true
 }
 
-// MarkLost notes that an instance stopped answering.
-func (r *Roster) MarkLost(id string, born, now time.Time) {
+// MarkLost notes that an instance did not answer at a time. It counts unless the
+// instance answered later.
+func (r *Roster) MarkLost(id string, born, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lostIDs[id] = loss{born: born, deadline: now.Add(lossTime)}
+	if answered, ok := r.answers[id]; ok && answered.born.Equal(born) && !at.After(answered.at) {
+		return
+	}
+	if known, ok := r.lostIDs[id]; ok && known.born.Equal(born) && !at.After(known.at) {
+		return
+	}
+	r.lostIDs[id] = loss{born: born, at: at, deadline: at.Add(lossTime)}
 	r.dirty = true
 }
 
+// MarkFound notes that an instance answered at a time: losses found before were
+// those of a host that did not reach it.
+func (r *Roster) MarkFound(id string, born, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[id] = answer{born: born, at: at}
+	if known, ok := r.lostIDs[id]; ok && known.born.Equal(born) && !known.at.After(at) {
+		delete(r.lostIDs, id)
+		r.dirty = true
+	}
+}
+
 // MarkStalled notes that a group stands still although its members answer.
 func (r *Roster) MarkStalled(key GroupKey, now time.Time) {
 	r.mu.Lock()
@@ -265,6 +292,7 @@
 		}
 	}
 	maps.DeleteFunc(r.lostIDs, func(_ string, lost loss) bool { return now.After(lost.deadline) })
+	maps.DeleteFunc(r.answers, func(_ string, answered answer) bool { return now.Sub(answered.at) > lossTime })
 	maps.DeleteFunc(r.lostGroups, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
 	maps.DeleteFunc(r.retiring, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -53,6 +53,21 @@
 	assert.Assert(t, serving(t, filled(), start))
 }
 
+// Pattern: news of a loss spreads while the instance is asked. What was found
+// before it answered no longer counts, in whichever order the news arrives.
+func TestAnswerEndsEarlierLosses(t *testing.T) {
+	r := filled()
+	asked := start.Add(time.Second)
+	r.MarkLost("i-1", start, start)
+	assert.Assert(t, !serving(t, r, asked))
+	r.MarkFound("i-1", start, asked)
+	assert.Assert(t, serving(t, r, asked))
+	r.MarkLost("i-1", start, asked.Add(-time.Millisecond))
+	assert.Assert(t, serving(t, r, asked))
+	r.MarkLost("i-1", start, asked.Add(time.Millisecond))
+	assert.Assert(t, !serving(t, r, asked))
+}
+
 // A group never receives work while a member is missing, whatever shows it.
 func TestIncompleteGroupDoesNotServe(t *testing.T) {
 	elsewhere := member(1)
