Serve the state of a host and its calls to the store as metrics

Now a scrape also tells who leads and relays, how old the configuration and the registrations are, how many instances and groups are known, what is in flight, and a histogram of the store's calls by call and result. Values are read at the scrape, so that requests pay nothing for them. Before: /metrics of a host whose store is down was empty. After: TestMetrics reads its failed calls and its state there.

--- a/cmd/flamingodoor-entry/main_test.go
+++ b/cmd/flamingodoor-entry/main_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -147,3 +149,32 @@
 		assert.Equal(t, command.ProcessState.ExitCode(), 2, "%v: %s", arguments, output)
 	}
 }
+
+// The metrics tell the state of the host, also while the store is down.
+func TestMetrics(t *testing.T) {
+	e := startEntry(t)
+	e.await("started")
+	wanted := []string{
+		"flamingodoor_hosts 1", "flamingodoor_leads 0", "flamingodoor_configuration_age_ms -1", "flamingodoor_groups_serving 0",
+		`flamingodoor_store_call_seconds_count{call="log-join",result="store_unavailable"}`,
+	}
+	var text string
+	for begun := time.Now(); time.Since(begun) < eventTime; time.Sleep(100 * time.Millisecond) {
+		text = e.metrics()
+		if !slices.ContainsFunc(wanted, func(line string) bool { return !strings.Contains(text, line) }) {
+			return
+		}
+	}
+	t.Fatalf("no %s in\n%s", wanted, text)
+}
+
+func (e *entry) metrics() string {
+	e.t.Helper()
+	client := &http.Client{Timeout: eventTime}
+	response, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", e.ports[3]))
+	assert.NilError(e.t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(e.t, err)
+	return string(text)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,6 +207,9 @@
 
 // Run serves until the context ends, and then finishes what is in flight.
 func (g *Gateway) Run(ctx context.Context) error {
+	if err := g.registerGauges(); err != nil {
+		return err
+	}
 	// Background work goes on while the last requests finish.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var work sync.WaitGroup
--- /dev/null
+++ b/internal/gateway/gauges.go
@@ -0,0 +1,80 @@
+package gateway
+
+import "time"
+
+// unknownAge stands for the age of what this host never read.
+const unknownAge = -1
+
+// registerGauges reports this host's state at each scrape.
+func (g *Gateway) registerGauges() error {
+	for _, gauge := range []struct {
+		name        string
+		description string
+		read        func() int64
+	}{
+		{"flamingodoor.hosts", "Entry hosts heard lately, this one included", func() int64 { return int64(g.exchanger.Hosts()) }},
+		{"flamingodoor.leads", "1 while this host plans groups", func() int64 { return flag(g.planner.Leads()) }},
+		{"flamingodoor.relays", "1 while this host relays the work of others", func() int64 { return flag(g.exchanger.Relays()) }},
+		{"flamingodoor.configuration.version", "Version of the configuration in force", g.configurationVersion},
+		{"flamingodoor.configuration.age_ms", "Time since the configuration was confirmed; -1 before", func() int64 { return ageOf(g.book.Confirmed()) }},
+		{"flamingodoor.registrations.age_ms", "Age of the read that the registrations stand for; -1 before", func() int64 { return ageOf(g.platform.Watcher.AsOf()) }},
+		{"flamingodoor.instances", "Listed instances", g.listedInstances},
+		{"flamingodoor.groups.serving", "Groups that receive requests", g.servingGroups},
+		{"flamingodoor.requests.in_flight", "Requests of this host at instances", g.inFlight},
+	} {
+		if err := g.metrics.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func flag(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+func ageOf(moment time.Time) int64 {
+	if moment.IsZero() {
+		return unknownAge
+	}
+	return time.Since(moment).Milliseconds()
+}
+
+func (g *Gateway) configurationVersion() int64 {
+	index := g.book.Index()
+	if index == nil {
+		return 0
+	}
+	return index.Version
+}
+
+func (g *Gateway) listedInstances() int64 {
+	count := 0
+	for _, entries := range g.roster.View().ByService {
+		count += len(entries)
+	}
+	return int64(count)
+}
+
+func (g *Gateway) servingGroups() int64 {
+	now := time.Now()
+	view := g.roster.View()
+	serving := int64(0)
+	for _, group := range view.Groups {
+		if view.Serving(group, len(group.Members), now) {
+			serving++
+		}
+	}
+	return serving
+}
+
+func (g *Gateway) inFlight() int64 {
+	total := 0
+	for _, used := range g.tracker.Own() {
+		total += used
+	}
+	return int64(total)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 	requests   metric.Int64Counter
 	firstToken metric.Float64Histogram
 	tokenGap   metric.Float64Histogram
+	storeCalls metric.Float64Histogram
 	bytes      map[string]*traffic
 }
 
@@ -64,6 +65,11 @@
 		metric.WithExplicitBucketBoundaries(.01, .025, .05, .1, .25, .5, 1, 2, 5, 10)); err != nil {
 		return instrumentError(err)
 	}
+	if m.storeCalls, err = m.meter.Float64Histogram("flamingodoor.store.call", metric.WithUnit("s"),
+		metric.WithDescription("Calls to the platform's store by call and result; reads may wait for news"),
+		metric.WithExplicitBucketBoundaries(.005, .01, .025, .05, .1, .25, .5, 1, 2, 4)); err != nil {
+		return instrumentError(err)
+	}
 	m.tokenGap, err = m.meter.Float64Histogram("flamingodoor.token_gap", metric.WithUnit("s"),
 		metric.WithDescription("Longest time between two tokens of a request"),
 		metric.WithExplicitBucketBoundaries(.005, .01, .025, .05, .1, .25, .5, 1, 2))
@@ -98,6 +104,13 @@
 	m.tokenGap.Record(context.Background(), longest.Seconds(), metric.WithAttributes(attribute.String("club", club)))
 }
 
+// StoreCalled records a call to the platform's store. The result is "ok" or a
+// failure code.
+func (m *Metrics) StoreCalled(call, result string, elapsed time.Duration) {
+	m.storeCalls.Record(context.Background(), elapsed.Seconds(), metric.WithAttributes(
+		attribute.String("call", call), attribute.String("result", result)))
+}
+
 // Gauge reports a value that is read at each scrape.
 func (m *Metrics) Gauge(name, description string, read func() int64) error {
 	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
