--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -111,6 +111,13 @@
 	return id
 }
 
+// Locate sets the address under which an instance is listed and reached.
+func (f *Fleet) Locate(id string, address netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances[id].Address = address
+}
+
 // Now returns the fleet's time.
 func (f *Fleet) Now() time.Time {
 	f.mu.Lock()
