Copy the configuration from relays in large fleets

Change: a host with a relay copies the records from it. Meanwhile the host does not read; it reads at once if the copy fails. Ruled out: rarer renewals of the election, which would save a sixth of the calls and keep a dead successor of the leading host for twice as long.

--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -31,15 +31,39 @@
 	// The sender made the message after it had this host's clock, so that the
 	// time on the way does not count as knowledge.
 	confirmed := e.started.Add(milliseconds(clock.GetElapsedMs()) - milliseconds(configuration.GetAgeMs()))
-	e.feeds.Configuration.Follow(configuration.GetNext(), confirmed)
+	next := configuration.GetNext()
+	if relayID := e.relayWith(next, now); relayID != "" && e.copying.CompareAndSwap(false, true) {
+		e.feeds.Configuration.Expect(now.Add(copyTimeout))
+		go func() {
+			defer e.copying.Store(false)
+			if !e.copyConfiguration(ctx, relayID, next) {
+				e.feeds.Configuration.Expect(time.Time{})
+			}
+		}()
+	}
+	e.feeds.Configuration.Follow(next, confirmed)
 	if e.feeds.Configuration.Stranded() && e.copying.CompareAndSwap(false, true) {
 		go func() {
 			defer e.copying.Store(false)
-			e.copyConfiguration(ctx, message.GetHostId())
+			e.copyConfiguration(ctx, message.GetHostId(), 0)
 		}()
 	}
 }
 
+// relayWith returns the host that relays for this one, if this one lacks records
+// before the offset. Each host of a large fleet would take a call otherwise.
+func (e *Exchanger) relayWith(next int64, now time.Time) string {
+	if !e.feeds.Configuration.Lacks(next) {
+		return ""
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.relays(now) || !now.Before(e.relayUntil) {
+		return ""
+	}
+	return e.relayID
+}
+
 func (e *Exchanger) takeRegistrations(records *exchangev1.RecordBatch, now time.Time) {
 	if records == nil {
 		return
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -36,6 +36,7 @@
 	known     map[string]int32 // uses by who told them
 	stranded  bool             // lacks records that it cannot read
 	copied    flamingodoor.RecordBatch
+	expected  time.Time // until when a copy is on its way
 }
 
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
@@ -103,6 +104,18 @@
 	h.next, h.confirmed = next, confirmed
 }
 
+func (h *host) Lacks(next int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next > 0 && h.next < next
+}
+
+func (h *host) Expect(deadline time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expected = deadline
+}
+
 func (h *host) Stranded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -110,7 +123,9 @@
 }
 
 func (h *host) Copy() (flamingodoor.RecordBatch, bool) {
-	return flamingodoor.RecordBatch{Next: 9, Records: [][]byte{[]byte("configuration")}}, h.leads
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return flamingodoor.RecordBatch{Next: max(h.next, 9), Records: [][]byte{[]byte("configuration")}}, h.leads || h.next > 0
 }
 
 func (h *host) Restore(records flamingodoor.RecordBatch) {
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -76,3 +76,33 @@
 		assert.Equal(t, each.Hosts(), fleetHosts)
 	}
 }
+
+// Pattern: operators change the configuration of a large fleet. Each host took a
+// call to the store for each change; now those that relay read it, and the others
+// copy it from them.
+func TestHostsCopyTheConfigurationFromTheirRelay(t *testing.T) {
+	const known, changed = 9, 12
+	hosts := startWorking(t)
+	for _, each := range hosts {
+		each.Follow(known, time.Now())
+	}
+	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
+	time.Sleep(4 * time.Second) // past the introductions
+	for i, each := range hosts {
+		if i == 0 || each.Relays() {
+			each.Follow(changed, time.Now())
+		}
+	}
+	hosts[0].HurryToAll()
+	eventually(t, "a host has no copy", func() bool {
+		for i, each := range hosts {
+			each.mu.Lock()
+			missing := i > 0 && !each.Exchanger.Relays() && each.copied.Next < changed
+			each.mu.Unlock()
+			if missing {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/serving.go
+++ b/serving.go
@@ -184,6 +184,11 @@
 	Position() (next int64, confirmed time.Time, known bool)
 	// Follow takes the position of another host.
 	Follow(next int64, confirmed time.Time)
+	// Lacks reports whether records before the offset are not known here.
+	Lacks(next int64) bool
+	// Expect keeps this host from reading until the deadline, because a copy is
+	// on its way. A deadline that is past makes it read at once.
+	Expect(deadline time.Time)
 	// Stranded reports whether this host lacks records and cannot read them.
 	Stranded() bool
 	// Copy returns the newest record of each key, or false before the first read.
