--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -97,7 +97,7 @@
 	eventually(t, "a host has no copy", func() bool {
 		for i, each := range hosts {
 			each.mu.Lock()
-			missing := i > 0 && !each.Exchanger.Relays() && each.copied.Next < changed
+			missing := i > 0 && !each.Relays() && each.copied.Next < changed
 			each.mu.Unlock()
 			if missing {
 				return false
