Tell a host one sum of all work instead of one for each relay

A relay now adds them up for its hosts and leaves out the receiver's own work; relays still tell each other their parts. A host keeps the sum of its present relay alone, so that a change of the relay counts no work twice.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -167,7 +167,7 @@
 	if message, ok := e.accept(request.Msg, now); ok {
 		e.sink.Learn(message, now)
 	}
-	e.takeSummaries(request.Msg, now)
+	e.takeSummary(request.Msg, now)
 	e.takeFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.Next(), Clock: e.clock(now),
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -85,14 +85,14 @@
 	e.mu.Lock()
 	answer := to.answer
 	e.mu.Unlock()
-	summaries := made.summaries[to.ID]
+	summary := made.summaries[to.ID]
 	duty, target := made.fed.targets[to.ID]
 	feeds := answer != nil && (target || made.fed.leads)
-	if !feeds && summaries == nil {
+	if !feeds && summary == nil {
 		return made.request
 	}
 	message := copyOf(made.request)
-	message.Summaries = summaries
+	message.Summary = summary
 	if !feeds {
 		return message
 	}
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -16,7 +16,7 @@
 	request   *exchangev1.ShareRequest
 	peers     []*peer
 	fed       feedRound
-	summaries map[string][]*exchangev1.Summary // by peer
+	summaries map[string]*exchangev1.Summary // by peer
 }
 
 // round tells the next peers. One that has not answered the last message yet
@@ -66,16 +66,12 @@
 	leads := e.source.Feeds()
 	request := e.describe(now)
 	e.mu.Lock()
-	silentRelays := e.dropOldSummaries(now)
+	forgotten := e.dropSummaries(func(_ string, held heldSummary) bool { return now.Sub(held.at) >= summaryLife })
 	peers, silent := e.livePeers(now)
 	made := plan{request: request, fed: e.feedTargets(peers, leads, now)}
 	relays := !leads && e.relays(now)
 	if relays {
-		sum := e.sumUp(request, peers, now)
-		made.summaries = make(map[string][]*exchangev1.Summary)
-		for _, each := range e.relayPeers(peers) {
-			made.summaries[each.ID] = e.summariesFor(each, sum, now)
-		}
+		made.summaries = e.summarise(request, peers, now)
 	}
 	made.peers = takeUrgent(peers)
 	if len(made.peers) == 0 {
@@ -83,8 +79,8 @@
 		made.peers = append(made.peers, inTurn(silent, silentPeers, &e.lostTurn)...)
 	}
 	e.mu.Unlock()
-	for _, id := range silentRelays {
-		e.sink.Forget(summaryName(id), now)
+	for _, name := range forgotten {
+		e.sink.Forget(name, now)
 	}
 	return made
 }
--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,11 +35,11 @@
 	at time.Time
 }
 
-// sum is the work of the hosts that tell this one, while it relays.
-type sum struct {
-	summary *exchangev1.Summary // with the work of all of them
+// total adds up the work of hosts.
+type total struct {
 	uses    map[string]int32
 	demands map[demandKey]float64
+	hosts   []uint32
 }
 
 type demandKey struct {
@@ -72,106 +73,123 @@
 	return now.Before(p.coveredUntil)
 }
 
-// takeSummaries learns the work of many hosts from a relay.
-func (e *Exchanger) takeSummaries(message *exchangev1.ShareRequest, now time.Time) {
-	if len(message.GetSummaries()) == 0 {
+// takeSummary learns the work of many hosts from a relay.
+func (e *Exchanger) takeSummary(message *exchangev1.ShareRequest, now time.Time) {
+	summary := message.GetSummary()
+	if summary == nil {
 		return
 	}
-	fresh, covered := e.holdSummaries(message, now)
-	for _, hostID := range covered {
+	forgotten, ok := e.holdSummary(summary, message.GetHostId(), now)
+	for _, hostID := range forgotten {
 		e.sink.Forget(hostID, now)
 	}
-	for _, summary := range fresh {
+	if ok {
 		e.sink.Learn(&exchangev1.ShareRequest{
-			HostId: summaryName(summary.GetRelayId()), Uses: summary.GetUses(), Demands: summary.GetDemands(),
+			HostId: summaryName(message.GetHostId()), Uses: summary.GetUses(), Demands: summary.GetDemands(),
 		}, now)
 	}
 }
 
-// holdSummaries keeps the newer ones among the summaries. It returns them, and
-// the hosts whose own messages no longer count.
-func (e *Exchanger) holdSummaries(message *exchangev1.ShareRequest, now time.Time) (fresh []*exchangev1.Summary, covered []string) {
+// holdSummary keeps a summary that is meant for this host in its present role. It
+// returns whose news it replaces.
+func (e *Exchanger) holdSummary(summary *exchangev1.Summary, from string, now time.Time) (forgotten []string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if sender := e.peers[message.GetHostId()]; sender != nil && sender.DataCentre == e.self.DataCentre {
-		e.relayID, e.relayUntil = sender.ID, now.Add(summaryLife)
+	if summary.GetAll() == e.relays(now) {
+		return nil, false
 	}
-	for _, summary := range message.GetSummaries() {
-		if summary.GetRelayId() == e.self.ID || !newer(summary, e.summaries[summary.GetRelayId()]) {
+	if summary.GetAll() {
+		e.relayID, e.relayUntil = from, now.Add(summaryLife)
+		forgotten = e.dropSummaries(func(id string, _ heldSummary) bool { return id != from })
+	}
+	e.summaries[from] = heldSummary{summary, now}
+	for _, hash := range summary.GetHosts() {
+		known := e.byHash[hash]
+		if known == nil {
 			continue
 		}
-		e.summaries[summary.GetRelayId()] = heldSummary{summary, now}
-		fresh = append(fresh, summary)
-		for _, hash := range summary.GetHosts() {
-			known := e.byHash[hash]
-			if known == nil {
-				continue
-			}
-			if !known.covered(now) {
-				covered = append(covered, known.ID)
-			}
-			known.heard, known.coveredUntil = now, now.Add(summaryLife)
+		if !known.covered(now) {
+			forgotten = append(forgotten, known.ID)
 		}
+		known.heard, known.coveredUntil = now, now.Add(summaryLife)
 	}
-	return fresh, covered
-}
-
-func newer(summary *exchangev1.Summary, held heldSummary) bool {
-	return held.Summary == nil || summary.GetRelayStartedMs() > held.GetRelayStartedMs() ||
-		(summary.GetRelayStartedMs() == held.GetRelayStartedMs() && summary.GetSequence() > held.GetSequence())
+	return forgotten, true
 }
 
-// dropOldSummaries forgets what relays told that fell silent, and returns them.
-func (e *Exchanger) dropOldSummaries(now time.Time) (silent []string) {
+// dropSummaries forgets the summaries of some relays, and returns the names
+// under which their work counted.
+func (e *Exchanger) dropSummaries(drop func(relayID string, held heldSummary) bool) (forgotten []string) {
 	for id, held := range e.summaries {
-		if now.Sub(held.at) >= summaryLife {
+		if drop(id, held) {
 			delete(e.summaries, id)
-			silent = append(silent, id)
+			forgotten = append(forgotten, summaryName(id))
 		}
 	}
-	return silent
+	return forgotten
 }
 
-// sumUp adds up the work of this host and of those that told it lately.
-func (e *Exchanger) sumUp(request *exchangev1.ShareRequest, peers []*peer, now time.Time) *sum {
-	made := &sum{uses: make(map[string]int32), demands: make(map[demandKey]float64)}
-	hosts := []uint32{hostHash(e.self.ID)}
-	made.add(request.GetUses(), request.GetDemands(), 1)
+// summarise returns what this host, as a relay, tells each peer: another relay
+// the work of the hosts that tell this one, a host of its part that of all.
+func (e *Exchanger) summarise(request *exchangev1.ShareRequest, peers []*peer, now time.Time) map[string]*exchangev1.Summary {
+	sum := &total{uses: make(map[string]int32), demands: make(map[demandKey]float64), hosts: []uint32{hostHash(e.self.ID)}}
+	sum.add(request.GetUses(), request.GetDemands(), 1)
 	for _, each := range peers {
 		if e.tellsSelf(each, now) {
-			made.add(each.work.uses, each.work.demands, 1)
-			hosts = append(hosts, hostHash(each.ID))
+			sum.add(each.work.uses, each.work.demands, 1)
+			sum.hosts = append(sum.hosts, hostHash(each.ID))
 		}
 	}
-	made.summary = made.render(&exchangev1.Summary{
-		RelayId: e.self.ID, RelayStartedMs: request.GetStartedMs(), Sequence: request.GetSequence(), Hosts: hosts,
-	})
-	return made
+	summaries := make(map[string]*exchangev1.Summary)
+	part := sum.render(false)
+	for _, each := range peers {
+		if e.duty.relayIDs[each.ID] {
+			summaries[each.ID] = part
+		}
+	}
+	for _, held := range e.summaries {
+		sum.add(held.GetUses(), held.GetDemands(), 1)
+		sum.hosts = append(sum.hosts, held.GetHosts()...)
+	}
+	for _, each := range peers {
+		if !e.inPart(each) {
+			continue
+		}
+		var own ownWork
+		if e.tellsSelf(each, now) {
+			own = each.work
+		}
+		summaries[each.ID] = sum.without(own)
+	}
+	return summaries
+}
+
+// inPart reports whether this host, as a relay, tells the peer the work of all.
+func (e *Exchanger) inPart(each *peer) bool {
+	return each.DataCentre == e.self.DataCentre && partOf(each.ID, e.duty.parts) == e.duty.part && !e.duty.relayIDs[each.ID]
 }
 
-// tellsSelf reports whether this host's summary covers the peer.
+// tellsSelf reports whether this host's summary holds the peer's work.
 func (e *Exchanger) tellsSelf(each *peer, now time.Time) bool {
-	return each.DataCentre == e.self.DataCentre && partOf(each.ID, e.duty.parts) == e.duty.part &&
-		!e.duty.relayIDs[each.ID] && now.Sub(each.work.at) < summaryLife
+	return e.inPart(each) && now.Sub(each.work.at) < summaryLife
 }
 
-func (s *sum) add(uses []*exchangev1.InstanceUse, demands []*exchangev1.ModelDemand, sign int32) {
+func (t *total) add(uses []*exchangev1.InstanceUse, demands []*exchangev1.ModelDemand, sign int32) {
 	for _, use := range uses {
-		s.uses[use.GetInstanceId()] += sign * use.GetRequests()
+		t.uses[use.GetInstanceId()] += sign * use.GetRequests()
 	}
 	for _, demand := range demands {
-		s.demands[demandKey{demand.GetService(), demand.GetModelId()}] += float64(sign) * demand.GetEngineSeconds()
+		t.demands[demandKey{demand.GetService(), demand.GetModelId()}] += float64(sign) * demand.GetEngineSeconds()
 	}
 }
 
-// render fills a summary with the work that is left.
-func (s *sum) render(summary *exchangev1.Summary) *exchangev1.Summary {
-	for id, requests := range s.uses {
+func (t *total) render(all bool) *exchangev1.Summary {
+	summary := &exchangev1.Summary{All: all, Hosts: slices.Clone(t.hosts)}
+	for id, requests := range t.uses {
 		if requests > 0 {
 			summary.Uses = append(summary.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: requests})
 		}
 	}
-	for key, seconds := range s.demands {
+	for key, seconds := range t.demands {
 		if seconds > 0 {
 			summary.Demands = append(summary.Demands, &exchangev1.ModelDemand{Service: key.service, ModelId: key.modelID, EngineSeconds: seconds})
 		}
@@ -179,48 +197,11 @@
 	return summary
 }
 
-// without is the summary for one of the hosts whose work is in it.
-func (s *sum) without(work ownWork) *exchangev1.Summary {
-	s.add(work.uses, work.demands, -1)
-	defer s.add(work.uses, work.demands, 1)
-	return s.render(&exchangev1.Summary{
-		RelayId: s.summary.GetRelayId(), RelayStartedMs: s.summary.GetRelayStartedMs(), Sequence: s.summary.GetSequence(), Hosts: s.summary.GetHosts(),
-	})
-}
-
-// summariesFor returns what a relay tells a peer: another relay hears of this
-// one's hosts, a host of its part of all.
-func (e *Exchanger) summariesFor(to *peer, made *sum, now time.Time) []*exchangev1.Summary {
-	if made == nil {
-		return nil
-	}
-	if e.duty.relayIDs[to.ID] {
-		return []*exchangev1.Summary{made.summary}
-	}
-	if to.DataCentre != e.self.DataCentre || partOf(to.ID, e.duty.parts) != e.duty.part {
-		return nil
-	}
-	own := made.summary
-	if e.tellsSelf(to, now) {
-		own = made.without(to.work)
-	}
-	summaries := []*exchangev1.Summary{own}
-	for _, held := range e.summaries {
-		summaries = append(summaries, held.Summary)
-	}
-	return summaries
-}
-
-// relayPeers are the peers that a relay tells in each round.
-func (e *Exchanger) relayPeers(peers []*peer) []*peer {
-	var told []*peer
-	for _, each := range peers {
-		mine := each.DataCentre == e.self.DataCentre && partOf(each.ID, e.duty.parts) == e.duty.part
-		if mine || e.duty.relayIDs[each.ID] {
-			told = append(told, each)
-		}
-	}
-	return told
+// without is the summary for a host whose own work is in the total.
+func (t *total) without(own ownWork) *exchangev1.Summary {
+	t.add(own.uses, own.demands, -1)
+	defer t.add(own.uses, own.demands, 1)
+	return t.render(true)
 }
 
 // relayOf returns the peer that relays for this host, or nil if none did lately
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -32,9 +32,9 @@
 	const (
 		settled = 6 * time.Second // past the introductions
 		watched = 2 * time.Second
-		// mostMessages is one each 200 ms from a relay, its summaries counted one
-		// by one, and a few of hosts that ask for news.
-		mostMessages = 10 * (1 + 6) * 2
+		// mostMessages is one each 200 ms from a relay, its summary counted by
+		// itself, and as many again for late ones and those of other peers.
+		mostMessages = 10 * 2 * 2
 	)
 	hosts := startWorking(t)
 	time.Sleep(settled)
