Give the loads of weights to the model that needs a group

Loads for a group that would not be formed were started all the same, members of groups were given the other model's weights in the order of their names, and loads for the large model were spread over six domains, of which none got 16. Change: a load needs a group that is worth forming, the needed model comes first, and its loads go to the domain that lacks the fewest. Ruled out: the wait for registrations of a domain that returns; its instances held the small model's weights alone. Before: TestLoadsCompleteAGroupOfTheNeededModel fails (8 of the first 9 loads for the small model; 1 large group after 200 s). After: it passes with 2.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -81,6 +81,22 @@
 	return sum + fairness*total*worst
 }
 
+// Gain is the value of one more group of a model.
+func Gain(models []Model, modelID string) float64 {
+	more := slices.Clone(models)
+	for i := range more {
+		if more[i].ID == modelID {
+			more[i].Groups++
+		}
+	}
+	return Value(more) - Value(models)
+}
+
+// Worthwhile reports whether one more group of a model would be formed.
+func Worthwhile(models []Model, modelID string) bool {
+	return Gain(models, modelID) > worthwhile
+}
+
 // Plan returns the groups to form in each domain. It first takes the best
 // choice of one domain after the other, and then improves each against the
 // others until nothing is gained.
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -113,20 +113,17 @@
 		instances = append(instances, instance)
 	}
 	slices.SortFunc(instances, func(a, b flamingodoor.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	present := formation.Value(models)
 	taken := make(map[string]bool)
 	var found []completion
 	for _, domain := range domainsOf(instances) {
-		for i, model := range models {
+		for _, model := range models {
 			p.reserve(engine, domain, model, taken, now)
-			more := slices.Clone(models)
-			more[i].Groups++
 			targets, ok := p.lacksFor(engine, domain, model, now)
-			if !ok {
+			if !ok || !formation.Worthwhile(models, model.ID) {
 				continue
 			}
 			cost := float64(len(targets)) * loadTime(engine, model.ID).Seconds()
-			found = append(found, completion{targets: targets, score: (formation.Value(more) - present) / cost})
+			found = append(found, completion{targets: targets, score: formation.Gain(models, model.ID) / cost})
 		}
 	}
 	slices.SortStableFunc(found, func(a, b completion) int { return cmp.Compare(b.score, a.score) })
@@ -225,13 +222,49 @@
 		if (!free && entry.Membership.Group == "") || entry.Leaving || view.Lost(entry.Instance, now) || p.Book.Evacuated(entry.DataCentre) {
 			continue
 		}
-		if modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now); lacks {
+		modelID, lacks := p.lacking(service.Engine, entry.Instance, needed, now)
+		if lacks && (modelID == needed || formation.Worthwhile(models, modelID)) {
 			targets = append(targets, stageTarget{instance: entry.Instance, modelID: modelID})
 		}
 	}
+	p.concentrate(service, view, targets, needed, now)
 	return targets
 }
 
+// concentrate puts the loads of the needed model first, and those of the domain
+// in front that lacks the fewest for a group: loads spread over all domains would
+// complete none.
+func (p *Planner) concentrate(service flamingodoor.ServiceSpec, view *roster.View, targets []stageTarget, needed string, now time.Time) {
+	able := make(map[string]int)
+	for _, entry := range view.ByService[service.Name] {
+		state := p.member(entry.Instance)
+		_, held := p.weightsHeld(service.Engine, entry.Instance, now)[needed]
+		loading := state.staging == needed && now.Before(state.stagedBy)
+		if (held || loading) && entry.Membership.ModelID != needed && !entry.Leaving {
+			able[entry.FabricDomain]++
+		}
+	}
+	slices.SortStableFunc(targets, func(a, b stageTarget) int {
+		return cmp.Or(
+			-compareBool(a.modelID == needed, b.modelID == needed),
+			cmp.Compare(able[b.instance.FabricDomain], able[a.instance.FabricDomain]),
+			cmp.Compare(a.instance.FabricDomain, b.instance.FabricDomain),
+		)
+	})
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // idleForGood reports whether an idle instance lacks the needed model and no
 // load that was chosen makes a group of it.
 func (p *Planner) idleForGood(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, chosen []stageTarget, needed string, now time.Time) bool {
@@ -312,11 +345,8 @@
 // the most value.
 func neediest(models []formation.Model) (string, bool) {
 	best, gain := "", 0.0
-	present := formation.Value(models)
-	for i, model := range models {
-		more := slices.Clone(models)
-		more[i].Groups++
-		if added := (formation.Value(more) - present) / float64(max(1, model.Size)); added > gain {
+	for _, model := range models {
+		if added := formation.Gain(models, model.ID) / float64(max(1, model.Size)); added > gain {
 			best, gain = model.ID, added
 		}
 	}
--- a/internal/planner/stage_test.go
+++ b/internal/planner/stage_test.go
@@ -47,3 +47,41 @@
 	s.run(20*time.Second, s.lead())
 	assert.Assert(t, s.fleet.OpenGroups(large) > 0)
 }
+
+// Pattern: the small model has more groups than it needs, and the large one waits
+// for weights. All loads once went to the small model, and those of the large one
+// were spread over the domains, so that none got enough for a group (Kivuko grown,
+// quiet-1: 29 of 29 loads).
+func TestLoadsCompleteAGroupOfTheNeededModel(t *testing.T) {
+	const size = 8 // of the large model
+	spec := engine()
+	spec.Models[0].Size, spec.Models[1].Size = size, 2
+	s := newSceneOf(t, spec)
+	s.work = map[string]float64{large: 3, small: 6}
+	s.add("d0", 8, large)
+	for range 9 {
+		s.add("d1", 1, small)
+		s.add("d2", 1, small)
+	}
+	var models, domains []string
+	s.fleet.SetHooks(fleet.Hooks{LoseAnswer: func(id string, order flamingodoor.InstanceOrder) bool {
+		if order.Kind != flamingodoor.OrderKindStage {
+			return false
+		}
+		models = append(models, order.ModelID)
+		domains = append(domains, s.domainOf(id))
+		return false
+	}})
+	s.run(200*time.Second, s.lead())
+	assert.Assert(t, len(models) >= size, "%v", models)
+	for i := range size {
+		assert.Equal(t, models[i], large, "load %d", i)
+		assert.Equal(t, domains[i], domains[0], "load %d", i)
+	}
+	assert.Assert(t, s.fleet.OpenGroups(large) > 1)
+}
+
+// domainOf is called under the fleet's lock.
+func (s *scene) domainOf(id string) string {
+	return s.roster.View().Entries[id].FabricDomain
+}
