Plan groups by how late a model's streams begin

Ruled out: a model of the engine's latency by its settings, which would need the mix of prompts at each group.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -11,6 +11,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/planner"
 	"flamingodoor.example/flamingodoor/internal/relay"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
@@ -51,7 +52,7 @@
 }
 
 type peerDemand struct {
-	rates    map[relay.DemandKey]float64
+	rates    map[relay.DemandKey]relay.ModelDemand
 	deadline time.Time
 }
 
@@ -85,8 +86,10 @@
 	for id, used := range f.gateway.tracker.Own() {
 		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(used)}) //nolint:gosec // a count of requests
 	}
-	for key, rate := range f.gateway.demand.Rates(now) {
-		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
+	for key, asked := range f.gateway.demand.Rates(now) {
+		request.Demands = append(request.Demands, &exchangev1.ModelDemand{
+			Service: key.Service, ModelId: key.Model, EngineSeconds: asked.EngineSeconds, BegunPerS: asked.BegunPerS, LatePerS: asked.LatePerS,
+		})
 	}
 	for _, strike := range f.gateway.strikes.Digest(now) {
 		if strike.GetAge().AsDuration() < strikeShare {
@@ -147,9 +150,11 @@
 }
 
 func (f *fleet) learnDemand(request *exchangev1.ShareRequest, now time.Time) {
-	rates := make(map[relay.DemandKey]float64, len(request.GetDemands()))
+	rates := make(map[relay.DemandKey]relay.ModelDemand, len(request.GetDemands()))
 	for _, demand := range request.GetDemands() {
-		rates[relay.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = demand.GetEngineSeconds()
+		rates[relay.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = relay.ModelDemand{
+			EngineSeconds: demand.GetEngineSeconds(), BegunPerS: demand.GetBegunPerS(), LatePerS: demand.GetLatePerS(),
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -234,8 +239,8 @@
 	}
 }
 
-// work is the demand for a model at all hosts.
-func (f *fleet) work(service, modelID string) float64 {
+// demand is what is asked of a model at all hosts, and how it answers.
+func (f *fleet) demand(service, modelID string) planner.Demand {
 	now := time.Now()
 	key := relay.DemandKey{Service: service, Model: modelID}
 	total := f.gateway.demand.Rates(now)[key]
@@ -246,9 +251,9 @@
 			delete(f.demands, host)
 			continue
 		}
-		total += demand.rates[key]
+		total = total.Plus(demand.rates[key])
 	}
-	return total
+	return planner.Demand{Work: total.EngineSeconds, LateShare: total.LateShare()}
 }
 
 // quiet reports that no host has seen a request for a model.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -135,7 +135,9 @@
 		}
 		if out.events == 1 {
 			j.first = r.now()
-			r.observer.FirstToken(j.workspace, j.first.Sub(j.received))
+			waited := j.first.Sub(j.received)
+			r.observer.FirstToken(j.workspace, waited)
+			r.demand.Begin(j.key(), waited > j.route.Aim, j.first)
 		}
 	})
 	if err == nil {
