Revert "Plan groups by how late a model's streams begin"

There all models are asked for more than their groups hold, so that late streams say nothing about the load at which a group is in time, and the large model takes instances of the small one, which serves more with each. Conclusion: lateness may weigh only where work fits into the groups; not built.

--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -38,7 +38,7 @@
 // total adds up the work of hosts.
 type total struct {
 	uses    map[string]int32
-	demands map[demandKey]modelRates
+	demands map[demandKey]float64
 	hosts   []uint32
 }
 
@@ -47,13 +47,6 @@
 	modelID string
 }
 
-// modelRates are the fields of a demand.
-type modelRates struct {
-	work  float64 // engine seconds asked a second
-	begun float64 // streams a second
-	late  float64
-}
-
 // summaryName is the name under which the work in a relay's summary counts.
 func summaryName(relayID string) string {
 	return "summary of " + relayID
@@ -138,7 +131,7 @@
 // summarise returns what this host, as a relay, tells each peer: another relay
 // the work of the hosts that tell this one, a host of its part that of all.
 func (e *Exchanger) summarise(request *exchangev1.ShareRequest, peers []*peer, now time.Time) map[string]*exchangev1.Summary {
-	sum := &total{uses: make(map[string]int32), demands: make(map[demandKey]modelRates), hosts: []uint32{hostHash(e.self.ID)}}
+	sum := &total{uses: make(map[string]int32), demands: make(map[demandKey]float64), hosts: []uint32{hostHash(e.self.ID)}}
 	sum.add(request.GetUses(), request.GetDemands(), 1)
 	for _, each := range peers {
 		if e.tellsSelf(each, now) {
@@ -185,12 +178,7 @@
 		t.uses[use.GetInstanceId()] += sign * use.GetRequests()
 	}
 	for _, demand := range demands {
-		key := demandKey{demand.GetService(), demand.GetModelId()}
-		rates := t.demands[key]
-		rates.work += float64(sign) * demand.GetEngineSeconds()
-		rates.begun += float64(sign) * demand.GetBegunPerS()
-		rates.late += float64(sign) * demand.GetLatePerS()
-		t.demands[key] = rates
+		t.demands[demandKey{demand.GetService(), demand.GetModelId()}] += float64(sign) * demand.GetEngineSeconds()
 	}
 }
 
@@ -201,11 +189,9 @@
 			summary.Uses = append(summary.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: requests})
 		}
 	}
-	for key, rates := range t.demands {
-		if rates.work > 0 {
-			summary.Demands = append(summary.Demands, &exchangev1.ModelDemand{
-				Service: key.service, ModelId: key.modelID, EngineSeconds: rates.work, BegunPerS: max(0, rates.begun), LatePerS: max(0, rates.late),
-			})
+	for key, seconds := range t.demands {
+		if seconds > 0 {
+			summary.Demands = append(summary.Demands, &exchangev1.ModelDemand{Service: key.service, ModelId: key.modelID, EngineSeconds: seconds})
 		}
 	}
 	return summary
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -11,7 +11,6 @@
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
-	"flamingodoor.example/flamingodoor/internal/planner"
 	"flamingodoor.example/flamingodoor/internal/relay"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
@@ -52,7 +51,7 @@
 }
 
 type peerDemand struct {
-	rates    map[relay.DemandKey]relay.ModelDemand
+	rates    map[relay.DemandKey]float64
 	deadline time.Time
 }
 
@@ -86,10 +85,8 @@
 	for id, used := range f.gateway.tracker.Own() {
 		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(used)}) //nolint:gosec // a count of requests
 	}
-	for key, asked := range f.gateway.demand.Rates(now) {
-		request.Demands = append(request.Demands, &exchangev1.ModelDemand{
-			Service: key.Service, ModelId: key.Model, EngineSeconds: asked.EngineSeconds, BegunPerS: asked.BegunPerS, LatePerS: asked.LatePerS,
-		})
+	for key, rate := range f.gateway.demand.Rates(now) {
+		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
 	}
 	for _, strike := range f.gateway.strikes.Digest(now) {
 		if strike.GetAge().AsDuration() < strikeShare {
@@ -150,11 +147,9 @@
 }
 
 func (f *fleet) learnDemand(request *exchangev1.ShareRequest, now time.Time) {
-	rates := make(map[relay.DemandKey]relay.ModelDemand, len(request.GetDemands()))
+	rates := make(map[relay.DemandKey]float64, len(request.GetDemands()))
 	for _, demand := range request.GetDemands() {
-		rates[relay.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = relay.ModelDemand{
-			EngineSeconds: demand.GetEngineSeconds(), BegunPerS: demand.GetBegunPerS(), LatePerS: demand.GetLatePerS(),
-		}
+		rates[relay.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = demand.GetEngineSeconds()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -239,8 +234,8 @@
 	}
 }
 
-// demand is what is asked of a model at all hosts, and how it answers.
-func (f *fleet) demand(service, modelID string) planner.Demand {
+// work is the demand for a model at all hosts.
+func (f *fleet) work(service, modelID string) float64 {
 	now := time.Now()
 	key := relay.DemandKey{Service: service, Model: modelID}
 	total := f.gateway.demand.Rates(now)[key]
@@ -251,9 +246,9 @@
 			delete(f.demands, host)
 			continue
 		}
-		total = total.Plus(demand.rates[key])
+		total += demand.rates[key]
 	}
-	return planner.Demand{Work: total.EngineSeconds, LateShare: total.LateShare()}
+	return total
 }
 
 // quiet reports that no host has seen a request for a model.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Watcher,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere,
-		InFlight:         g.tracker.InFlight, Found: g.found, Retire: g.retire, Demand: g.fleet.demand, Quiet: g.fleet.quiet, Logger: logger,
+		InFlight:         g.tracker.InFlight, Found: g.found, Retire: g.retire, Work: g.fleet.work, Quiet: g.fleet.quiet, Logger: logger,
 	})
 	g.front = NewFrontServer(g.relay)
 	return g
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -91,19 +91,13 @@
 	Found func(instance flamingodoor.Instance, at time.Time)
 	// Retire takes new work off a group on all hosts.
 	Retire func(key roster.GroupKey)
-	// Demand is what all hosts are asked of a model.
-	Demand func(service, modelID string) Demand
+	// Work is the engine seconds asked a second of a model by all hosts.
+	Work func(service, modelID string) float64
 	// Quiet reports that no host has seen a request yet.
 	Quiet  func() bool
 	Logger log.Logger
 }
 
-// Demand is what is asked of a model, and how it answers.
-type Demand struct {
-	Work      float64 // engine seconds asked a second
-	LateShare float64 // part of the streams that begin after their objective
-}
-
 // Planner forms and dissolves groups while it leads.
 type Planner struct {
 	Parts
@@ -504,7 +498,7 @@
 		}
 		for _, model := range service.Engine.Models {
 			_ = level.Info(p.Logger).Log("event", "fleet", "service", service.Name, "model", model.ID, "groups", counts[model.ID],
-				"work", p.Demand(service.Name, model.ID).Work, "late", p.Demand(service.Name, model.ID).LateShare, "listed", len(view.ByService[service.Name]),
+				"work", p.Work(service.Name, model.ID), "listed", len(view.ByService[service.Name]),
 				"free", len(p.free(view, service.Name, now)), "pending", len(p.pending))
 		}
 	}
@@ -524,18 +518,16 @@
 	return flamingodoor.ModelSpec{}, false
 }
 
-// models returns the work of the models of a service, from what was asked or,
-// before the first request, from the configuration.
+// work of the models of a service, from what was asked or, before the first
+// request, from the configuration.
 func (p *Planner) models(service flamingodoor.ServiceSpec, counts map[string]float64, total int) []formation.Model {
 	models := make([]formation.Model, 0, len(service.Engine.Models))
-	demands := make([]Demand, len(service.Engine.Models))
 	asked := 0.0
-	for i, model := range service.Engine.Models {
-		demands[i] = p.Demand(service.Name, model.ID)
-		asked += demands[i].Work
+	for _, model := range service.Engine.Models {
+		asked += p.Work(service.Name, model.ID)
 	}
-	for i, model := range service.Engine.Models {
-		work := demands[i].weighted()
+	for _, model := range service.Engine.Models {
+		work := p.Work(service.Name, model.ID)
 		if asked < leastAsked {
 			work = model.Share * float64(total) / float64(max(1, model.Size)) / 2
 		}
@@ -544,24 +536,9 @@
 	return models
 }
 
-const (
-	// leastAsked is the work, in engine seconds a second, from which the measured
-	// demand replaces the configured one.
-	leastAsked = 0.3
-	// leastWeight is what the work of a model counts that answers in time: its
-	// groups can be filled beyond the load that formation plans with.
-	leastWeight = 0.85
-	// lateWeight is how much more it counts for each part that begins late, and
-	// mostWeight the most: a model of which a third is late counts 1.5 times.
-	lateWeight = 2.0
-	mostWeight = 1.5
-)
-
-// weighted is the work as groups are planned for it. How late the answers of a
-// full group are differs between models, by their prompts, pace and objectives.
-func (d Demand) weighted() float64 {
-	return d.Work * min(mostWeight, leastWeight+lateWeight*d.LateShare)
-}
+// leastAsked is the work, in engine seconds a second, from which the measured
+// demand replaces the configured one.
+const leastAsked = 0.3
 
 func sleep(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -18,40 +18,10 @@
 	Model   string
 }
 
-// ModelDemand is what is asked of a model, and how it answers.
-type ModelDemand struct {
-	EngineSeconds float64 // asked a second, served or not
-	BegunPerS     float64 // streams whose first event came
-	LatePerS      float64 // those whose first event came after their objective
-}
-
-// Plus adds the demand of another host.
-func (d ModelDemand) Plus(other ModelDemand) ModelDemand {
-	return ModelDemand{
-		EngineSeconds: d.EngineSeconds + other.EngineSeconds,
-		BegunPerS:     d.BegunPerS + other.BegunPerS,
-		LatePerS:      d.LatePerS + other.LatePerS,
-	}
-}
-
-// LateShare is the part of the streams that began late.
-func (d ModelDemand) LateShare() float64 {
-	if d.BegunPerS < leastBegun {
-		return 0
-	}
-	return d.LatePerS / d.BegunPerS
-}
-
-// leastBegun is the number of streams a second from which the part that began
-// late says something.
-const leastBegun = 1.0
-
 // Demand keeps the mean work asked of each model, served or not.
 type Demand struct {
 	mu    sync.Mutex
 	rates map[DemandKey]*rate
-	begun map[DemandKey]*rate
-	late  map[DemandKey]*rate
 	most  map[string]float64 // mean of the most answer tokens, by service
 }
 
@@ -66,10 +36,7 @@
 
 // NewDemand returns a demand of nothing.
 func NewDemand() *Demand {
-	return &Demand{
-		rates: make(map[DemandKey]*rate), begun: make(map[DemandKey]*rate), late: make(map[DemandKey]*rate),
-		most: make(map[string]float64),
-	}
+	return &Demand{rates: make(map[DemandKey]*rate), most: make(map[string]float64)}
 }
 
 // Add counts a request by the time that it takes of a full engine.
@@ -84,16 +51,6 @@
 	rateOf(d.rates, key, now).add(work, now)
 }
 
-// Begin counts a stream whose first event came.
-func (d *Demand) Begin(key DemandKey, late bool, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	rateOf(d.begun, key, now).add(1, now)
-	if late {
-		rateOf(d.late, key, now).add(1, now)
-	}
-}
-
 // rateOf returns the rate of a key, which begins at nothing.
 func rateOf(rates map[DemandKey]*rate, key DemandKey, now time.Time) *rate {
 	mean, ok := rates[key]
@@ -125,7 +82,9 @@
 func (a *arrivals) perSecond(key DemandKey, now time.Time) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return rateOf(a.rates, key, now).value(now)
+	mean := rateOf(a.rates, key, now)
+	mean.decay(now)
+	return mean.perSecond
 }
 
 // usualAnswer scales the most tokens of an answer to the usual length: callers
@@ -148,26 +107,19 @@
 	r.perSecond += amount / demandTime.Seconds()
 }
 
-// value is the mean at a time.
-func (r *rate) value(now time.Time) float64 {
-	r.decay(now)
-	return r.perSecond
-}
-
 func (r *rate) decay(now time.Time) {
 	r.perSecond *= math.Exp(-now.Sub(r.at).Seconds() / demandTime.Seconds())
 	r.at = now
 }
 
-// Rates returns the demand for each model.
-func (d *Demand) Rates(now time.Time) map[DemandKey]ModelDemand {
+// Rates returns the engine seconds asked a second.
+func (d *Demand) Rates(now time.Time) map[DemandKey]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rates := make(map[DemandKey]ModelDemand, len(d.rates))
+	rates := make(map[DemandKey]float64, len(d.rates))
 	for key, mean := range d.rates {
-		rates[key] = ModelDemand{
-			EngineSeconds: mean.value(now), BegunPerS: rateOf(d.begun, key, now).value(now), LatePerS: rateOf(d.late, key, now).value(now),
-		}
+		mean.decay(now)
+		rates[key] = mean.perSecond
 	}
 	return rates
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -135,9 +135,7 @@
 		}
 		if out.events == 1 {
 			j.first = r.now()
-			waited := j.first.Sub(j.received)
-			r.observer.FirstToken(j.workspace, waited)
-			r.demand.Begin(j.key(), waited > j.route.Aim, j.first)
+			r.observer.FirstToken(j.workspace, j.first.Sub(j.received))
 		}
 	})
 	if err == nil {
