--- a/internal/planner/stage_test.go
+++ b/internal/planner/stage_test.go
@@ -57,7 +57,7 @@
 	spec := engine()
 	spec.Models[0].Size, spec.Models[1].Size = size, 2
 	s := newSceneOf(t, spec)
-	s.work = map[string]float64{large: 3, small: 6}
+	s.work = map[string]float64{large: 3, small: 4}
 	s.add("d0", 8, large)
 	for range 9 {
 		s.add("d1", 1, small)
