Ignore summaries that arrive after newer ones

A message that timed out may arrive after its successor. The sequence kept the sender's own work from going back, but not the summary that came with it (found by reading). Before: TestOlderSummaryIsIgnored fails with 4 requests instead of 5. After: it passes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -166,8 +166,8 @@
 	now := e.now()
 	if message, ok := e.accept(request.Msg, now); ok {
 		e.sink.Learn(message, now)
+		e.takeSummary(request.Msg, now)
 	}
-	e.takeSummary(request.Msg, now)
 	e.takeFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.Next(), Clock: e.clock(now),
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -1,10 +1,17 @@
 package exchange_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/exchange"
 )
 
 // fleetHosts is above the number of peers that the leading host feeds itself.
@@ -77,6 +84,25 @@
 	}
 }
 
+// A message of a relay that arrives after a newer one changes nothing.
+func TestOlderSummaryIsIgnored(t *testing.T) {
+	receiver := &host{list: registrations{onRead: func(int64) {}}}
+	self := flamingodoor.EntryPeer{ID: "a", Address: netip.MustParseAddrPort("127.0.0.1:2"), DataCentre: "dc"}
+	receiver.Exchanger = exchange.New(self, directory{receiver, nil},
+		exchange.Feeds{Registrations: receiver.list, Configuration: receiver}, receiver, receiver, log.NewNopLogger())
+	for _, message := range []struct {
+		sequence uint64
+		requests int32
+	}{{1, 3}, {3, 5}, {2, 4}} {
+		_, err := receiver.Share(t.Context(), connect.NewRequest(&exchangev1.ShareRequest{
+			HostId: "relay", Address: "127.0.0.1:1", DataCentre: "dc", Sequence: message.sequence,
+			Summary: &exchangev1.Summary{All: true, Uses: []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: message.requests}}},
+		}))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, receiver.total(), int32(5))
+}
+
 // Pattern: operators change the configuration of a large fleet. Each host took a
 // call to the store for each change; now those that relay read it, and the others
 // copy it from them.
