Split the planner's probes and its test scene into files of their own

The metric of calls to the store names them without the platform's prefix ("join" for "log-join"), so that no test outside platform/ knows its names.

--- a/cmd/flamingodoor-entry/main_test.go
+++ b/cmd/flamingodoor-entry/main_test.go
@@ -156,7 +156,7 @@
 	e.await("started")
 	wanted := []string{
 		"flamingodoor_hosts 1", "flamingodoor_leads 0", "flamingodoor_configuration_age_ms -1", "flamingodoor_groups_serving 0",
-		`flamingodoor_store_call_seconds_count{call="log-join",result="store_unavailable"}`,
+		`flamingodoor_store_call_seconds_count{call="join",result="store_unavailable"}`,
 	}
 	var text string
 	for begun := time.Now(); time.Since(begun) < eventTime; time.Sleep(100 * time.Millisecond) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"golang.org/x/sync/errgroup"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/catalogue"
@@ -421,64 +420,6 @@
 	return result
 }
 
-// probeGhosts asks members whose entry lapsed: one that only lost the store
-// serves on, one that does not answer is lost.
-func (p *Planner) probeGhosts(ctx context.Context, view *roster.View, now time.Time) {
-	var group errgroup.Group
-	for _, each := range view.Groups {
-		if p.dissolving[each.Key()] != nil {
-			continue
-		}
-		for _, member := range each.Members {
-			if member.ID == "" || member.Listed || view.Lost(member.Instance, now) || now.Sub(p.probed[member.ID]) < probeEvery {
-				continue
-			}
-			p.probed[member.ID] = now
-			group.Go(func() error {
-				p.probe(ctx, member.Instance)
-				return nil
-			})
-		}
-	}
-	_ = group.Wait() // probes report through the roster
-}
-
-// checkLosses asks listed instances that a host found lost. The host may be the
-// one that is cut off or slow.
-func (p *Planner) checkLosses(ctx context.Context, view *roster.View, now time.Time) {
-	for _, entry := range view.Entries {
-		if !entry.Listed || !view.Lost(entry.Instance, now) || now.Sub(p.probed[entry.ID]) < probeEvery {
-			continue
-		}
-		p.probed[entry.ID] = now
-		p.background(func() { p.checkLoss(ctx, entry.Instance, now) })
-	}
-}
-
-func (p *Planner) checkLoss(ctx context.Context, instance flamingodoor.Instance, asked time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	report, err := p.Instances.Report(ctx, instance.Address)
-	if err != nil || !report.Born.Equal(instance.Born) {
-		return // lost, or replaced by another life
-	}
-	_ = level.Info(p.Logger).Log("event", "member_found", "instance", instance.ID)
-	p.Found(instance, asked)
-}
-
-func (p *Planner) probe(ctx context.Context, instance flamingodoor.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	report, err := p.Instances.Report(ctx, instance.Address)
-	if err == nil && report.Born.Equal(instance.Born) {
-		return
-	}
-	now := p.now()
-	_ = level.Info(p.Logger).Log("event", "member_lost", "instance", instance.ID, "err", err)
-	p.Roster.MarkLost(instance.ID, instance.Born, now)
-	p.Roster.Publish(now)
-}
-
 // summarise logs the state of the fleet once in a while.
 func (p *Planner) summarise(index *catalogue.Index, view *roster.View, now time.Time) {
 	if now.Sub(p.summarised) < summaryEvery {
