Test the relays of a large fleet without a network or a clock

What it checks depends on no timer, so that hosts now share in rounds that the test calls, with its own clock and messages handed over in the process; 62 hosts in three data centres, and every round is checked, not one window of several. The tests of a lost leading host and of copied configurations use the same fleet.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -138,6 +138,11 @@
 	return func(e *Exchanger) { e.now = now }
 }
 
+// WithTransport sets how messages reach the other hosts.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(e *Exchanger) { e.client.Transport = transport }
+}
+
 // New returns an exchanger.
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// RunOnce shares once and waits for the answers.
+func (e *Exchanger) RunOnce(ctx context.Context) {
+	e.round(ctx)
+	e.calls.Wait()
+}
+
 // owesNews reports whether news came up while a message to the peer was on its
 // way.
 func (e *Exchanger) owesNews(to *peer) bool {
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -1,7 +1,10 @@
 package exchange_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -14,83 +17,123 @@
 	"flamingodoor.example/flamingodoor/internal/exchange"
 )
 
-// fleetHosts is above the number of peers that the leading host feeds itself.
-const fleetHosts = 27
+const (
+	// fleetHosts is above the number of peers that the leading host feeds itself.
+	fleetHosts = 62
+	centres    = 3
+	// roundTime separates two rounds of a host.
+	roundTime = 200 * time.Millisecond
+	// settleRounds are past the introductions, which take 3 s.
+	settleRounds = 20
+	// relays are two of each data centre.
+	relays = 2 * centres
+)
 
-// startWorking runs a large fleet in which each host has one request under way.
-func startWorking(t *testing.T) []*host {
-	t.Helper()
-	quiet := &registrations{onRead: func(int64) {}}
-	return startFleetOf(t, fleetHosts, func(int) *registrations { return quiet }, func(each *host) { each.uses = 1 })
+// largeFleet is hosts that share in rounds, without a network and with a clock of
+// their own. Each has one request under way.
+type largeFleet struct {
+	t        *testing.T
+	hosts    []*host
+	now      time.Time
+	handlers map[string]http.Handler // by address
 }
 
-// knowAll reports whether each host counts all others and knows their work.
-func knowAll(hosts []*host) bool {
-	for _, each := range hosts {
-		if each.total() != int32(len(hosts)-1) || each.Hosts() != len(hosts) {
-			return false
+// RoundTrip hands a message to the host at its address.
+func (f *largeFleet) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	f.handlers[request.URL.Host].ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+// newLargeFleet returns hosts of which the first leads, after their introductions.
+func newLargeFleet(t *testing.T) *largeFleet {
+	t.Helper()
+	f := &largeFleet{t: t, now: time.Unix(1_800_000_000, 0), handlers: make(map[string]http.Handler)}
+	all := make([]flamingodoor.EntryPeer, fleetHosts)
+	for i := range all {
+		all[i] = flamingodoor.EntryPeer{
+			ID: "host-" + strconv.Itoa(i), DataCentre: "dc-" + strconv.Itoa(i%centres),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + i)}), 80), //nolint:gosec // few hosts
 		}
 	}
-	return true
+	for i, self := range all {
+		each := &host{leads: i == 0, uses: 1, list: registrations{onRead: func(int64) {}}}
+		each.Exchanger = exchange.New(self, directory{each, all}, exchange.Feeds{Registrations: each.list, Configuration: each}, each, each,
+			log.NewNopLogger(), exchange.WithClock(func() time.Time { return f.now }), exchange.WithTransport(f))
+		f.handlers[self.Address.String()] = each.Handler()
+		f.hosts = append(f.hosts, each)
+		go each.RunDirectory(t.Context())
+	}
+	eventually(t, "a host has no list", func() bool {
+		for _, each := range f.hosts {
+			if !each.Listed() {
+				return false
+			}
+		}
+		return true
+	})
+	f.rounds(settleRounds)
+	return f
 }
 
-// Pattern: a fleet of more hosts than messages can reach by turns while the news
-// still counts. Relays tell each host the work of all others, once. The hosts get
-// there whenever the machine lets them send their messages in time, so that the
-// test looks for 2 s in which it holds.
-func TestRelaysTellTheWorkOfALargeFleet(t *testing.T) {
-	const windows = 15
-	hosts := startWorking(t)
-	var known, few bool
-	for range windows {
-		if known, few = watch(hosts); known && few {
-			return
+// rounds lets all hosts share, one after the other.
+func (f *largeFleet) rounds(count int) {
+	f.t.Helper()
+	for range count {
+		f.now = f.now.Add(roundTime)
+		for _, each := range f.hosts {
+			each.RunOnce(f.t.Context())
 		}
 	}
-	t.Fatalf("the work of all known: %t, with few messages: %t", known, few)
 }
 
-// watch reports whether all hosts know the work of all for 2 s, and whether all
-// but those that relay get few messages meanwhile.
-func watch(hosts []*host) (known, few bool) {
-	const (
-		watched = 2 * time.Second
-		// mostMessages is one each 200 ms from a relay, its summary counted by
-		// itself, and as many again for late ones and those of other peers.
-		mostMessages = 10 * 2 * 2
-		mostRelays   = 3 * 2
-	)
-	before := make([]int, len(hosts))
-	for i, each := range hosts {
+// checkKnown checks that each host counts all others, and their work once.
+func (f *largeFleet) checkKnown() {
+	f.t.Helper()
+	for i, each := range f.hosts {
+		assert.Equal(f.t, each.total(), int32(fleetHosts-1), "host %d", i)
+		assert.Equal(f.t, each.Hosts(), fleetHosts, "host %d", i)
+	}
+}
+
+// Pattern: a fleet of more hosts than messages can reach by turns while the news
+// still counts. Relays tell each host the work of all others, once.
+func TestRelaysTellTheWorkOfALargeFleet(t *testing.T) {
+	const watched = 10
+	f := newLargeFleet(t)
+	before := make([]int, fleetHosts)
+	for i, each := range f.hosts {
 		before[i] = each.heard()
 	}
-	known = true
-	for begun := time.Now(); time.Since(begun) < watched; time.Sleep(20 * time.Millisecond) {
-		known = known && knowAll(hosts)
+	for range watched {
+		f.rounds(1)
+		f.checkKnown()
 	}
-	quiet := 0
-	for i, each := range hosts {
-		if each.heard()-before[i] <= mostMessages {
-			quiet++
+	few := 0
+	for i, each := range f.hosts {
+		// One message a round from a relay, and its summary.
+		if each.heard()-before[i] <= 2*watched {
+			few++
 		}
 	}
-	return known, quiet >= len(hosts)-mostRelays
+	assert.Assert(t, few >= fleetHosts-relays, "%d of %d hosts got few messages", few, fleetHosts)
 }
 
 // Pattern: the leading host of a large fleet is lost, and no host names relays.
-// The hosts tell each other by turns, and no work counts twice for long.
+// The hosts tell each other by turns, and no work counts twice.
 func TestHostsTellEachOtherWithoutRelays(t *testing.T) {
-	const relaysStop = 6 * time.Second // the duty of relays, and what they told, lapse
-	hosts := startWorking(t)
-	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
-	hosts[0].mu.Lock()
-	hosts[0].leads = false
-	hosts[0].mu.Unlock()
-	time.Sleep(relaysStop)
-	for _, each := range hosts {
+	// The duty of relays ends 3 s after the leading host last named them, what
+	// they told a second later, and turns take 1.4 s.
+	const rounds = 30
+	f := newLargeFleet(t)
+	f.hosts[0].mu.Lock()
+	f.hosts[0].leads = false
+	f.hosts[0].mu.Unlock()
+	f.rounds(rounds)
+	for _, each := range f.hosts {
 		assert.Assert(t, !each.Relays())
 	}
-	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
+	f.checkKnown()
 }
 
 // A message of a relay that arrives after a newer one changes nothing.
@@ -117,13 +160,9 @@
 // copy it from them.
 func TestHostsCopyTheConfigurationFromTheirRelay(t *testing.T) {
 	const known, changed = 9, 12
-	hosts := startWorking(t)
-	for _, each := range hosts {
+	f := newLargeFleet(t)
+	for i, each := range f.hosts {
 		each.Follow(known, time.Now())
-	}
-	eventually(t, "a host does not know the work of all", func() bool { return knowAll(hosts) })
-	time.Sleep(4 * time.Second) // past the introductions
-	for i, each := range hosts {
 		if i == 0 || each.Relays() {
 			each.Follow(changed, time.Now())
 		}
@@ -132,8 +171,9 @@
 		each.mu.Unlock()
 	}
 	eventually(t, "a host has no copy", func() bool {
-		hosts[0].HurryToAll() // relays of the users' platform tell it in each round
-		for i, each := range hosts {
+		f.hosts[0].HurryToAll() // relays of the users' platform tell it in each round
+		f.rounds(1)
+		for i, each := range f.hosts {
 			each.mu.Lock()
 			missing := i > 0 && !each.Relays() && each.copied.Next < changed
 			each.mu.Unlock()
