Ask a head again when members of its group come back to the list

The head of g1-3 left the list and answered no host, so that the planner took it for gone. When the cut ended, its members were listed before it, counted as free and joined g2-0, while it served on. Change: a head that is only presumed gone is asked again when a member is listed that was not when it was presumed; a head that answers is told to leave first. Ruled out: orders that came late (none was unanswered). Before: TestMembersOfACutDataCentreWaitForTheirHead fails (3 members of an open group joined another). After: it passes, also for a cut of 30 s, which passed before.

--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -223,60 +223,101 @@
 	var orders errgroup.Group
 	for _, group := range view.Groups {
 		ending := p.dissolving[group.Key()]
-		if ending == nil || ending.done {
+		if ending == nil || (ending.done && !ending.outdated(group)) {
 			continue
 		}
+		ending.done = false
 		head := group.Head()
 		if head.ID == "" {
 			ending.done = p.headElsewhereNow(view, group.Key()) || p.headless(group, now)
 			continue
 		}
 		state := p.member(head.Instance)
-		key := group.Key()
 		orders.Go(func() error {
-			ending.done = p.dismiss(ctx, view, head, state, key, now)
+			found := p.dismiss(ctx, view, head, state, group.Key(), now)
+			ending.done = found == headGone || found == headPresumedGone
+			ending.presumed, ending.listed = found == headPresumedGone, listedMembers(group)
 			return nil
 		})
 	}
 	_ = orders.Wait() // results are kept with the dissolutions
 }
 
-// dismiss reports whether the head no longer leads the group.
-func (p *Planner) dismiss(ctx context.Context, view *roster.View, head roster.Entry, state *memberState, key roster.GroupKey, now time.Time) bool {
+// outdated reports whether members came back that were not listed when the head
+// was presumed gone: it may have been cut off with them, and serve.
+func (d *dissolution) outdated(group *roster.Group) bool {
+	if !d.presumed {
+		return false
+	}
+	for _, member := range group.Members {
+		if member.Listed && !d.listed[member.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+func listedMembers(group *roster.Group) map[string]bool {
+	listed := make(map[string]bool, len(group.Members))
+	for _, member := range group.Members {
+		if member.Listed {
+			listed[member.ID] = true
+		}
+	}
+	return listed
+}
+
+// headState is what the planner finds of the head of an ending group.
+type headState int
+
+const (
+	headUnknown headState = iota
+	headAnswers
+	headGone         // it leads the group no more
+	headPresumedGone // it left the list and answers nobody
+)
+
+// dismiss tells the head to leave the group.
+func (p *Planner) dismiss(ctx context.Context, view *roster.View, head roster.Entry, state *memberState, key roster.GroupKey, now time.Time) headState {
 	if view.Lost(head.Instance, now) {
-		gone, answers := p.askHead(ctx, head)
-		if !answers {
-			return gone
+		if found := p.askHead(ctx, head); found != headAnswers {
+			return found
 		}
 	}
 	switch p.order(ctx, head.Instance, state, flamingodoor.InstanceOrder{
 		Kind: flamingodoor.OrderKindLeave, Group: key.Name, Epoch: key.Epoch,
 	}) {
 	case flamingodoor.OrderResultBegun, flamingodoor.OrderResultHolds, flamingodoor.OrderResultOther:
-		return true
+		return headGone
 	case flamingodoor.OrderResultUnknown:
-		gone, _ := p.askHead(ctx, head)
-		return gone
+		return p.askHead(ctx, head)
 	default:
-		return p.headElsewhere(ctx, head, key)
+		if p.headElsewhere(ctx, head, key) {
+			return headGone
+		}
+		return headAnswers
 	}
 }
 
 // askHead reports whether a head answers or is gone: its host has no process at
 // the address, or it left the list and answers no other host either. One that
 // lost the store and some hosts may still serve the rest.
-func (p *Planner) askHead(ctx context.Context, head roster.Entry) (gone, answers bool) {
+func (p *Planner) askHead(ctx context.Context, head roster.Entry) headState {
 	asked, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := p.Instances.Report(asked, head.Address)
-	if err == nil {
-		gone = report.ID != "" && (report.ID != head.ID || !report.Born.Equal(head.Born))
-		return gone, !gone
-	}
-	if connectionRefused(err) {
-		return true, false
+	switch {
+	case err == nil && report.ID != "" && (report.ID != head.ID || !report.Born.Equal(head.Born)):
+		return headGone
+	case err == nil:
+		return headAnswers
+	case connectionRefused(err):
+		return headGone
+	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
+		return headPresumedGone
+	default:
+		return headUnknown
 	}
-	return !head.Listed && !p.ReachedElsewhere(ctx, head.Instance), false
 }
 
 // headElsewhere reports whether the head says that it is in another group.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -153,6 +153,10 @@
 	reason string
 	done   bool
 	since  time.Time
+	// presumed is set if the head neither is listed nor answers any host; listed
+	// are the members that were listed then. Others may have been cut off.
+	presumed bool
+	listed   map[string]bool
 }
 
 // Option changes a setting of a Planner.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -101,6 +101,42 @@
 	assert.Equal(t, serving, 1)
 }
 
+// Pattern: a data centre is cut off, and its instances lapse from the list. When
+// it is back, members are listed before their head, which served all the while.
+// Found by a hunt (Kivuko, zone-apart, seed 554930794103): TWO.
+func TestMembersOfACutDataCentreWaitForTheirHead(t *testing.T) {
+	for name, cutFor := range map[string]time.Duration{"short": 6 * time.Second, "long": 30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t)
+			s.work = map[string]float64{large: 2}
+			s.add("d0", 5, large)
+			p := s.lead()
+			s.run(5*time.Second, p)
+			head := s.head()
+			cut := func(id string, cut bool) {
+				s.fleet.Cut(id, cut)
+				s.fleet.Unlist(id, cut)
+			}
+			ids := make([]string, 0, 5)
+			for _, instance := range s.fleet.Listed() {
+				ids = append(ids, instance.ID)
+			}
+			for _, id := range ids {
+				cut(id, true)
+			}
+			s.run(cutFor, p)
+			for _, id := range ids {
+				s.fleet.Cut(id, false)
+				s.fleet.Unlist(id, id == head)
+			}
+			s.run(time.Second, p)
+			s.fleet.Unlist(head, false)
+			s.run(5*time.Second, p)
+			assert.Equal(t, s.fleet.OpenGroups(large), 1)
+		})
+	}
+}
+
 // A head lost the store and the leading host, and serves the callers of other
 // hosts: its members wait. Found by a hunt (Kivuko, leader-under-orders, seed
 // 315343835264): TWO.
