--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -53,7 +53,7 @@
 	for i := range all {
 		all[i] = flamingodoor.EntryPeer{
 			ID: "host-" + strconv.Itoa(i), DataCentre: "dc-" + strconv.Itoa(i%centres),
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + i)}), 80), //nolint:gosec // few hosts
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(1 + i)}), 80),
 		}
 	}
 	for i, self := range all {
