Seed the simulation of hosts with old news

The simulation is free of clocks and sockets, so that load has no part in it; it drew its numbers without a seed, and the most at one of 26 groups over 20 rounds varies from run to run.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -29,6 +30,15 @@
 	total   map[string]int       // of all peers
 	refused map[string]time.Time // until when an instance gets nothing
 	changed chan struct{}
+	random  func() float64
+}
+
+// Option changes a setting of a Tracker.
+type Option func(*Tracker)
+
+// WithRandom sets the numbers from 0 to 1 that spread requests.
+func WithRandom(random func() float64) Option {
+	return func(t *Tracker) { t.random = random }
 }
 
 type peerUse struct {
@@ -37,11 +47,16 @@
 }
 
 // New returns a tracker without work.
-func New() *Tracker {
-	return &Tracker{
+func New(options ...Option) *Tracker {
+	t := &Tracker{
 		own: make(map[string]int), peers: make(map[string]peerUse), total: make(map[string]int),
 		refused: make(map[string]time.Time), changed: make(chan struct{}),
+		random: rand.Float64,
+	}
+	for _, option := range options {
+		option(t)
 	}
+	return t
 }
 
 // Pick reserves a place at one of the freest candidates, and prefers those of
@@ -64,9 +79,9 @@
 	if len(open) == 0 {
 		return "", false
 	}
-	id := leastLoaded(open)
+	id := leastLoaded(open, t.random)
 	if unseen >= 1 {
-		id = waterFill(open, unseen)
+		id = waterFill(open, unseen, t.random)
 	}
 	t.own[id]++
 	return id, true
--- a/internal/balance/waterfill.go
+++ b/internal/balance/waterfill.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -35,11 +34,11 @@
 }
 
 // leastLoaded returns the candidate with the least load after one more request.
-func leastLoaded(candidates []loaded) string {
+func leastLoaded(candidates []loaded, random func() float64) string {
 	best, bestLoad := 0, math.Inf(1)
 	for i, each := range candidates {
 		// Hosts that see the same loads do not all choose the same.
-		load := each.load + 1/each.capacity + jitter*rand.Float64() //nolint:gosec // spreading only
+		load := each.load + 1/each.capacity + jitter*random()
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
@@ -49,10 +48,10 @@
 
 // waterFill levels the loads with so many requests and draws the candidate that
 // one of them goes to.
-func waterFill(candidates []loaded, requests float64) string {
+func waterFill(candidates []loaded, requests float64, random func() float64) string {
 	slices.SortFunc(candidates, func(a, b loaded) int { return cmp.Compare(a.load, b.load) })
 	level, reached := waterLevel(candidates, requests)
-	at := rand.Float64() * requests //nolint:gosec // spreading only
+	at := random() * requests
 	for _, each := range candidates[:reached] {
 		if at -= (level - each.load) * each.capacity; at < 0 {
 			return each.id
