Count members as unlisted that lapsed after their head

Change: a member that is not listed leaves the set that the presumption rests on. Before: TestMembersOfACutDataCentreWaitForTheirHead, with a head that lapses a second before its members, fails (3 joined elsewhere). After: it passes.

--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -249,12 +249,14 @@
 	if !d.presumed {
 		return false
 	}
+	outdated := false
 	for _, member := range group.Members {
-		if member.Listed && !d.listed[member.ID] {
-			return true
+		if !member.Listed {
+			delete(d.listed, member.ID)
 		}
+		outdated = outdated || (member.Listed && !d.listed[member.ID])
 	}
-	return false
+	return outdated
 }
 
 func listedMembers(group *roster.Group) map[string]bool {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -113,16 +113,18 @@
 			p := s.lead()
 			s.run(5*time.Second, p)
 			head := s.head()
-			cut := func(id string, cut bool) {
-				s.fleet.Cut(id, cut)
-				s.fleet.Unlist(id, cut)
-			}
 			ids := make([]string, 0, 5)
 			for _, instance := range s.fleet.Listed() {
 				ids = append(ids, instance.ID)
 			}
+			for _, instance := range s.fleet.Listed() {
+				s.fleet.Cut(instance.ID, true)
+				s.roster.MarkLost(instance.ID, instance.Born, s.fleet.Now())
+			}
+			s.fleet.Unlist(head, true)
+			s.run(time.Second, p) // entries lapse one after the other
 			for _, id := range ids {
-				cut(id, true)
+				s.fleet.Unlist(id, true)
 			}
 			s.run(cutFor, p)
 			for _, id := range ids {
