Build no view of the fleet for a loss report that tells nothing new

Change: marks are published without a new list of entries; a mark is published again only if it lasts a second longer. Entries are shared between views. A membership with a rank below 0 or over 1,023 is rejected when it is decoded and forms no group, whose head made Group.Head panic. A late older answer no longer replaces a newer one.

Tests: TestRepeatedReportsDoNotChangeTheView (1,100 instances, no network), TestOlderAnswerDoesNotReplaceANewerOne, TestMembershipWithAnInvalidRankFormsNoGroup.

--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -184,11 +184,9 @@
 		case loss.alive:
 			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 		case loss.group.Name != "":
-			g.roster.MarkStalled(loss.group, now)
-			lost = true
+			lost = g.roster.MarkStalled(loss.group, now) || lost
 		default:
-			g.roster.MarkLost(loss.instanceID, loss.startedAt, loss.at)
-			lost = true
+			lost = g.roster.MarkLost(loss.instanceID, loss.startedAt, loss.at) || lost
 		}
 	}
 	g.roster.Publish(now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,6 +22,9 @@
 	// stalled or retiring unless the mark is renewed. A dead instance leaves
 	// the list earlier.
 	markTimeout = 6 * time.Second
+	// markRenewal is by how much a mark must be extended to be published again.
+	// Each loss arrives in many messages, whose delays differ a little.
+	markRenewal = time.Second
 )
 
 // Entry is an instance and whether the platform's list shows it.
@@ -62,12 +65,12 @@
 	Epoch int64
 }
 
-// View is an immutable snapshot of the roster.
+// View is an immutable snapshot of the roster. Its entries must not be changed.
 type View struct {
 	At            time.Time // when the view was built; the same while the roster does not change
-	Entries       map[string]Entry
+	Entries       map[string]*Entry
 	Groups        []*Group
-	ByService     map[string][]Entry // listed instances, sorted by ID
+	ByService     map[string][]*Entry // listed instances, sorted by ID
 	lostInstances map[string]lossMark
 	stalledGroups map[GroupKey]time.Time // when the mark expires
 	retiring      map[GroupKey]time.Time // when the mark expires
@@ -132,13 +135,15 @@
 // concurrent use.
 type Roster struct {
 	mu            sync.Mutex
-	entries       map[string]Entry       // by instance ID
+	entries       map[string]*Entry      // by instance ID; entries are replaced, not changed
 	lostInstances map[string]lossMark    // by instance ID
 	answers       map[string]lastAnswer  // by instance ID
 	stalledGroups map[GroupKey]time.Time // when the mark expires
 	retiring      map[GroupKey]time.Time // when the mark expires
 	openSince     map[GroupKey]time.Time
-	dirty         bool // changed since the latest view
+	unlisted      int  // entries that are not listed
+	dirty         bool // entries changed since the latest view
+	marksDirty    bool // marks changed since the latest view
 	view          atomic.Pointer[View]
 	loaded        atomic.Bool
 }
@@ -146,7 +151,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	r := &Roster{
-		entries: make(map[string]Entry), lostInstances: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
+		entries: make(map[string]*Entry), lostInstances: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
 		retiring: make(map[GroupKey]time.Time), openSince: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
@@ -199,7 +204,10 @@
 	if lost, isLost := r.lostInstances[instance.ID]; isLost && !lost.startedAt.Equal(instance.StartedAt) {
 		delete(r.lostInstances, instance.ID)
 	}
-	r.entries[instance.ID] = Entry{Instance: instance, Listed: true}
+	if ok && !known.Listed {
+		r.unlisted--
+	}
+	r.entries[instance.ID] = &Entry{Instance: instance, Listed: true}
 	r.dirty = true
 	return true
 }
@@ -226,8 +234,8 @@
 	if !ok || !entry.Listed {
 		return false
 	}
-	entry.Listed, entry.UnlistedAt = false, now
-	r.entries[id] = entry
+	r.entries[id] = &Entry{Instance: entry.Instance, UnlistedAt: now}
+	r.unlisted++
 	r.dirty = true
 	return true
 }
@@ -240,74 +248,101 @@
 	if _, ok := r.entries[instance.ID]; ok {
 		return
 	}
-	r.entries[instance.ID] = Entry{Instance: instance, UnlistedAt: now}
+	r.entries[instance.ID] = &Entry{Instance: instance, UnlistedAt: now}
+	r.unlisted++
 	r.dirty = true
 }
 
-// MarkLost records that a process of an instance did not answer at a time. The
-// mark is ignored if the same process is known to have answered at that time or
-// later.
-func (r *Roster) MarkLost(id string, startedAt, at time.Time) {
+// MarkLost records that a process of an instance did not answer at a time, and
+// reports whether that is new. The mark is ignored if the same process is known to
+// have answered at that time or later.
+func (r *Roster) MarkLost(id string, startedAt, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if latest, ok := r.answers[id]; ok && latest.startedAt.Equal(startedAt) && !at.After(latest.at) {
-		return
+		return false
 	}
-	if known, ok := r.lostInstances[id]; ok && known.startedAt.Equal(startedAt) && !at.After(known.at) {
-		return
+	known, ok := r.lostInstances[id]
+	ok = ok && known.startedAt.Equal(startedAt)
+	if ok && !at.After(known.at) {
+		return false
 	}
-	r.lostInstances[id] = lossMark{startedAt: startedAt, at: at, deadline: at.Add(markTimeout)}
-	r.dirty = true
+	mark := lossMark{startedAt: startedAt, at: at, deadline: at.Add(markTimeout)}
+	if ok && mark.deadline.Sub(known.deadline) < markRenewal {
+		mark.deadline = known.deadline
+		r.lostInstances[id] = mark
+		return false
+	}
+	r.lostInstances[id] = mark
+	r.marksDirty = true
+	return true
 }
 
 // MarkAlive records that a process of an instance answered at a time. It removes
 // an earlier mark as lost, which came from a host that could not reach the
-// instance.
+// instance. An answer that was given before the latest known one changes nothing.
 func (r *Roster) MarkAlive(id string, startedAt, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if latest, ok := r.answers[id]; ok && (startedAt.Before(latest.startedAt) || (startedAt.Equal(latest.startedAt) && at.Before(latest.at))) {
+		return
+	}
 	r.answers[id] = lastAnswer{startedAt: startedAt, at: at}
 	if known, ok := r.lostInstances[id]; ok && known.startedAt.Equal(startedAt) && !known.at.After(at) {
 		delete(r.lostInstances, id)
-		r.dirty = true
+		r.marksDirty = true
 	}
 }
 
 // MarkStalled records that a group makes no progress although its members
-// answer.
-func (r *Roster) MarkStalled(key GroupKey, now time.Time) {
+// answer, and reports whether that is new.
+func (r *Roster) MarkStalled(key GroupKey, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stalledGroups[key] = now.Add(markTimeout)
-	r.dirty = true
+	return r.markGroup(r.stalledGroups, key, now)
 }
 
-// MarkRetiring records that a group takes no new work.
-func (r *Roster) MarkRetiring(key GroupKey, now time.Time) {
+// MarkRetiring records that a group takes no new work, and reports whether that
+// is new.
+func (r *Roster) MarkRetiring(key GroupKey, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.retiring[key] = now.Add(markTimeout)
-	r.dirty = true
+	return r.markGroup(r.retiring, key, now)
 }
 
-// Publish drops what has expired and makes the changes visible in a new view.
+// markGroup extends a mark of a group, unless only by less than markRenewal.
+func (r *Roster) markGroup(marks map[GroupKey]time.Time, key GroupKey, now time.Time) bool {
+	deadline := now.Add(markTimeout)
+	if deadline.Sub(marks[key]) < markRenewal {
+		return false
+	}
+	marks[key] = deadline
+	r.marksDirty = true
+	return true
+}
+
+// Publish drops what has expired and makes the changes visible in a new view. If
+// only marks changed, the view shares its entries and groups with the one before.
 func (r *Roster) Publish(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	if !r.dirty {
+	if !r.dirty && !r.marksDirty {
 		return
 	}
-	r.dirty = false
-	r.view.Store(r.buildView(now))
+	next := *r.view.Load()
+	if r.dirty {
+		next = r.buildView(now)
+	}
+	next.At = now
+	next.lostInstances, next.stalledGroups, next.retiring = maps.Clone(r.lostInstances), maps.Clone(r.stalledGroups), maps.Clone(r.retiring)
+	r.dirty, r.marksDirty = false, false
+	r.view.Store(&next)
 }
 
 func (r *Roster) expire(now time.Time) {
-	for id, entry := range r.entries {
-		if !entry.Listed && now.Sub(entry.UnlistedAt) > unlistedMemberTime {
-			delete(r.entries, id)
-			r.dirty = true
-		}
+	if r.unlisted > 0 {
+		r.expireUnlisted(now)
 	}
 	maps.DeleteFunc(r.lostInstances, func(_ string, lost lossMark) bool { return now.After(lost.deadline) })
 	maps.DeleteFunc(r.answers, func(_ string, latest lastAnswer) bool { return now.Sub(latest.at) > markTimeout })
@@ -315,19 +350,32 @@
 	maps.DeleteFunc(r.retiring, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
 }
 
-func (r *Roster) buildView(now time.Time) *View {
-	view := &View{
-		At: now, Entries: maps.Clone(r.entries), ByService: make(map[string][]Entry),
-		lostInstances: maps.Clone(r.lostInstances), stalledGroups: maps.Clone(r.stalledGroups),
-		retiring: maps.Clone(r.retiring),
+func (r *Roster) expireUnlisted(now time.Time) {
+	for id, entry := range r.entries {
+		if !entry.Listed && now.Sub(entry.UnlistedAt) > unlistedMemberTime {
+			delete(r.entries, id)
+			r.unlisted--
+			r.dirty = true
+		}
 	}
+}
+
+// buildView returns a view without marks.
+func (r *Roster) buildView(now time.Time) View {
+	view := View{Entries: maps.Clone(r.entries), ByService: make(map[string][]*Entry)}
 	groups := make(map[GroupKey]*Group)
+	sizes := make(map[GroupKey]int)
 	for _, entry := range r.entries {
 		if entry.Listed {
 			view.ByService[entry.Service] = append(view.ByService[entry.Service], entry)
 		}
-		if entry.Membership.Group != "" {
-			addMember(groups, entry)
+		if entry.inGroup() {
+			sizes[entry.groupKey()] = max(sizes[entry.groupKey()], entry.Membership.Rank+1)
+		}
+	}
+	for _, entry := range r.entries {
+		if entry.inGroup() {
+			addMember(groups, entry, sizes[entry.groupKey()])
 		}
 	}
 	for _, group := range groups {
@@ -336,7 +384,7 @@
 	r.recordOpenSince(groups, now)
 	slices.SortFunc(view.Groups, func(a, b *Group) int { return compareKeys(a.Key(), b.Key()) })
 	for _, entries := range view.ByService {
-		slices.SortFunc(entries, func(a, b Entry) int { return compareStrings(a.ID, b.ID) })
+		slices.SortFunc(entries, func(a, b *Entry) int { return compareStrings(a.ID, b.ID) })
 	}
 	return view
 }
@@ -346,7 +394,7 @@
 func (r *Roster) recordOpenSince(groups map[GroupKey]*Group, now time.Time) {
 	maps.DeleteFunc(r.openSince, func(key GroupKey, _ time.Time) bool { return groups[key] == nil })
 	for key, group := range groups {
-		if len(group.Members) == 0 || group.Head().Membership.State != flamingodoor.MembershipStateOpen {
+		if group.Head().Membership.State != flamingodoor.MembershipStateOpen {
 			continue
 		}
 		if _, ok := r.openSince[key]; !ok {
@@ -356,29 +404,36 @@
 	}
 }
 
-func addMember(groups map[GroupKey]*Group, entry Entry) {
-	key := GroupKey{Name: entry.Membership.Group, Epoch: entry.Membership.Epoch}
+// maxMembers bounds the ranks of a group: a group has as many places as its
+// highest rank tells.
+const maxMembers = 1024
+
+// inGroup reports whether the entry has a membership with a valid rank.
+func (e *Entry) inGroup() bool {
+	return e.Membership.Group != "" && e.Membership.Rank >= 0 && e.Membership.Rank < maxMembers
+}
+
+func (e *Entry) groupKey() GroupKey {
+	return GroupKey{Name: e.Membership.Group, Epoch: e.Membership.Epoch}
+}
+
+// addMember adds an entry to its group, which has the size.
+func addMember(groups map[GroupKey]*Group, entry *Entry, size int) {
+	key := entry.groupKey()
 	group, ok := groups[key]
 	if !ok {
 		group = &Group{
 			Name: key.Name, Epoch: key.Epoch, Service: entry.Service, ModelID: entry.Membership.ModelID,
-			FabricDomain: entry.FabricDomain, DataCentre: entry.DataCentre,
+			FabricDomain: entry.FabricDomain, DataCentre: entry.DataCentre, Members: make([]Entry, size),
 		}
 		groups[key] = group
 	}
 	if group.ModelID == "" {
 		group.ModelID = entry.Membership.ModelID
 	}
-	rank := entry.Membership.Rank
-	const maxMembers = 1024 // Members grows to the highest rank reported
-	if rank < 0 || rank >= maxMembers {
-		return
-	}
-	for len(group.Members) <= rank {
-		group.Members = append(group.Members, Entry{})
-	}
 	// If several instances report the same rank, a listed one takes precedence.
+	rank := entry.Membership.Rank
 	if group.Members[rank].ID == "" || entry.Listed {
-		group.Members[rank] = entry
+		group.Members[rank] = *entry
 	}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -160,3 +160,101 @@
 	_, current = group(t, r)
 	assert.Equal(t, current.OpenSince, start.Add(time.Second))
 }
+
+// Guards against a late older answer that replaces a newer one: losses found
+// between the two would count again.
+func TestOlderAnswerDoesNotReplaceANewerOne(t *testing.T) {
+	r := newFilledRoster()
+	answeredAt := start.Add(time.Second)
+	r.MarkAlive("i-1", start, answeredAt)
+	r.MarkAlive("i-1", start, start)
+	r.MarkAlive("i-1", start.Add(-time.Hour), answeredAt.Add(time.Second))
+	r.MarkLost("i-1", start, answeredAt.Add(-time.Millisecond))
+	assert.Assert(t, serving(t, r, answeredAt))
+}
+
+// Guards against a rank that no group has: it made Group.Head panic.
+func TestMembershipWithAnInvalidRankFormsNoGroup(t *testing.T) {
+	for _, rank := range []int{-1, 1024, 1 << 40} {
+		r := newFilledRoster()
+		stray := member(rank)
+		stray.ID, stray.Membership.Group = "stray", "other"
+		r.Upsert(stray)
+		r.Publish(start)
+		for _, current := range r.View().Groups {
+			assert.Equal(t, current.Head().ID, "i-0")
+		}
+		assert.Equal(t, len(r.View().Groups), 1)
+	}
+}
+
+// largeRoster returns a roster of 1,100 instances in groups of 32, and its keys.
+func largeRoster() (*roster.Roster, []roster.GroupKey) {
+	const instances, size = 1100, 32
+	var all []flamingodoor.Instance
+	var keys []roster.GroupKey
+	for i := range instances {
+		each := member(i % size)
+		each.ID, each.Membership.Group = fmt.Sprint("i-", i), fmt.Sprint("g", i/size)
+		all = append(all, each)
+		if i%size == 0 {
+			keys = append(keys, roster.GroupKey{Name: each.Membership.Group, Epoch: each.Membership.Epoch})
+		}
+	}
+	r := roster.New()
+	r.Replace(all, start)
+	r.Publish(start)
+	return r, keys
+}
+
+// Guards against the cost of repeated loss reports in a large fleet, where each
+// report reaches a host in many messages: every one built a view of all
+// instances. Reports that tell nothing new must not change the view.
+func TestRepeatedReportsDoNotChangeTheView(t *testing.T) {
+	r, keys := largeRoster()
+	report := func(at time.Time) (news bool) {
+		for i, key := range keys {
+			news = r.MarkStalled(key, at) || news
+			news = r.MarkRetiring(key, at) || news
+			news = r.MarkLost(fmt.Sprint("i-", i), start, at) || news
+		}
+		r.Publish(at)
+		return news
+	}
+	entries := r.View().ByService["llm"]
+	assert.Assert(t, report(start))
+	marked := r.View()
+	assert.Assert(t, &marked.ByService["llm"][0] == &entries[0], "marks alone built a new list of instances")
+	for i := range 100 {
+		assert.Assert(t, !report(start.Add(time.Duration(i)*time.Millisecond)))
+		assert.Assert(t, r.View() == marked)
+	}
+	assert.Assert(t, report(start.Add(2*time.Second)), "a later loss extends the mark")
+	assert.Assert(t, r.View().Stalled(keys[0], start.Add(7*time.Second)))
+	assert.Assert(t, r.View().Lost(flamingodoor.Instance{ID: "i-0", StartedAt: start}, start.Add(7*time.Second)))
+}
+
+// BenchmarkLossReport measures a message that reports a lost instance, with 1,100
+// instances registered.
+func BenchmarkLossReport(b *testing.B) {
+	r, _ := largeRoster()
+	at := start
+	for b.Loop() {
+		at = at.Add(time.Millisecond)
+		r.MarkLost("i-5", start, at)
+		r.Publish(at)
+	}
+}
+
+// BenchmarkChangedRegistration measures a view after one changed registration,
+// with 1,100 instances registered.
+func BenchmarkChangedRegistration(b *testing.B) {
+	r, _ := largeRoster()
+	changed := member(5)
+	changed.Membership.Group = "g0"
+	for i := 0; b.Loop(); i++ {
+		changed.Leaving = i%2 == 0
+		r.Upsert(changed)
+		r.Publish(start)
+	}
+}
