--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,10 +57,13 @@
 	// reachPeersPerDataCentre is how many peers of each data centre get a
 	// request to probe an instance that this host cannot reach.
 	reachPeersPerDataCentre = 4
-	// feedMargin is the part of feedValidity that covers the interval of the
-	// leader's own reads, one lost message and the time until a successor
-	// leads.
-	feedMargin = 1400 * time.Millisecond
+	// feedShare is the share of the time within which an instance that leaves must
+	// get no more requests for which a read of the leader replaces those of other
+	// hosts, beside the time of the hops. It covers the interval of the leader's
+	// own reads, one lost message and the time until a successor leads.
+	feedShare = 0.7
+	// defaultFeedMargin is that share of 2 s.
+	defaultFeedMargin = 1400 * time.Millisecond
 	// localPeersPerRound and remotePeersPerRound are how many peers of this
 	// data centre and of the others a round reaches. Larger deployments rotate
 	// over the peers. Requests stay in their data centre while possible, so the
@@ -101,18 +104,19 @@
 
 // Exchanger exchanges state with the other entry hosts.
 type Exchanger struct {
-	self      flamingodoor.EntryPeer
-	started   time.Time
-	directory flamingodoor.HostDirectory
-	feeds     Feeds
-	source    Source
-	sink      Sink
-	client    *http.Client
-	logger    log.Logger
-	now       func() time.Time
-	wake      chan struct{} // starts the next round at once
-	calls     sync.WaitGroup
-	copying   atomic.Bool // a configuration is being copied
+	self       flamingodoor.EntryPeer
+	started    time.Time
+	feedMargin time.Duration // part of feedValidity beside the hops
+	directory  flamingodoor.HostDirectory
+	feeds      Feeds
+	source     Source
+	sink       Sink
+	client     *http.Client
+	logger     log.Logger
+	now        func() time.Time
+	wake       chan struct{} // starts the next round at once
+	calls      sync.WaitGroup
+	copying    atomic.Bool // a configuration is being copied
 
 	mu              sync.Mutex
 	peers           map[string]*peerState
@@ -162,6 +166,12 @@
 	return func(e *Exchanger) { e.now = now }
 }
 
+// WithDrainBound sets the time within which an instance that leaves must get no
+// more requests.
+func WithDrainBound(bound time.Duration) Option {
+	return func(e *Exchanger) { e.feedMargin = time.Duration(feedShare * float64(bound)) }
+}
+
 // WithTransport replaces the HTTP transport to the other hosts.
 func WithTransport(transport http.RoundTripper) Option {
 	return func(e *Exchanger) { e.client.Transport = transport }
@@ -172,7 +182,7 @@
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	e := &Exchanger{
-		self: self, directory: directory, feeds: feeds, source: source, sink: sink,
+		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peerState),
 		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary),
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,11 +12,43 @@
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 )
 
-// maxFeedBytesPerRound bounds the registrations that a round passes on: half of
-// what the narrowest links, of 20 Mbit/s, carry in the 0.2 s of a round, for
-// batches that compress to half or less. The hosts read larger batches from the
-// store, whose network has more capacity.
-const maxFeedBytesPerRound = 512 << 10
+const (
+	// feedBytesPerMbit is how many bytes of registrations a round passes on for
+	// each Mbit/s of a link: half of what the link carries in the 0.2 s of a round,
+	// for batches that compress to half or less. The hosts read larger batches
+	// from the store, whose network has more capacity.
+	feedBytesPerMbit = 25_000
+	// narrowestLinkMbps is assumed for hosts that do not state their link.
+	narrowestLinkMbps = 20
+)
+
+// feedBytes returns how many bytes of registrations a round may pass on to a peer.
+// The sender's link is divided among the receivers.
+func (e *Exchanger) feedBytes(to *peerState, receivers int) int {
+	linkBytes := func(mbps int) int { return feedBytesPerMbit * cmp.Or(mbps, narrowestLinkMbps) }
+	return min(linkBytes(to.LinkMbps), linkBytes(e.self.LinkMbps)/max(1, receivers), maxMessageBytes/2)
+}
+
+// encodedBatches holds the batches that a round has encoded, because most peers
+// get the same one.
+type encodedBatches struct {
+	mu     sync.Mutex
+	byFrom map[int64]*exchangev1.RecordBatch
+}
+
+// encode returns the encoded batch. The caller must not change it.
+func (b *encodedBatches) encode(batch flamingodoor.RecordBatch) (*exchangev1.RecordBatch, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known, ok := b.byFrom[batch.From]; ok && known.GetNext() == batch.Next {
+		return known, nil
+	}
+	message, err := encodeBatch(batch)
+	if err == nil {
+		b.byFrom[batch.From] = message
+	}
+	return message, err
+}
 
 // applyFeeds applies what the leader read from the platform, and the relay duty
 // that it assigned. If configuration records are missing, it copies them from
@@ -89,9 +123,10 @@
 // messageFor returns the message for one peer: that of the round, with the
 // summary and the feeds that the peer gets from this host. The leader adds its
 // position in the configuration for every peer.
-func (e *Exchanger) messageFor(round roundPlan, to *peerState, maxBytes int) *exchangev1.ShareRequest {
+func (e *Exchanger) messageFor(round roundPlan, to *peerState) *exchangev1.ShareRequest {
 	e.mu.Lock()
 	response := to.lastResponse
+	maxBytes := e.feedBytes(to, len(round.feeds.targets))
 	e.mu.Unlock()
 	summary := round.summaries[to.ID]
 	duty, isTarget := round.feeds.targets[to.ID]
@@ -106,7 +141,7 @@
 	}
 	message.RelayDuty = duty
 	if batch, ok := e.feeds.Registrations.ChangesSince(response.GetRegistrationsNext()); ok && isTarget {
-		message.Registrations = e.encodeRegistrations(batch, maxBytes)
+		message.Registrations = e.encodeRegistrations(round.batches, batch, maxBytes)
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		message.Configuration = &exchangev1.Configuration{
@@ -120,28 +155,30 @@
 // encodeRegistrations encodes a batch. A batch of more than maxBytes, or one
 // that cannot be encoded, is sent without its records, and the receiver reads
 // them from the store.
-func (e *Exchanger) encodeRegistrations(batch flamingodoor.RecordBatch, maxBytes int) *exchangev1.RecordBatch {
+func (e *Exchanger) encodeRegistrations(batches *encodedBatches, batch flamingodoor.RecordBatch, maxBytes int) *exchangev1.RecordBatch {
 	omitted := &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Omitted: true}
 	if batchSize(batch) > maxBytes {
 		return omitted
 	}
-	message, err := encodeBatch(batch)
+	encoded, err := batches.encode(batch)
 	if err != nil {
 		_ = level.Error(e.logger).Log("event", "registrations_unencodable", "err", err)
 		return omitted
 	}
-	message.AgeMs = max(0, e.now().Sub(e.feeds.Registrations.AsOf()).Milliseconds())
-	return message
+	return &exchangev1.RecordBatch{
+		From: encoded.GetFrom(), Next: encoded.GetNext(), Records: encoded.GetRecords(), Packed: encoded.GetPacked(),
+		AgeMs: max(0, e.now().Sub(e.feeds.Registrations.AsOf()).Milliseconds()),
+	}
 }
 
 // feedValidity returns how long a read by the leader replaces the reads of the
-// hosts that receive its result: two rounds for each hop, and feedMargin.
+// hosts that receive its result: two rounds for each hop, and a margin.
 func (e *Exchanger) feedValidity() time.Duration {
 	hops := 1
 	if e.HostCount() > maxDirectPeers {
 		hops = 2
 	}
-	return feedMargin + time.Duration(2*hops)*shareInterval
+	return e.feedMargin + time.Duration(2*hops)*shareInterval
 }
 
 // ownClock returns the reading of this host's clock, which the leader sends back
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -18,6 +18,7 @@
 	peers     []*peerState
 	feeds     feedPlan
 	summaries map[string]*exchangev1.Summary // by identifier of the peer
+	batches   *encodedBatches
 }
 
 // startRound sends to the next peers without waiting for their responses. A peer
@@ -25,13 +26,12 @@
 // delay the others.
 func (e *Exchanger) startRound(ctx context.Context) {
 	round := e.planRound()
-	maxBytes := maxFeedBytesPerRound / max(1, len(round.feeds.targets))
 	for _, peer := range round.peers {
 		if !peer.inFlight.CompareAndSwap(false, true) {
 			continue
 		}
 		e.calls.Go(func() {
-			message := e.messageFor(round, peer, maxBytes)
+			message := e.messageFor(round, peer)
 			e.send(ctx, message, peer)
 			peer.inFlight.Store(false)
 			if e.hasUrgentChange(peer) {
@@ -78,7 +78,7 @@
 	e.mu.Lock()
 	forgotten := e.dropSummaries(func(_ string, received receivedSummary) bool { return now.Sub(received.at) >= summaryTimeout })
 	peers, silent := e.classifyPeers(now)
-	round := roundPlan{request: request, feeds: e.planFeeds(peers, leads, now)}
+	round := roundPlan{request: request, feeds: e.planFeeds(peers, leads, now), batches: &encodedBatches{byFrom: make(map[int64]*exchangev1.RecordBatch)}}
 	isRelay := !leads && e.isRelay(now)
 	if isRelay {
 		round.summaries = e.buildSummaries(request, peers, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,10 +41,10 @@
 	// leaderReadInterval is the time between two reads of the registrations by
 	// the leader, which passes them on to the others.
 	leaderReadInterval = 250 * time.Millisecond
-	// hostReadInterval is the time between two reads of the registrations by a
-	// host that gets none from the leader. An instance that leaves must get no
-	// more requests 2 s after the store has its change.
-	hostReadInterval = 500 * time.Millisecond
+	// readsPerDrain is how often a host that gets no registrations from the leader
+	// reads them within the time after which an instance that leaves must get no
+	// more requests.
+	readsPerDrain = 4
 	// renewalsPerLease is the number of renewals within one lease, so that two
 	// lost calls do not end it.
 	renewalsPerLease = 3
@@ -84,6 +84,7 @@
 	Ready       netip.AddrPort // address for the load balancer's readiness checks
 	Peer        netip.AddrPort // address for other entry hosts
 	Metrics     netip.AddrPort // address for metrics
+	DrainWithin time.Duration  // until an instance that leaves gets no more requests
 	StopGrace   time.Duration  // longest duration of a stop
 	Limits      proxy.Limits
 	ElectionTTL time.Duration // lease of the leader, raised to minElectionLease if it is shorter
@@ -160,7 +161,7 @@
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
-	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger)
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin))
 	g.planner = planner.New(planner.Parts{
 		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
@@ -209,7 +210,7 @@
 	if g.planner.Leads() {
 		return leaderReadInterval
 	}
-	return hostReadInterval
+	return g.settings.DrainWithin / readsPerDrain
 }
 
 func (g *Gateway) electionLease() time.Duration {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -240,38 +240,28 @@
 // nothing else makes no progress.
 func (p *Proxy) copyEvents(response *upstream.Response, client *delivery, progress func()) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
-	resumedAt := client.lastEventID
-	first := true
-	var event []byte
+	resumedAt, resumes := client.lastEventID, client.started
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+		event, err := readEvent(reader)
+		if err != nil {
 			return p.finishStream(client, response, event, err)
 		}
-		if len(event) > maxEventBytes {
-			return flamingodoor.Errorf(flamingodoor.CodeProtocol, "event exceeds %d bytes", maxEventBytes)
-		}
-		if err != nil || !isBlankLine(line) {
-			continue
-		}
 		id := eventID(event)
 		carriesData := id != "" || hasData(event)
-		if carriesData && first && client.started && !isNextEvent(resumedAt, id) {
+		if carriesData && resumes && !isNextEvent(resumedAt, id) {
 			return errStreamGap
 		}
-		first = first && !carriesData
 		if err := client.write(response, event); err != nil {
 			return err
 		}
-		if id != "" {
-			client.lastEventID = id
-		}
 		if carriesData {
+			resumes = false
 			client.events++
 			progress()
 		}
-		event = event[:0]
+		if id != "" {
+			client.lastEventID = id
+		}
 		if !hasBufferedEvent(reader) {
 			if err := client.flush(); err != nil {
 				return err
@@ -280,6 +270,24 @@
 	}
 }
 
+// readEvent reads up to the blank line that ends an event. With an error, it
+// returns what was read before.
+func readEvent(reader *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		event = append(event, line...)
+		switch {
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return event, err
+		case len(event) > maxEventBytes:
+			return nil, flamingodoor.Errorf(flamingodoor.CodeTooLarge, "event exceeds %d bytes", maxEventBytes)
+		case err == nil && isBlankLine(line):
+			return event, nil
+		}
+	}
+}
+
 // hasBufferedEvent reports whether another complete event can be read without
 // waiting.
 func hasBufferedEvent(reader *bufio.Reader) bool {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -191,7 +191,7 @@
 // largeRoster returns a roster of 1,100 instances in groups of 32, and its keys.
 func largeRoster() (*roster.Roster, []roster.GroupKey) {
 	const instances, size = 1100, 32
-	var all []flamingodoor.Instance
+	all := make([]flamingodoor.Instance, 0, instances)
 	var keys []roster.GroupKey
 	for i := range instances {
 		each := member(i % size)
