Let few hosts stand for election, and send changes through the relays

A leader is drawn from all hosts, four fifths of which have 0.19 of a core.

Change: in deployments with relays, three hosts of each data centre stand for election, those with the widest links; others replace them once they are silent. Before the first request a leader that is no candidate hands over. A change goes to the host's relay, from there to the other relays and their hosts, at once.

Ruled out: longer leases for hosts that do not lead. The store may assign the lease to a host that was lost, and nobody leads until it ends.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -333,23 +333,51 @@
 	}
 }
 
-// SendNowToAll sends to every peer at once. A peer to which a message is under
-// way gets the next one as soon as that call has ended.
-func (e *Exchanger) SendNowToAll() {
+// SendUrgent sends to the peers that pass a change on, or to every peer in a
+// deployment without relays, at once. A peer to which a message is under way gets
+// the next one as soon as that call has ended.
+func (e *Exchanger) SendUrgent() {
+	now, leads := e.now(), e.source.Leads()
 	e.mu.Lock()
-	for _, peer := range e.peers {
+	for _, peer := range e.urgentReceivers(leads, now) {
 		peer.urgent = true
 	}
 	e.mu.Unlock()
 	e.SendNow()
 }
 
+// urgentReceivers returns the peers that get a change at once. A host sends it to
+// its relay, the leader to all relays, and a relay to the other relays and to its
+// hosts. The caller holds the mutex.
+func (e *Exchanger) urgentReceivers(leads bool, now time.Time) []*peerState {
+	peers, _ := e.classifyPeers(now)
+	isRelay := !leads && e.isRelay(now)
+	if relay := e.currentRelay(peers, now); relay != nil && !leads && !isRelay {
+		return []*peerState{relay}
+	}
+	targets := e.planFeeds(peers, leads, now).targets
+	var receivers []*peerState
+	for _, peer := range peers {
+		_, isTarget := targets[peer.ID]
+		if isTarget || (isRelay && (e.duty.relayIDs[peer.ID] || e.relaysTo(peer))) {
+			receivers = append(receivers, peer)
+		}
+	}
+	if len(receivers) == 0 {
+		return peers
+	}
+	return receivers
+}
+
 // Leave announces to all peers that this host stops.
 func (e *Exchanger) Leave() {
 	e.mu.Lock()
 	e.leaving = true
+	for _, peer := range e.peers {
+		peer.urgent = true
+	}
 	e.mu.Unlock()
-	e.SendNowToAll()
+	e.SendNow()
 }
 
 // Run sends to the peers in rounds until the context ends.
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 )
 
@@ -80,7 +81,7 @@
 	}
 	var relayIDs []string
 	for _, hosts := range dataCentres {
-		slices.SortStableFunc(hosts, func(a, b *peerState) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+		slices.SortFunc(hosts, func(a, b *peerState) int { return compareHosts(a.EntryPeer, b.EntryPeer) })
 		hosts = hosts[:min(len(hosts), max(minRelaysPerDataCentre, len(hosts)/hostsPerRelay))]
 		for part, peer := range hosts {
 			targets[peer.ID] = &exchangev1.RelayDuty{Part: int32(part), Parts: int32(len(hosts))} //nolint:gosec // a few relays
@@ -93,6 +94,16 @@
 	}
 }
 
+// compareHosts orders hosts for the duties that take work beside requests: those
+// with the widest links first.
+func compareHosts(a, b flamingodoor.EntryPeer) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.ID, b.ID))
+}
+
+func precedes(a, b flamingodoor.EntryPeer) bool {
+	return compareHosts(a, b) < 0
+}
+
 // partOf returns the part of a data centre that a host belongs to. Parts are
 // numbered from 0, one for each relay.
 func partOf(hostID string, parts int) int {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,8 +166,8 @@
 		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
-		ReachedElsewhere: g.exchanger.ReachedElsewhere,
-		InFlight:         g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
+		ReachedElsewhere: g.exchanger.ReachedElsewhere, StandsForElection: g.exchanger.StandsForElection,
+		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy)
 	return g
@@ -187,11 +187,11 @@
 	}
 }
 
-// shareConfiguration announces a change of the configuration to all hosts at
-// once rather than in turn, if this host leads.
+// shareConfiguration announces a change of the configuration at once, if this
+// host leads.
 func (g *Gateway) shareConfiguration() {
 	if g.planner.Leads() {
-		g.exchanger.SendNowToAll()
+		g.exchanger.SendUrgent()
 	}
 }
 
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -171,12 +171,12 @@
 		return
 	}
 	g := s.gateway
-	lost := false
+	lost, forwarded := false, false
 	isRelay := g.exchanger.IsRelay()
 	for _, message := range request.GetLosses() {
 		loss := decodeLoss(message, now)
 		if isRelay {
-			s.forwardLoss(loss)
+			forwarded = s.forwardLoss(loss) || forwarded
 		}
 		switch {
 		case loss.retiring:
@@ -190,6 +190,9 @@
 		}
 	}
 	g.roster.Publish(now)
+	if forwarded {
+		g.exchanger.SendUrgent()
+	}
 	if lost {
 		g.endStreamsOfLostGroups(now)
 		g.tracker.Wake()
@@ -209,13 +212,15 @@
 }
 
 // forwardLoss adds a loss that this relay received to its own messages, unless
-// it is in them already.
-func (s *sharedState) forwardLoss(loss lossReport) {
+// it is in them already, and reports whether it did.
+func (s *sharedState) forwardLoss(loss lossReport) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !slices.ContainsFunc(s.losses, loss.sameEvent) {
-		s.losses = append(s.losses, loss)
+	if slices.ContainsFunc(s.losses, loss.sameEvent) {
+		return false
 	}
+	s.losses = append(s.losses, loss)
+	return true
 }
 
 // publishLosses adds reports to the messages to the peers and sends them at
@@ -224,7 +229,7 @@
 	s.mu.Lock()
 	s.losses = append(s.losses, losses...)
 	s.mu.Unlock()
-	s.gateway.exchanger.SendNowToAll()
+	s.gateway.exchanger.SendUrgent()
 }
 
 // endStreamsOfLostGroups ends the streams of groups that stalled or lost a
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -92,6 +93,9 @@
 	// ReachedElsewhere reports whether another host gets an answer from an
 	// instance that this host cannot reach.
 	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) bool
+	// StandsForElection reports whether this host should be a candidate, given
+	// whether it is one; nil if it always is.
+	StandsForElection func(stands bool) bool
 	// InFlight returns the number of requests that all hosts have in flight at
 	// the head of a group.
 	InFlight func(instanceID string) int
@@ -116,6 +120,7 @@
 	background func(task func())
 
 	renewals chan struct{}
+	yields   atomic.Bool // whether other hosts should lead
 
 	mu         sync.Mutex
 	leadsUntil time.Time
@@ -208,8 +213,14 @@
 
 // RunElection renews the leader lease at every interval until the context ends.
 func (p *Planner) RunElection(ctx context.Context, interval time.Duration) {
-	failed := false
+	failed, stands := false, true
 	for ctx.Err() == nil {
+		stands = p.StandsForElection == nil || p.StandsForElection(stands)
+		p.yields.Store(!stands)
+		if !stands && !p.Leads() {
+			p.awaitRenewal(ctx, interval)
+			continue
+		}
 		leads, deadline, err := p.Election.Renew(ctx)
 		if err != nil && !failed {
 			_ = level.Warn(p.Logger).Log("event", "election_lost_store", "err", err)
@@ -250,6 +261,22 @@
 	p.leadsUntil = deadline
 }
 
+// handOver resigns if this host came to lead before it knew that others should,
+// and has given no orders yet that a successor would have to continue. It reports
+// whether it did.
+func (p *Planner) handOver(ctx context.Context) bool {
+	if !p.yields.Load() || !p.NoRequestsYet() || len(p.pending) > 0 || len(p.dissolving) > 0 || len(p.activeLoads) > 0 || p.epoch > 0 {
+		return false
+	}
+	if err := p.Election.Resign(ctx); err != nil {
+		_ = level.Warn(p.Logger).Log("event", "resign_failed", "err", err)
+		return false
+	}
+	p.setLeadership(false, time.Time{})
+	_ = level.Info(p.Logger).Log("event", "handed_over", "reason", "other hosts are candidates")
+	return true
+}
+
 // Run calls Step periodically until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
@@ -277,6 +304,9 @@
 		return
 	}
 	now := p.now()
+	if p.handOver(ctx) {
+		return
+	}
 	if p.Refresher.AsOf().Before(p.leaderSince) {
 		// Registrations received from the previous leader may lack the last
 		// groups that it formed.
