Serve requests on connections that a planned stop finds new, and end on time

Cause: a connection that was accepted while the front server stopped was closed without an answer, one that waited to be accepted was reset, and net/http's Shutdown closes a connection on which it has just read a request (server.go, conn.serve). Three processes were once killed at the end of the grace period: not traced; what the background tasks still do no longer holds the process.

Change: a stop accepts for 50 ms what is waiting, disables keep-alive, waits until no connection has a request in flight or may still send its first, and only then shuts the servers down. Tasks have half of the reserve to end.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -26,6 +26,10 @@
 	current  *connListener
 	servers  []*http.Server
 	listener net.Listener
+	stopping bool
+
+	accepting   sync.WaitGroup // Serve, until its last connection is delivered
+	connections connections
 }
 
 // NewFrontServer returns a server with the default limits that does not listen
@@ -50,6 +54,7 @@
 		MaxHeaderBytes: limits.HeaderBytes,
 		// An OPTIONS request is routed like any other.
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    f.connections.setState,
 	}
 	f.current = newConnListener()
 	f.servers = append(f.servers, server)
@@ -63,12 +68,14 @@
 
 // Serve accepts connections until Shutdown.
 func (f *FrontServer) Serve(listener net.Listener) error {
+	f.accepting.Add(1)
+	defer f.accepting.Done()
 	f.mu.Lock()
 	f.listener = listener
 	f.mu.Unlock()
 	for {
 		connection, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || (err != nil && f.isStopping()) {
 			return http.ErrServerClosed
 		}
 		if err != nil {
@@ -79,6 +86,7 @@
 		f.mu.Lock()
 		current := f.current
 		f.mu.Unlock()
+		f.connections.setState(connection, http.StateNew)
 		current.deliver(connection)
 	}
 }
@@ -86,14 +94,28 @@
 // acceptRetryDelay is the wait after a connection could not be accepted.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// Shutdown closes the listener and waits for the requests in flight.
+// lastAcceptTime is how long a stopping server still accepts connections that
+// are established but not accepted yet. Closing the listener resets them.
+const lastAcceptTime = 50 * time.Millisecond
+
+// Shutdown accepts the connections that are waiting, closes the listener and waits
+// for the requests in flight.
 func (f *FrontServer) Shutdown(ctx context.Context) error {
 	f.mu.Lock()
-	servers := f.servers
-	if f.listener != nil {
-		_ = f.listener.Close() // no more connections are accepted either way
-	}
+	servers, listener := f.servers, f.listener
+	f.stopping = true
 	f.mu.Unlock()
+	if listener != nil {
+		stopAccepting(listener)
+		f.accepting.Wait()
+		_ = listener.Close() // no more connections are accepted either way
+	}
+	// An HTTP server that shuts down closes a connection on which it has just
+	// read a request. It does so only once no request is expected.
+	for _, server := range servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	f.connections.awaitIdle(ctx)
 	var failure error
 	for _, server := range servers {
 		failure = errors.Join(failure, server.Shutdown(ctx))
@@ -101,6 +123,23 @@
 	return failure
 }
 
+// stopAccepting makes Accept fail once no connection is waiting.
+func stopAccepting(listener net.Listener) {
+	limited, ok := listener.(interface {
+		SetDeadline(deadline time.Time) error
+	})
+	if ok && limited.SetDeadline(time.Now().Add(lastAcceptTime)) == nil {
+		return
+	}
+	_ = listener.Close() // no more connections are accepted either way
+}
+
+func (f *FrontServer) isStopping() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopping
+}
+
 // connListener is a net.Listener for connections that were accepted elsewhere.
 // Each change of the limits creates one, with an HTTP server of its own.
 type connListener struct {
@@ -113,6 +152,7 @@
 	return &connListener{connections: make(chan net.Conn), closed: make(chan struct{})}
 }
 
+// deliver passes a connection to Accept, or closes it if the listener is closed.
 func (l *connListener) deliver(connection net.Conn) {
 	select {
 	case l.connections <- connection:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	// maxPeerHeaderBytes bounds the head of a request of another host, of the load
 	// balancer or for metrics.
 	maxPeerHeaderBytes = 16 << 10
+	// tasksEndTime is how long the background tasks may take to end. It is a part
+	// of closeReserve.
+	tasksEndTime = closeReserve / 2
 	// departureTimeout bounds the last messages to the platform.
 	departureTimeout = 500 * time.Millisecond
 	// probeTimeout bounds both probes of a member of a silent group. It is
@@ -232,7 +235,7 @@
 	// Background tasks go on while the last requests finish.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks sync.WaitGroup
-	defer tasks.Wait()
+	defer g.awaitTasks(&tasks)
 	defer stop()
 	renewInterval := g.electionLease() / renewalsPerLease
 	planning, stopPlanning := context.WithCancel(background)
@@ -262,6 +265,23 @@
 	return nil
 }
 
+// awaitTasks waits until the background tasks have ended, but not longer than
+// tasksEndTime: what they still do must not keep the process until it is killed.
+func (g *Gateway) awaitTasks(tasks *sync.WaitGroup) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		tasks.Wait()
+	}()
+	timer := time.NewTimer(tasksEndTime)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		_ = level.Warn(g.logger).Log("event", "tasks_unfinished")
+	}
+}
+
 // stop marks this host as not ready, stops planning and announces the departure
 // of this host. It accepts connections for stopListenTime longer, so that the
 // load balancer notices, and then waits for the requests in flight.
--- a/internal/proxy/misbehaving_test.go
+++ b/internal/proxy/misbehaving_test.go
@@ -204,3 +204,68 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// drip sends two events and then one text at each interval until the caller
+// leaves.
+func drip(text func(count int) string, interval time.Duration) func(http.ResponseWriter, *http.Request) {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(headers.Signature, "sig")
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, event(1)+event(2))
+		for count := 3; request.Context().Err() == nil && count <= 6; {
+			writer.(http.Flusher).Flush() //nolint:forcetypeassert // the test server flushes
+			time.Sleep(interval)
+			next := text(count)
+			_, _ = io.WriteString(writer, next)
+			if strings.HasPrefix(next, "id") {
+				count++
+			}
+		}
+	}
+}
+
+// Guards against a stream that stalls and is kept alive by a byte now and then: it
+// must resume at another group as soon as one that sends nothing.
+func TestStalledStreamThatSendsBytesResumesElsewhere(t *testing.T) {
+	for name, text := range map[string]string{"comments": ": ping\n\n", "empty events": "\n", "unfinished line": "x"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			go s.monitor.Run(t.Context())
+			stalled := newEndpoint(t, drip(func(int) string { return text }, 20*time.Millisecond))
+			other := newEndpoint(t, events(6, 0))
+			far := other.instance("i-2", "llm")
+			far.DataCentre = "dc-b"
+			s.register(stalled.instance("i-1", "llm"), far)
+			s.allowTime(6 * time.Second)
+			begun := time.Now()
+			got := s.send("/stream/x", func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "6000") })
+			assert.NilError(t, got.err)
+			assert.Assert(t, strings.HasSuffix(got.body, event(6)), got.body)
+			assert.Assert(t, time.Since(begun) < 4*time.Second, "%s", time.Since(begun))
+			assert.Equal(t, other.received(headers.LastEventID), "2")
+		})
+	}
+}
+
+// Guards against cutting a stream that is slow and sound: its events come three
+// times as late as callers expect them.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	s := newSetup(t)
+	go s.monitor.Run(t.Context())
+	slow := newEndpoint(t, drip(event, 800*time.Millisecond))
+	s.register(slow.instance("i-1", "llm"))
+	s.allowTime(6 * time.Second)
+	got := s.send("/stream/x", func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "6000") })
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, allEvents(6))
+	assert.Equal(t, slow.runs.Load(), int64(1))
+}
+
+// allowTime sets the timeout of the streaming route.
+func (s *setup) allowTime(timeout time.Duration) {
+	changed := *s.catalogue.Index().Catalogue
+	changed.Version++
+	changed.Routes = []flamingodoor.Route{route("/stream/", flamingodoor.RouteKindStreaming, "llm", 2)}
+	changed.Routes[0].Timeout = timeout
+	s.catalogue.Configure(&changed)
+}
