Count leases and confirmations by a clock that suspensions do not stop

Cause: the platform's hosts may be suspended for seconds, and the monotonic clock, by which Go compares times, stands still meanwhile.

--- a/internal/catalogue/cache.go
+++ b/internal/catalogue/cache.go
@@ -99,8 +99,8 @@
 	return (*c.evacuated.Load())[dataCentre]
 }
 
-// Confirmed returns the latest time at which the configuration was known to be
-// current.
+// Confirmed returns the latest time, by uptime.Now, at which the configuration was
+// known to be current.
 func (c *Cache) Confirmed() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1/exchangev1connect"
+	"flamingodoor.example/flamingodoor/internal/uptime"
 )
 
 const (
@@ -104,19 +105,21 @@
 
 // Exchanger exchanges state with the other entry hosts.
 type Exchanger struct {
-	self       flamingodoor.EntryPeer
-	started    time.Time
-	feedMargin time.Duration // part of feedValidity beside the hops
-	directory  flamingodoor.HostDirectory
-	feeds      Feeds
-	source     Source
-	sink       Sink
-	client     *http.Client
-	logger     log.Logger
-	now        func() time.Time
-	wake       chan struct{} // starts the next round at once
-	calls      sync.WaitGroup
-	copying    atomic.Bool // a configuration is being copied
+	self          flamingodoor.EntryPeer
+	started       time.Time
+	startedUptime time.Time
+	feedMargin    time.Duration // part of feedValidity beside the hops
+	directory     flamingodoor.HostDirectory
+	feeds         Feeds
+	source        Source
+	sink          Sink
+	client        *http.Client
+	logger        log.Logger
+	now           func() time.Time
+	uptime        func() time.Time // of confirmations
+	wake          chan struct{}    // starts the next round at once
+	calls         sync.WaitGroup
+	copying       atomic.Bool // a configuration is being copied
 
 	mu              sync.Mutex
 	peers           map[string]*peerState
@@ -163,7 +166,12 @@
 
 // WithClock replaces time.Now as the source of the time.
 func WithClock(now func() time.Time) Option {
-	return func(e *Exchanger) { e.now = now }
+	return func(e *Exchanger) { e.now, e.uptime = now, now }
+}
+
+// WithUptime replaces uptime.Now.
+func WithUptime(now func() time.Time) Option {
+	return func(e *Exchanger) { e.uptime = now }
 }
 
 // WithDrainBound sets the time within which an instance that leaves must get no
@@ -184,13 +192,13 @@
 	e := &Exchanger{
 		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
-		logger: logger, now: time.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peerState),
+		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peerState),
 		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary),
 	}
 	for _, option := range options {
 		option(e)
 	}
-	e.started = e.now()
+	e.started, e.startedUptime = e.now(), e.uptime()
 	return e
 }
 
@@ -211,7 +219,7 @@
 	}
 	e.applyFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
-		RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock(now),
+		RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock(),
 	}), nil
 }
 
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -68,10 +68,10 @@
 	// The time of the confirmation is computed from this host's own clock
 	// reading, which the sender had before it made the message. A delay on the
 	// network therefore never makes the confirmation appear later than it was.
-	confirmed := e.started.Add(milliseconds(clock.GetElapsedMs()) - milliseconds(configuration.GetAgeMs()))
+	confirmed := e.startedUptime.Add(milliseconds(clock.GetElapsedMs()) - milliseconds(configuration.GetAgeMs()))
 	next := configuration.GetNext()
 	if relayID := e.relayForConfiguration(next, now); relayID != "" && e.copying.CompareAndSwap(false, true) {
-		e.feeds.Configuration.DeferReadsUntil(now.Add(copyTimeout))
+		e.feeds.Configuration.DeferReadsUntil(e.uptime().Add(copyTimeout))
 		go func() {
 			defer e.copying.Store(false)
 			if !e.fetchConfiguration(ctx, relayID, next) {
@@ -146,7 +146,7 @@
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		message.Configuration = &exchangev1.Configuration{
 			Next: next, Clock: response.GetClock(),
-			AgeMs: max(0, e.now().Sub(confirmed).Milliseconds()) + 1, // rounded up to a whole millisecond
+			AgeMs: max(0, e.uptime().Sub(confirmed).Milliseconds()) + 1, // rounded up to a whole millisecond
 		}
 	}
 	return message
@@ -183,8 +183,8 @@
 
 // ownClock returns the reading of this host's clock, which the leader sends back
 // with its confirmations.
-func (e *Exchanger) ownClock(now time.Time) *exchangev1.Clock {
-	return &exchangev1.Clock{StartedMs: e.started.UnixMilli(), ElapsedMs: now.Sub(e.started).Milliseconds()}
+func (e *Exchanger) ownClock() *exchangev1.Clock {
+	return &exchangev1.Clock{StartedMs: e.started.UnixMilli(), ElapsedMs: e.uptime().Sub(e.startedUptime).Milliseconds()}
 }
 
 func milliseconds(count int64) time.Duration {
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"flamingodoor.example/flamingodoor/internal/uptime"
+)
 
 // unknownAge is reported as the age of data that this host has never read.
 const unknownAge = -1
@@ -16,8 +20,8 @@
 		{"flamingodoor.leads", "1 while this host plans groups", func() int64 { return boolToInt(g.planner.Leads()) }},
 		{"flamingodoor.relays", "1 while this host relays the work of others", func() int64 { return boolToInt(g.exchanger.IsRelay()) }},
 		{"flamingodoor.configuration.version", "Version of the configuration in force", g.configurationVersion},
-		{"flamingodoor.configuration.age_ms", "Time since the configuration was confirmed; -1 before", func() int64 { return ageMilliseconds(g.catalogue.Confirmed()) }},
-		{"flamingodoor.registrations.age_ms", "Age of the read that the registrations stand for; -1 before", func() int64 { return ageMilliseconds(g.platform.Followers.AsOf()) }},
+		{"flamingodoor.configuration.age_ms", "Time since the configuration was confirmed; -1 before", func() int64 { return ageMilliseconds(g.catalogue.Confirmed(), uptime.Now()) }},
+		{"flamingodoor.registrations.age_ms", "Age of the read that the registrations stand for; -1 before", func() int64 { return ageMilliseconds(g.platform.Followers.AsOf(), time.Now()) }},
 		{"flamingodoor.instances", "Listed instances", g.listedInstances},
 		{"flamingodoor.groups.serving", "Groups that receive requests", g.servingGroups},
 		{"flamingodoor.requests.in_flight", "Requests of this host at instances", g.inFlight},
@@ -36,13 +40,13 @@
 	return 0
 }
 
-// ageMilliseconds returns the time since `then` in milliseconds, or unknownAge
-// if `then` is zero.
-func ageMilliseconds(then time.Time) int64 {
+// ageMilliseconds returns the time from `then` to now in milliseconds, or
+// unknownAge if `then` is zero.
+func ageMilliseconds(then, now time.Time) int64 {
 	if then.IsZero() {
 		return unknownAge
 	}
-	return time.Since(then).Milliseconds()
+	return now.Sub(then).Milliseconds()
 }
 
 func (g *Gateway) configurationVersion() int64 {
--- a/internal/planner/election_test.go
+++ b/internal/planner/election_test.go
@@ -97,3 +97,39 @@
 func configure(c *candidate) {
 	c.Catalogue.Configure(&flamingodoor.Catalogue{Version: 1})
 }
+
+// timedElection is an election that its host wins once, for the time that a lease
+// lasts.
+type timedElection struct {
+	countedElection
+
+	uptime func() time.Time
+}
+
+func (e *timedElection) Renew(context.Context) (bool, time.Time, error) {
+	e.renewals.Add(1)
+	return true, e.uptime().Add(time.Minute), nil
+}
+
+// Guards against two leaders after a suspension: the lease of a suspended host ends
+// at the store while its monotonic clock stands still, and it went on giving
+// orders when it woke.
+func TestSuspendedLeaderLosesTheLease(t *testing.T) {
+	var suspended atomic.Int64
+	begun := time.Now()
+	election := &timedElection{uptime: func() time.Time { return begun.Round(0).Add(time.Duration(suspended.Load())) }}
+	p := planner.New(planner.Parts{Election: election, Logger: log.NewNopLogger()}, planner.WithUptime(election.uptime))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.RunElection(ctx, time.Hour)
+	}()
+	defer func() { cancel(); <-done }()
+	for begun := time.Now(); !p.Leads() && time.Since(begun) < 5*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, p.Leads())
+	suspended.Store(int64(2 * time.Minute))
+	assert.Assert(t, !p.Leads())
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -18,6 +18,7 @@
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/formation"
 	"flamingodoor.example/flamingodoor/internal/roster"
+	"flamingodoor.example/flamingodoor/internal/uptime"
 )
 
 const (
@@ -116,6 +117,7 @@
 type Planner struct {
 	Parts
 	now        func() time.Time
+	uptime     func() time.Time // of the lease
 	pause      func(ctx context.Context, duration time.Duration)
 	background func(task func())
 
@@ -182,7 +184,12 @@
 
 // WithClock replaces the clock and the function that pauses for a duration.
 func WithClock(now func() time.Time, pause func(ctx context.Context, duration time.Duration)) Option {
-	return func(p *Planner) { p.now, p.pause = now, pause }
+	return func(p *Planner) { p.now, p.uptime, p.pause = now, now, pause }
+}
+
+// WithUptime replaces uptime.Now, by which the lease is counted.
+func WithUptime(now func() time.Time) Option {
+	return func(p *Planner) { p.uptime = now }
 }
 
 // WithBackground replaces the function that runs tasks for which a step does not
@@ -194,7 +201,7 @@
 // New returns a planner that does not lead until an election is won.
 func New(parts Parts, options ...Option) *Planner {
 	p := &Planner{
-		Parts: parts, now: time.Now, pause: sleep, background: func(task func()) { go task() }, renewals: make(chan struct{}, 1), states: make(map[string]*instanceState),
+		Parts: parts, now: time.Now, uptime: uptime.Now, pause: sleep, background: func(task func()) { go task() }, renewals: make(chan struct{}, 1), states: make(map[string]*instanceState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		impairedSince: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probedAt: make(map[string]time.Time), activeLoads: make(map[string]flamingodoor.WeightLoad),
 	}
@@ -208,7 +215,7 @@
 func (p *Planner) Leads() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now().Before(p.leadsUntil)
+	return p.uptime().Before(p.leadsUntil)
 }
 
 // RunElection renews the leader lease at every interval until the context ends.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"flamingodoor.example/flamingodoor/internal/share"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/upstream"
+	"flamingodoor.example/flamingodoor/internal/uptime"
 )
 
 const (
@@ -74,6 +75,7 @@
 	observer        Observer
 	logger          log.Logger
 	now             func() time.Time
+	uptime          func() time.Time // of confirmations
 	random          func() float64
 
 	hostCount   atomic.Int64 // entry hosts that share the limits
@@ -103,7 +105,12 @@
 
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option {
-	return func(p *Proxy) { p.now = now }
+	return func(p *Proxy) { p.now, p.uptime = now, now }
+}
+
+// WithUptime replaces uptime.Now.
+func WithUptime(now func() time.Time) Option {
+	return func(p *Proxy) { p.uptime = now }
 }
 
 // WithObserver sets the observer; by default metrics are discarded.
@@ -136,7 +143,7 @@
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, demand: parts.Demand, logger: parts.Logger,
-		observer: noObserver{}, now: time.Now, random: rand.Float64,
+		observer: noObserver{}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 	}
 	for _, option := range options {
@@ -219,13 +226,13 @@
 // Ready reports whether this host has loaded the configuration and the
 // registrations, may still accept keys, and is not stopping.
 func (p *Proxy) Ready() bool {
-	return p.catalogue.Index() != nil && p.roster.Loaded() && p.keysConfirmed(p.now()) && !p.stopping.Load()
+	return p.catalogue.Index() != nil && p.roster.Loaded() && p.keysConfirmed() && !p.stopping.Load()
 }
 
 // keysConfirmed reports whether the configuration is recent enough to accept
 // keys: a key that was revoked since is rejected within Limits.RevokeWithin.
-func (p *Proxy) keysConfirmed(now time.Time) bool {
-	return now.Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin - revokeMargin))
+func (p *Proxy) keysConfirmed() bool {
+	return p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin - revokeMargin))
 }
 
 // ServeHTTP authorises a request and proxies it to an instance.
@@ -245,7 +252,7 @@
 		p.reject(writer, request, http.StatusBadRequest, "no_request_id", 0)
 		return
 	}
-	route, workspace, status, reason := p.authorise(index, request, received)
+	route, workspace, status, reason := p.authorise(index, request)
 	if status != 0 {
 		p.reject(writer, request, status, reason, shortRetryAfter)
 		return
@@ -287,8 +294,8 @@
 // authorise returns the route and the workspace of a request, or the status and
 // reason of its rejection. The workspace is nil on public routes and if none is
 // configured.
-func (p *Proxy) authorise(index *catalogue.Index, request *http.Request, now time.Time) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
-	stale := now.Sub(p.catalogue.Confirmed()) > staleConfigAge
+func (p *Proxy) authorise(index *catalogue.Index, request *http.Request) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
+	stale := p.uptime().Sub(p.catalogue.Confirmed()) > staleConfigAge
 	path, _, _ := strings.Cut(request.RequestURI, "?")
 	route, ok := index.Route(request.Host, path)
 	if !ok {
@@ -300,7 +307,7 @@
 	if route.Public || len(index.Workspaces) == 0 {
 		return route, nil, 0, ""
 	}
-	if !p.keysConfirmed(now) {
+	if !p.keysConfirmed() {
 		return nil, nil, http.StatusServiceUnavailable, "keys_unconfirmed"
 	}
 	key, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
@@ -329,7 +336,7 @@
 	id := request.Header.Get(p.headers.RequestID)
 	p.observer.RequestFinished("", reason)
 	_ = level.Info(p.logger).Log("event", "rejected", "request", id, "status", status, "reason", reason,
-		"config_age_ms", p.now().Sub(p.catalogue.Confirmed()).Milliseconds())
+		"config_age_ms", p.uptime().Sub(p.catalogue.Confirmed()).Milliseconds())
 	p.writeRefusal(writer, id, status, reason, retryAfter)
 }
 
--- a/serving.go
+++ b/serving.go
@@ -184,9 +184,9 @@
 // configuration, so that the other hosts need not poll the platform for
 // changes.
 type ConfigurationFeed interface {
-	// Position returns the offset of the next record and the time at which this
-	// host was last confirmed to have every record before it. It returns false
-	// before the first read.
+	// Position returns the offset of the next record and the time by uptime.Now at
+	// which this host was last confirmed to have every record before it. It
+	// returns false before the first read.
 	Position() (next int64, confirmed time.Time, known bool)
 	// ObservePosition compares the position of another host with that of this
 	// host. An equal position confirms that this host lacks no records; a later
