Give the waiting request of a test more time than a busy machine takes

Traced with the times of the release and of the answer, 24 processes of 40 runs at once: 1 of 960 fails, the slot released after 29.7 ms instead of 10, and the request refused after its wait of 25 ms, an eighth of the objective. The refusal is right; the test raced with its own timer.

The test before it still bounds the wait itself at 150 ms.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -334,8 +334,19 @@
 	for range 2 {
 		s.tracker.Pick([]balance.Candidate{{ID: "i-1", Capacity: 2, OwnLimit: 2}}, 0, time.Now())
 	}
+	// The wait is an eighth of the objective, longer than a busy machine delays the
+	// release.
+	const longestWait = time.Second
+	changed := *s.catalogue.Index().Catalogue
+	changed.Version++
+	changed.Routes = []flamingodoor.Route{route("/post/", flamingodoor.RouteKindNonIdempotent, "plain", 1)}
+	changed.Routes[0].LatencyObjective = 8 * longestWait
+	s.catalogue.Configure(&changed)
 	time.AfterFunc(10*time.Millisecond, func() { s.tracker.Release("i-1") })
+	begun := time.Now()
 	assert.Equal(t, s.send("/post/x").status, http.StatusOK)
+	assert.Assert(t, time.Since(begun) < longestWait, "%s", time.Since(begun))
+	assert.Equal(t, e.runs.Load(), int64(1))
 }
 
 // Guards against sending requests to an instance that is leaving or in an
