--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -241,12 +241,17 @@
 		head := group.Head()
 		if head.ID == "" {
 			ending.done = p.headLeft(view, group.Key()) || p.headlessTooLong(group, now)
+			if ending.done {
+				_ = level.Info(p.Logger).Log("event", "head_forgotten", "group", group.Name, "epoch", group.Epoch)
+			}
 			continue
 		}
 		state := p.stateOf(head.Instance)
 		orders.Go(func() error {
 			result := p.orderLeave(ctx, view, head, state, group.Key(), now)
-			ending.done = result == headGone || result == headPresumedGone
+			_ = level.Info(p.Logger).Log("event", "head_judged", "group", group.Name, "epoch", group.Epoch, "instance", head.ID,
+				"listed", head.Listed, "state", result)
+			ending.done = result.gone()
 			ending.presumedGone, ending.listedBefore = result == headPresumedGone, listedMembers(group)
 			return nil
 		})
@@ -282,6 +287,8 @@
 	return listed
 }
 
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=headState -transform=snake -trimprefix=head -output=headstate_enumer.go
+
 // headState is the result of probing the head of an ending group or ordering it
 // to leave.
 type headState int
@@ -289,10 +296,17 @@
 const (
 	headUnknown      headState = iota // it does not answer but may still serve
 	headAnswers                       // it answers and may still serve
-	headGone                          // it has left the group or its process has ended
+	headLeft                          // it has left the group
+	headReplaced                      // another process answers at its address
+	headRefuses                       // its address refuses connections
 	headPresumedGone                  // it is not listed and answers no host
 )
 
+// gone reports whether the head no longer serves the group.
+func (s headState) gone() bool {
+	return s == headLeft || s == headReplaced || s == headRefuses || s == headPresumedGone
+}
+
 // orderLeave orders the head to leave the group and returns the state in which
 // it found the head.
 func (p *Planner) orderLeave(ctx context.Context, view *roster.View, head roster.Entry, state *instanceState, key roster.GroupKey, now time.Time) headState {
@@ -304,13 +318,15 @@
 	switch p.sendOrder(ctx, head.Instance, state, flamingodoor.InstanceOrder{
 		Kind: flamingodoor.OrderKindLeave, Group: key.Name, Epoch: key.Epoch,
 	}) {
-	case flamingodoor.OrderResultBegun, flamingodoor.OrderResultHolds, flamingodoor.OrderResultOther:
-		return headGone
+	case flamingodoor.OrderResultBegun, flamingodoor.OrderResultHolds:
+		return headLeft
+	case flamingodoor.OrderResultOther:
+		return headReplaced
 	case flamingodoor.OrderResultUnknown:
 		return p.probeHead(ctx, head)
 	default:
 		if p.headReportsLeft(ctx, head, key) {
-			return headGone
+			return headLeft
 		}
 		return headAnswers
 	}
@@ -326,11 +342,11 @@
 	report, err := p.Instances.Report(probeCtx, head.Address)
 	switch {
 	case err == nil && report.ID != "" && (report.ID != head.ID || !report.StartedAt.Equal(head.StartedAt)):
-		return headGone
+		return headReplaced
 	case err == nil:
 		return headAnswers
 	case connectionRefused(err):
-		return headGone
+		return headRefuses
 	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
 		return headPresumedGone
 	default:
