--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -176,3 +176,14 @@
 	h.t.Fatal("no open group of ", large)
 	return ""
 }
+
+// openGroupWithout reports whether a group of the large model is open that does
+// not have the instance as its head.
+func (h *harness) openGroupWithout(head string) bool {
+	for _, instance := range h.fleet.Listed() {
+		if instance.ID != head && instance.Membership.State == flamingodoor.MembershipStateOpen && instance.Membership.ModelID == large {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/planner/heads_test.go
@@ -0,0 +1,97 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/roster"
+)
+
+// Guards against members, or the head itself, that join a second group while the
+// head of their first one serves: a head that the planner gave up on was taken for
+// gone. Found in a play with closed ports (Valach deployment, scenario
+// heads-cut-off).
+func TestInstancesLeaveAGroupBeforeTheyJoinAnother(t *testing.T) {
+	for name, test := range map[string]struct {
+		cutOff   func(h *harness, head string)
+		restart  bool          // another host takes the lead during the cut
+		givesUp  time.Duration // after which the members form another group
+		reach    bool          // other hosts reach the head
+		cutsRead bool          // the head store cannot be read
+	}{
+		"its port is closed": {
+			cutOff: func(h *harness, head string) { h.fleet.SetRefusing(head, true) }, givesUp: 5 * time.Second,
+		},
+		"no host reaches it": {
+			cutOff: func(h *harness, head string) {
+				h.fleet.SetUnreachable(head, true)
+				h.fleet.SetUnlisted(head, true)
+			}, givesUp: 5 * time.Second,
+		},
+		"it is forgotten": {
+			cutOff: func(h *harness, head string) {
+				h.fleet.SetUnreachable(head, true)
+				h.fleet.SetUnlisted(head, true)
+			}, givesUp: 40 * time.Second, reach: true,
+		},
+		"a new leader never knew it": {
+			cutOff:  func(h *harness, head string) { h.fleet.SetUnlisted(head, true) },
+			restart: true, givesUp: 25 * time.Second, cutsRead: true,
+		},
+		"a new leader lost its record": {
+			cutOff:  func(h *harness, head string) { h.fleet.SetUnlisted(head, true); h.fleet.ForgetHead(head) },
+			restart: true, givesUp: 20 * time.Second,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.demand = map[string]float64{large: 2}
+			h.add("d0", 5, large)
+			p := h.startLeader()
+			h.run(5*time.Second, p)
+			head := h.openHead()
+			for _, instance := range h.fleet.Listed() {
+				if instance.ID == head {
+					h.roster.MarkLost(head, instance.StartedAt, h.fleet.Now())
+				}
+			}
+			test.cutOff(h, head)
+			h.reachedElsewhere = test.reach
+			if test.cutsRead {
+				h.fleet.FailHeadReads()
+			}
+			if test.restart {
+				h.roster = roster.New()
+				p = h.startLeader()
+			}
+			h.run(test.givesUp, p)
+			assert.Assert(t, h.openGroupWithout(head), "the members still wait for their head")
+			h.fleet.SetRefusing(head, false)
+			h.fleet.SetUnreachable(head, false)
+			h.fleet.SetUnlisted(head, false)
+			h.demand = map[string]float64{large: 4}
+			h.add("d0", 3, large)
+			h.run(10*time.Second, p)
+			assert.Equal(t, h.fleet.OpenGroups(large), 2, "the head that is back joins no group")
+		})
+	}
+}
+
+// Guards against a join that takes an instance out of an open group because the
+// list shows it free: the list was older than the group.
+func TestJoinIsWithheldFromAMemberOfAnotherGroup(t *testing.T) {
+	h := newHarness(t)
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 5, large)
+	h.publish()
+	stale := h.roster
+	h.roster = roster.New()
+	h.run(5*time.Second, h.startLeader())
+	head := h.openHead()
+	h.roster, h.readsStopped, h.readAt = stale, true, h.fleet.Now().Add(time.Hour)
+	h.run(3*time.Second, h.startLeader())
+	assert.Equal(t, h.openHead(), head)
+	assert.Equal(t, h.fleet.OpenGroups(large), 1)
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -58,6 +59,7 @@
 	lastEntry   flamingodoor.Instance
 	unlisted    bool
 	unreachable bool            // does not answer, but runs
+	refusing    bool            // its port refuses connections, but it runs
 	readyIn     map[string]bool // groups in which the instance became ready, by groupKey
 	delayed     []delayedOrder
 }
@@ -198,6 +200,13 @@
 	f.instances[id].unreachable = unreachable
 }
 
+// SetRefusing sets whether the port of a running instance refuses connections.
+func (f *Fleet) SetRefusing(id string, refusing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances[id].refusing = refusing
+}
+
 // SetUnlisted removes an instance from the list, or lists it again.
 func (f *Fleet) SetUnlisted(id string, unlisted bool) {
 	f.mu.Lock()
@@ -270,6 +279,9 @@
 func (f *Fleet) reachableAt(address netip.AddrPort) (*instance, error) {
 	for _, i := range f.instances {
 		if i.Address == address {
+			if i.refusing {
+				return nil, flamingodoor.NewError(flamingodoor.CodeEndpointFailed, flamingodoor.RunStateNotRun, syscall.ECONNREFUSED)
+			}
 			if i.dead || i.unreachable {
 				return nil, flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "instance %s does not answer", i.ID)
 			}
@@ -441,6 +453,13 @@
 	return heads, nil
 }
 
+// ForgetHead removes the stored record of a head.
+func (f *Fleet) ForgetHead(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.heads, id)
+}
+
 // FailHeadReads makes Load fail from now on.
 func (f *Fleet) FailHeadReads() {
 	f.mu.Lock()
