Let instances leave a group whose head cannot be reached before they join another

Cause: the planner took what it did not hear for proof. It freed the members of a group at once when the head's port was closed, when the head was not listed and silent to all hosts, or when the head was forgotten (20 s after its registration expired, or unknown for 15 s). A cut can do all three, and the head serves on. Now only the head's own leave, or another process at its address, frees the members. Giving up on a head makes each member leave first, and the head is ordered to leave each second until it does; without its members it serves nothing and breaks. A join is withheld from an instance that reports another group than its registration. This replaces the special handling of members that return to the list.

Costs: one order for each member of a group whose head cannot be reached; no more messages between hosts.

--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -161,7 +161,7 @@
 
 // freeInstances returns the instances of a service that may join a group.
 func (p *Planner) freeInstances(view *roster.View, service string, now time.Time) []flamingodoor.Instance {
-	busy := p.busyMembers(view, now)
+	busy := p.busyMembers(view)
 	var free []flamingodoor.Instance
 	for _, entry := range view.ByService[service] {
 		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || view.Lost(entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
@@ -174,7 +174,7 @@
 
 // busyMembers returns the members of groups that serve, are forming or are not
 // fully dissolved, by instance ID.
-func (p *Planner) busyMembers(view *roster.View, now time.Time) map[string]bool {
+func (p *Planner) busyMembers(view *roster.View) map[string]bool {
 	busy := make(map[string]bool)
 	for _, group := range p.pending {
 		for _, member := range group.members {
@@ -182,52 +182,16 @@
 		}
 	}
 	for _, group := range view.Groups {
-		if p.groupEnded(view, group, now) {
-			continue
-		}
+		ending := p.dissolving[group.Key()]
 		for _, member := range group.Members {
-			busy[member.ID] = true
+			if ending == nil || !ending.released(member.Instance) {
+				busy[member.ID] = true
+			}
 		}
 	}
 	return busy
 }
 
-// groupEnded reports whether the group no longer has a head that may serve, so
-// that its members are free.
-func (p *Planner) groupEnded(view *roster.View, group *roster.Group, now time.Time) bool {
-	if ending := p.dissolving[group.Key()]; ending != nil {
-		return ending.done
-	}
-	return group.Head().ID == "" && (p.headLeft(view, group.Key()) || p.headlessTooLong(group, now))
-}
-
-// headLeft reports whether the missing head of a group is known to have left it:
-// the head store lacks the group because it holds the head with a later group,
-// or the head is listed with another membership.
-func (p *Planner) headLeft(view *roster.View, key roster.GroupKey) bool {
-	if p.inheritedHeads == nil {
-		return false
-	}
-	head, ok := p.inheritedHeads[key]
-	if !ok {
-		return true
-	}
-	entry, known := view.Entries[head.ID]
-	return known && entry.Listed
-}
-
-// headlessTooLong reports whether a group has had no known head for longer than
-// headlessTimeout. The head is then considered gone, rather than merely cut off
-// from the platform's store.
-func (p *Planner) headlessTooLong(group *roster.Group, now time.Time) bool {
-	since, ok := p.impairedSince[group.Key()]
-	if !ok {
-		p.impairedSince[group.Key()] = now
-		return false
-	}
-	return now.Sub(since) > headlessTimeout
-}
-
 // groupByDomain splits instances by fabric domain, in the order of the domain
 // names.
 func groupByDomain(instances []flamingodoor.Instance) [][]flamingodoor.Instance {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -27,7 +27,7 @@
 			if failure == "" {
 				failure = "late"
 			}
-			p.startDissolution(key, failure, now)
+			p.startDissolution(key, failure)
 		case ready && !group.opening:
 			group.opening = true
 			group.deadline = now.Add(completionMargin)
@@ -88,7 +88,7 @@
 			continue
 		}
 		if reason := p.endReason(view, group, spec.InstancesPerGroup, now); reason != "" {
-			p.startDissolution(key, reason, now)
+			p.startDissolution(key, reason)
 		}
 	}
 	p.discardAbsentGroups(view)
@@ -118,7 +118,7 @@
 	}
 	head := group.Members[0]
 	if head.ID == "" {
-		return "" // groupEnded decides when its members are free
+		return p.headlessReason(group, now)
 	}
 	if !head.Listed {
 		return "head_unlisted"
@@ -216,153 +216,8 @@
 		}
 	}
 	for key, ending := range p.dissolving {
-		if ending.done && !present[key] {
+		if left, abandoned := ending.ended(); (left || abandoned) && !present[key] {
 			delete(p.dissolving, key)
 		}
 	}
 }
-
-// startDissolution marks a group as ending for the given reason.
-func (p *Planner) startDissolution(key roster.GroupKey, reason string, now time.Time) {
-	p.dissolving[key] = &dissolution{reason: reason, since: now}
-	_ = level.Info(p.Logger).Log("event", "group_ends", "group", key.Name, "epoch", key.Epoch, "reason", reason)
-}
-
-// dissolve orders the heads of ending groups to leave. The other members are
-// free only once the head has left or is gone, because until then it may serve.
-func (p *Planner) dissolve(ctx context.Context, view *roster.View, now time.Time) {
-	var orders errgroup.Group
-	for _, group := range view.Groups {
-		ending := p.dissolving[group.Key()]
-		if ending == nil || (ending.done && !ending.memberReturned(group)) {
-			continue
-		}
-		ending.done = false
-		head := group.Head()
-		if head.ID == "" {
-			ending.done = p.headLeft(view, group.Key()) || p.headlessTooLong(group, now)
-			if ending.done {
-				_ = level.Info(p.Logger).Log("event", "head_forgotten", "group", group.Name, "epoch", group.Epoch)
-			}
-			continue
-		}
-		state := p.stateOf(head.Instance)
-		orders.Go(func() error {
-			result := p.orderLeave(ctx, view, head, state, group.Key(), now)
-			_ = level.Info(p.Logger).Log("event", "head_judged", "group", group.Name, "epoch", group.Epoch, "instance", head.ID,
-				"listed", head.Listed, "state", result)
-			ending.done = result.gone()
-			ending.presumedGone, ending.listedBefore = result == headPresumedGone, listedMembers(group)
-			return nil
-		})
-	}
-	_ = orders.Wait() // results are stored in the dissolutions
-}
-
-// memberReturned reports whether a member is listed again that was not listed
-// when the head was presumed gone. The head may have been cut off together with
-// that member, and may still serve.
-func (d *dissolution) memberReturned(group *roster.Group) bool {
-	if !d.presumedGone {
-		return false
-	}
-	returned := false
-	for _, member := range group.Members {
-		if !member.Listed {
-			delete(d.listedBefore, member.ID)
-		}
-		returned = returned || (member.Listed && !d.listedBefore[member.ID])
-	}
-	return returned
-}
-
-// listedMembers returns the IDs of the members that are listed.
-func listedMembers(group *roster.Group) map[string]bool {
-	listed := make(map[string]bool, len(group.Members))
-	for _, member := range group.Members {
-		if member.Listed {
-			listed[member.ID] = true
-		}
-	}
-	return listed
-}
-
-//go:generate go tool -modfile=../../tools/go.mod enumer -type=headState -transform=snake -trimprefix=head -output=headstate_enumer.go
-
-// headState is the result of probing the head of an ending group or ordering it
-// to leave.
-type headState int
-
-const (
-	headUnknown      headState = iota // it does not answer but may still serve
-	headAnswers                       // it answers and may still serve
-	headLeft                          // it has left the group
-	headReplaced                      // another process answers at its address
-	headRefuses                       // its address refuses connections
-	headPresumedGone                  // it is not listed and answers no host
-)
-
-// gone reports whether the head no longer serves the group.
-func (s headState) gone() bool {
-	return s == headLeft || s == headReplaced || s == headRefuses || s == headPresumedGone
-}
-
-// orderLeave orders the head to leave the group and returns the state in which
-// it found the head.
-func (p *Planner) orderLeave(ctx context.Context, view *roster.View, head roster.Entry, state *instanceState, key roster.GroupKey, now time.Time) headState {
-	if view.Lost(head.Instance, now) {
-		if result := p.probeHead(ctx, head); result != headAnswers {
-			return result
-		}
-	}
-	switch p.sendOrder(ctx, head.Instance, state, flamingodoor.InstanceOrder{
-		Kind: flamingodoor.OrderKindLeave, Group: key.Name, Epoch: key.Epoch,
-	}) {
-	case flamingodoor.OrderResultBegun, flamingodoor.OrderResultHolds:
-		return headLeft
-	case flamingodoor.OrderResultOther:
-		return headReplaced
-	case flamingodoor.OrderResultUnknown:
-		return p.probeHead(ctx, head)
-	default:
-		if p.headReportsLeft(ctx, head, key) {
-			return headLeft
-		}
-		return headAnswers
-	}
-}
-
-// probeHead reports whether a head answers or is gone. It is gone if no process
-// or another one listens at its address, and presumed gone if it is not listed
-// and answers no other host either. A head that lost its connections to the
-// platform's store and to some hosts may still serve the other hosts.
-func (p *Planner) probeHead(ctx context.Context, head roster.Entry) headState {
-	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	report, err := p.Instances.Report(probeCtx, head.Address)
-	switch {
-	case err == nil && report.ID != "" && (report.ID != head.ID || !report.StartedAt.Equal(head.StartedAt)):
-		return headReplaced
-	case err == nil:
-		return headAnswers
-	case connectionRefused(err):
-		return headRefuses
-	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
-		return headPresumedGone
-	default:
-		return headUnknown
-	}
-}
-
-// headReportsLeft reports whether the head answers that it is no longer in the
-// group.
-func (p *Planner) headReportsLeft(ctx context.Context, head roster.Entry, key roster.GroupKey) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	report, err := p.Instances.Report(ctx, head.Address)
-	if err != nil {
-		return false
-	}
-	membership := report.Membership
-	return membership.Group != key.Name || membership.Epoch != key.Epoch
-}
--- a/internal/planner/headstate_enumer.go
+++ b/internal/planner/headstate_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _headStateName = "unknownanswersleftreplacedrefusespresumed_gone"
+const _headStateName = "unknownanswersleftreplacedrefusesunlistedforgotten"
 
-var _headStateIndex = [...]uint8{0, 7, 14, 18, 26, 33, 46}
+var _headStateIndex = [...]uint8{0, 7, 14, 18, 26, 33, 41, 50}
 
-const _headStateLowerName = "unknownanswersleftreplacedrefusespresumed_gone"
+const _headStateLowerName = "unknownanswersleftreplacedrefusesunlistedforgotten"
 
 func (i headState) String() string {
 	if i < 0 || i >= headState(len(_headStateIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[headLeft-(2)]
 	_ = x[headReplaced-(3)]
 	_ = x[headRefuses-(4)]
-	_ = x[headPresumedGone-(5)]
+	_ = x[headUnlisted-(5)]
+	_ = x[headForgotten-(6)]
 }
 
-var _headStateValues = []headState{headUnknown, headAnswers, headLeft, headReplaced, headRefuses, headPresumedGone}
+var _headStateValues = []headState{headUnknown, headAnswers, headLeft, headReplaced, headRefuses, headUnlisted, headForgotten}
 
 var _headStateNameToValueMap = map[string]headState{
 	_headStateName[0:7]:   headUnknown,
@@ -40,7 +41,8 @@
 	_headStateName[14:18]: headLeft,
 	_headStateName[18:26]: headReplaced,
 	_headStateName[26:33]: headRefuses,
-	_headStateName[33:46]: headPresumedGone,
+	_headStateName[33:41]: headUnlisted,
+	_headStateName[41:50]: headForgotten,
 }
 
 var _headStateLowerNameToValueMap = map[string]headState{
@@ -49,7 +51,8 @@
 	_headStateLowerName[14:18]: headLeft,
 	_headStateLowerName[18:26]: headReplaced,
 	_headStateLowerName[26:33]: headRefuses,
-	_headStateLowerName[33:46]: headPresumedGone,
+	_headStateLowerName[33:41]: headUnlisted,
+	_headStateLowerName[41:50]: headForgotten,
 }
 
 var _headStateNames = []string{
@@ -58,7 +61,8 @@
 	_headStateName[14:18],
 	_headStateName[18:26],
 	_headStateName[26:33],
-	_headStateName[33:46],
+	_headStateName[33:41],
+	_headStateName[41:50],
 }
 
 // headStateString retrieves an enum value from the enum constants string name.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -167,18 +167,6 @@
 	opening  bool // the head has been ordered to open
 }
 
-// dissolution is the state of a group that is being dissolved.
-type dissolution struct {
-	reason string
-	done   bool // the head has left or is considered gone, so the members are free
-	since  time.Time
-	// presumedGone is set if the head is not listed and answers no host.
-	// listedBefore holds the members that were listed at that time; the others
-	// may have been cut off together with the head.
-	presumedGone bool
-	listedBefore map[string]bool
-}
-
 // Option changes a setting of a Planner.
 type Option func(*Planner)
 
@@ -392,6 +380,11 @@
 			_ = level.Info(p.Logger).Log("event", "report_failed", "instance", instance.ID, "err", err)
 			return flamingodoor.OrderResultUnknown
 		}
+		if order.Kind == flamingodoor.OrderKindJoin && isMemberElsewhere(report.Membership, instance.Membership, order) {
+			_ = level.Warn(p.Logger).Log("event", "join_withheld", "instance", instance.ID, "group", order.Group, "epoch", order.Epoch,
+				"member_of", report.Membership.Group)
+			return flamingodoor.OrderResultConflict
+		}
 		state.sequence = report.OrderSequence
 	}
 	order.Sequence = state.sequence
@@ -412,6 +405,17 @@
 	return result
 }
 
+// isMemberElsewhere reports whether an instance that is ordered to join a group
+// reports that it is a member of another one, other than the one that the order
+// is based on: it joined that group after the registration was written.
+func isMemberElsewhere(reported, registered flamingodoor.Membership, order flamingodoor.InstanceOrder) bool {
+	if reported.Group == "" {
+		return false
+	}
+	return (reported.Group != registered.Group || reported.Epoch != registered.Epoch) &&
+		(reported.Group != order.Group || reported.Epoch != order.Epoch)
+}
+
 // logSummary logs the state of the fleet once per summaryInterval.
 func (p *Planner) logSummary(index *catalogue.Index, view *roster.View, now time.Time) {
 	if now.Sub(p.summarisedAt) < summaryInterval {
