Take neither a missing field nor an unread membership for a free instance

Two more ways into two groups: the membership of an instance was checked only when a join had to read its report first, so a load of weights before it skipped the check; and a registration without a process start made any answer at the head's address another process, which frees all members. The planner now keeps the membership with the count of orders, which pins it, and checks it at every join; a missing start says nothing. A report counts as a leave only from the same process and after the delay of reports, because an older one shows the state before the join.

--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -226,6 +226,9 @@
 	case flamingodoor.OrderResultUnknown:
 		return headUnknown
 	default:
+		// The order fits no longer if the instance has left. Reports show that
+		// with a delay.
+		p.pause(ctx, reportLag)
 		if p.reportsLeft(ctx, instance, key) {
 			return headLeft
 		}
@@ -256,10 +259,10 @@
 }
 
 // isOtherProcess reports whether a report comes from a process other than the
-// registered one. A report without a field says nothing about it.
+// registered one. A field that either of them lacks says nothing about it.
 func isOtherProcess(reported, registered flamingodoor.Instance) bool {
 	return (reported.ID != "" && reported.ID != registered.ID) ||
-		(!reported.StartedAt.IsZero() && !reported.StartedAt.Equal(registered.StartedAt))
+		(!reported.StartedAt.IsZero() && !registered.StartedAt.IsZero() && !reported.StartedAt.Equal(registered.StartedAt))
 }
 
 // reportsLeft reports whether an instance answers that it is no longer in the
@@ -268,9 +271,5 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := p.Instances.Report(ctx, instance.Address)
-	if err != nil {
-		return false
-	}
-	membership := report.Membership
-	return membership.Group != key.Name || membership.Epoch != key.Epoch
+	return err == nil && report.StartedAt.Equal(instance.StartedAt) && groupKey(report.Membership) != key
 }
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -95,3 +95,45 @@
 	assert.Equal(t, h.openHead(), head)
 	assert.Equal(t, h.fleet.OpenGroups(large), 1)
 }
+
+// Guards against the same where an earlier order, such as a load of weights, has
+// made the count of the instance's orders known.
+func TestJoinIsWithheldAfterAnotherOrder(t *testing.T) {
+	h := newHarness(t)
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 4, large)
+	h.publish()
+	stale := h.roster
+	h.roster = roster.New()
+	h.run(5*time.Second, h.startLeader())
+	head := h.openHead()
+	h.demand = map[string]float64{small: 4}
+	h.roster, h.readsStopped, h.readAt = stale, true, h.fleet.Now().Add(time.Hour)
+	p := h.startLeader()
+	h.run(3*time.Second, p)
+	h.demand = map[string]float64{large: 4}
+	h.run(10*time.Second, p)
+	assert.Equal(t, h.openHead(), head)
+}
+
+// Guards against a head that is taken for replaced by another process because its
+// registration lacks the start of the process: its members joined a second group.
+func TestHeadWithoutStartTimeIsNotReplaced(t *testing.T) {
+	h := newHarness(t)
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 5, large)
+	h.run(5*time.Second, h.startLeader())
+	head := h.openHead()
+	listed := h.fleet.Listed()
+	for i := range listed {
+		if listed[i].ID == head {
+			listed[i].StartedAt = time.Time{}
+		}
+	}
+	h.roster = roster.New()
+	h.roster.Replace(listed, h.fleet.Now())
+	h.roster.MarkLost(head, time.Time{}, h.fleet.Now().Add(time.Minute))
+	h.roster.Publish(h.fleet.Now())
+	h.readsStopped, h.readAt = true, h.fleet.Now().Add(time.Hour)
+	h.run(5*time.Second, h.startLeader())
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -152,7 +152,8 @@
 type instanceState struct {
 	mu              sync.Mutex // held during an order, so that one is sent at a time
 	startedAt       time.Time
-	sequence        int64 // number of orders the instance has accepted; negative if unknown
+	sequence        int64           // number of orders the instance has accepted; negative if unknown
+	group           roster.GroupKey // of which the instance is a member after these orders
 	lastModel       string
 	stagingModel    string
 	stagingDeadline time.Time // until then, the instance counts as loading stagingModel
@@ -380,40 +381,54 @@
 			_ = level.Info(p.Logger).Log("event", "report_failed", "instance", instance.ID, "err", err)
 			return flamingodoor.OrderResultUnknown
 		}
-		if order.Kind == flamingodoor.OrderKindJoin && isMemberElsewhere(report.Membership, instance.Membership, order) {
-			_ = level.Warn(p.Logger).Log("event", "join_withheld", "instance", instance.ID, "group", order.Group, "epoch", order.Epoch,
-				"member_of", report.Membership.Group)
-			return flamingodoor.OrderResultConflict
-		}
-		state.sequence = report.OrderSequence
+		state.sequence, state.group = report.OrderSequence, groupKey(report.Membership)
 	}
-	order.Sequence = state.sequence
-	result, err := p.Instances.Order(ctx, instance, order)
-	switch result {
-	case flamingodoor.OrderResultBegun:
-		state.sequence++
-	case flamingodoor.OrderResultHolds:
-		if order.Kind == flamingodoor.OrderKindLeave {
-			// A leave takes effect immediately and counts as accepted.
-			state.sequence++
-		}
-	default:
+	if order.Kind == flamingodoor.OrderKindJoin && isMemberElsewhere(state.group, groupKey(instance.Membership), orderKey(order)) {
+		_ = level.Warn(p.Logger).Log("event", "join_withheld", "instance", instance.ID, "group", order.Group, "epoch", order.Epoch,
+			"member_of", state.group.Name, "member_epoch", state.group.Epoch)
 		state.sequence = -1
+		return flamingodoor.OrderResultConflict
 	}
+	order.Sequence = state.sequence
+	result, err := p.Instances.Order(ctx, instance, order)
+	state.record(order, result)
 	_ = level.Info(p.Logger).Log("event", "order", "kind", order.Kind, "instance", instance.ID, "group", order.Group,
 		"epoch", order.Epoch, "model", order.ModelID, "sequence", order.Sequence, "result", result, "err", err)
 	return result
 }
 
-// isMemberElsewhere reports whether an instance that is ordered to join a group
-// reports that it is a member of another one, other than the one that the order
-// is based on: it joined that group after the registration was written.
-func isMemberElsewhere(reported, registered flamingodoor.Membership, order flamingodoor.InstanceOrder) bool {
-	if reported.Group == "" {
-		return false
+// record updates the state after an order with the result.
+func (i *instanceState) record(order flamingodoor.InstanceOrder, result flamingodoor.OrderResult) {
+	accepted := result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds
+	switch {
+	case !accepted:
+		i.sequence = -1
+		return
+	case result == flamingodoor.OrderResultBegun, order.Kind == flamingodoor.OrderKindLeave:
+		// A leave takes effect immediately and counts as accepted.
+		i.sequence++
 	}
-	return (reported.Group != registered.Group || reported.Epoch != registered.Epoch) &&
-		(reported.Group != order.Group || reported.Epoch != order.Epoch)
+	switch {
+	case order.Kind == flamingodoor.OrderKindJoin:
+		i.group = orderKey(order)
+	case order.Kind == flamingodoor.OrderKindLeave && i.group == orderKey(order):
+		i.group = roster.GroupKey{}
+	}
+}
+
+func groupKey(membership flamingodoor.Membership) roster.GroupKey {
+	return roster.GroupKey{Name: membership.Group, Epoch: membership.Epoch}
+}
+
+func orderKey(order flamingodoor.InstanceOrder) roster.GroupKey {
+	return roster.GroupKey{Name: order.Group, Epoch: order.Epoch}
+}
+
+// isMemberElsewhere reports whether an instance that is ordered to join a group
+// is a member of another one, other than the one that the order is based on: it
+// joined that group after its registration was written.
+func isMemberElsewhere(current, registered, ordered roster.GroupKey) bool {
+	return current.Name != "" && current != registered && current != ordered
 }
 
 // logSummary logs the state of the fleet once per summaryInterval.
