Order silent members of an unreachable head to leave once a second

A step now waits for the first order alone; the next follow each second in the background, as for the head. Before the first member leaves, all hosts are told to send nothing more to the group, since only the leader may find its head unreachable.

--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -12,15 +12,18 @@
 	"flamingodoor.example/flamingodoor/internal/roster"
 )
 
-// abandonedHeadInterval is the time between two orders to a head that the
-// planner has given up on.
-const abandonedHeadInterval = time.Second
+// repeatedLeaveInterval is the time between two orders to leave to an instance of
+// a group whose head the planner has given up on.
+const repeatedLeaveInterval = time.Second
 
 // dissolution is the state of a group that is being dissolved. The instances of
 // the group are free once its head has left. If the planner gives up on the head,
 // which may still serve, each instance is free once it has left itself.
 type dissolution struct {
-	headTriedAt time.Time // latest order to a head that the planner has given up on
+	// Once the planner has given up on the head, orderedAt holds the latest order
+	// to leave of each instance, by ID.
+	orderedAt map[string]time.Time
+	retired   bool // all hosts were told to send nothing more to the head
 
 	mu        sync.Mutex
 	headLeft  bool
@@ -59,9 +62,19 @@
 	d.left[instance.ID] = instance.StartedAt
 }
 
+// mayOrder reports whether an instance of a group whose head the planner has
+// given up on may be ordered to leave now, and records that it is.
+func (d *dissolution) mayOrder(id string, now time.Time) bool {
+	if now.Sub(d.orderedAt[id]) < repeatedLeaveInterval {
+		return false
+	}
+	d.orderedAt[id] = now
+	return true
+}
+
 // startDissolution marks a group as ending for the given reason.
 func (p *Planner) startDissolution(key roster.GroupKey, reason string) {
-	p.dissolving[key] = &dissolution{left: make(map[string]time.Time)}
+	p.dissolving[key] = &dissolution{orderedAt: make(map[string]time.Time), left: make(map[string]time.Time)}
 	_ = level.Info(p.Logger).Log("event", "group_ends", "group", key.Name, "epoch", key.Epoch, "reason", reason)
 }
 
@@ -126,8 +139,7 @@
 				p.endHead(ctx, view, group, state, ending, now)
 				return nil
 			})
-		case now.Sub(ending.headTriedAt) >= abandonedHeadInterval:
-			ending.headTriedAt = now
+		case ending.mayOrder(head.ID, now):
 			state := p.stateOf(head.Instance)
 			p.background(func() { p.endHead(ctx, view, group, state, ending, now) })
 		}
@@ -145,7 +157,8 @@
 	ending.recordHead(found)
 }
 
-// releaseMembers orders the members of abandoned groups to leave.
+// releaseMembers makes all hosts send nothing more to abandoned groups, and
+// orders their members to leave. A step waits only for the first order to each.
 func (p *Planner) releaseMembers(ctx context.Context, view *roster.View, now time.Time) {
 	var orders errgroup.Group
 	for _, group := range view.Groups {
@@ -156,15 +169,30 @@
 		if _, abandoned := ending.ended(); !abandoned {
 			continue
 		}
+		if !ending.retired {
+			ending.retired = true
+			p.Retire(group.Key())
+		}
 		for rank, member := range group.Members {
 			if rank == 0 || member.ID == "" || !member.Listed || view.Lost(member.Instance, now) || ending.released(member.Instance) {
 				continue
 			}
+			_, repeated := ending.orderedAt[member.ID]
+			if !ending.mayOrder(member.ID, now) {
+				continue
+			}
 			state := p.stateOf(member.Instance)
-			orders.Go(func() error {
+			release := func() {
 				if p.sendLeave(ctx, member, state, group.Key()).left() {
 					ending.recordLeft(member.Instance)
 				}
+			}
+			if repeated {
+				p.background(release)
+				continue
+			}
+			orders.Go(func() error {
+				release()
 				return nil
 			})
 		}
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -187,3 +187,13 @@
 	}
 	return false
 }
+
+// loseHead closes the port of a head, which runs on, and marks it lost.
+func (h *harness) loseHead(id string) {
+	for _, instance := range h.fleet.Listed() {
+		if instance.ID == id {
+			h.roster.MarkLost(id, instance.StartedAt, h.fleet.Now())
+		}
+	}
+	h.fleet.SetRefusing(id, true)
+}
--- a/internal/planner/heads_test.go
+++ b/internal/planner/heads_test.go
@@ -137,3 +137,22 @@
 	h.readsStopped, h.readAt = true, h.fleet.Now().Add(time.Hour)
 	h.run(5*time.Second, h.startLeader())
 }
+
+// Guards against a silent member of an abandoned group that is asked in every
+// step: each step then waits for it, and each report has its price. Two reports a
+// second are the most that a planner may ask of an instance.
+func TestSilentMemberIsNotAskedInEveryStep(t *testing.T) {
+	h := newHarness(t)
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 4, large)
+	p := h.startLeader()
+	h.run(5*time.Second, p)
+	head := h.openHead()
+	h.loseHead(head)
+	silent := h.fleet.GroupMembers(head)[2]
+	h.fleet.SetUnreachable(silent, true)
+	before := h.fleet.Calls(silent)
+	h.run(10*time.Second, p)
+	assert.Assert(t, h.fleet.Calls(silent)-before <= 20, "%d calls in 10 s", h.fleet.Calls(silent)-before)
+	assert.Assert(t, len(h.retired) > 0, "other hosts still send to the group")
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -59,6 +59,7 @@
 	lastEntry   flamingodoor.Instance
 	unlisted    bool
 	unreachable bool            // does not answer, but runs
+	calls       int             // reports and orders sent to it
 	refusing    bool            // its port refuses connections, but it runs
 	readyIn     map[string]bool // groups in which the instance became ready, by groupKey
 	delayed     []delayedOrder
@@ -200,6 +201,14 @@
 	f.instances[id].unreachable = unreachable
 }
 
+// Calls returns the number of reports and orders that were sent to an instance,
+// answered or not.
+func (f *Fleet) Calls(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[id].calls
+}
+
 // SetRefusing sets whether the port of a running instance refuses connections.
 func (f *Fleet) SetRefusing(id string, refusing bool) {
 	f.mu.Lock()
@@ -279,6 +288,7 @@
 func (f *Fleet) reachableAt(address netip.AddrPort) (*instance, error) {
 	for _, i := range f.instances {
 		if i.Address == address {
+			i.calls++
 			if i.refusing {
 				return nil, flamingodoor.NewError(flamingodoor.CodeEndpointFailed, flamingodoor.RunStateNotRun, syscall.ECONNREFUSED)
 			}
