Keep requests with the same identifier off a connection that has carried one

Callers saw: 503, not run, for an idempotent request or a resumable stream that ran. The caller had sent the request twice under one identifier; the first attempt was refused, and the endpoint wrote that refusal once more on the kept connection, before its answer to the second.

Cause: the identifier tells the answers of different requests apart, but not those of two attempts of one request. openAndIdle rejects a connection on which bytes are unread; bytes that arrive between this check and the write, or after the write, look like the answer.

Ruled out: closing the window between check and write by time. The endpoint may write at any later moment, so only the identifier can tell. Ruled out too: requests that may not be repeated; they take a new connection (pinned by TestRepeatedRefusalIsNotTheAnswer//post2/x, which passes before).

Change: a connection remembers the hashes of the identifiers of all requests that it has carried and is not used for another with one of them. It carries at most 512 requests, which bounds the memory at 4 KB.

Tests, before: TestRepeatedRefusalIsNotTheAnswerToTheNextAttempt/at_once, /after_other_requests: "503 (int) != 200 (http.StatusOK int)"; TestConnectionIsReplacedAfterManyRequests: "1 (int64) != 2 (int64)"; TestRepeatedRefusalIsNotTheAnswer//read/x, //stream/x: "503 (got.status int) != 200 (http.StatusOK int): {"error":"no_instance"}".

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -66,10 +66,12 @@
 // Do sends the call once. Cancelling the context closes the connection, which
 // ends the work at the endpoint.
 func (p *Pool) Do(ctx context.Context, target Target, call Call) (*Response, error) {
-	conn, err := p.acquire(ctx, target, call.NewConnection)
+	id := hashID(call.Header.Get(p.idHeader))
+	conn, err := p.acquire(ctx, target, call.NewConnection, id)
 	if err != nil {
 		return nil, &CallError{Refused: connectionRefused(err), cause: err}
 	}
+	conn.sent.add(id)
 	stopClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	exchange := &exchange{pool: p, target: target, conn: conn, stopClose: stopClose, call: call}
 	response, err := exchange.run()
@@ -173,7 +175,7 @@
 	}
 	e.done = true
 	// If the context has ended, its AfterFunc closes the connection.
-	if !e.stopClose() || response.Close || e.conn.buffered() > 0 || !e.bodySent() {
+	if !e.stopClose() || response.Close || e.conn.buffered() > 0 || e.conn.sent.full() || !e.bodySent() {
 		_ = e.conn.Close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +55,7 @@
 	net.Conn
 	reader   *bufio.Reader // on top of head
 	head     *intake.HeadReader
+	sent     history
 	reused   bool
 	deadline time.Time // not reused after this time
 }
@@ -80,11 +82,12 @@
 	return optionErr
 }
 
-// acquire returns an idle connection that is still usable, or dials a new one.
-// It always dials if `newConnection` is set.
-func (p *Pool) acquire(ctx context.Context, target Target, newConnection bool) (*connection, error) {
+// acquire returns an idle connection that is still usable and has not carried a
+// request with this identifier, or dials a new one. It always dials if
+// `newConnection` is set.
+func (p *Pool) acquire(ctx context.Context, target Target, newConnection bool, id uint64) (*connection, error) {
 	for !newConnection {
-		conn := p.popIdle(target)
+		conn := p.popIdle(target, id)
 		if conn == nil {
 			break
 		}
@@ -107,18 +110,20 @@
 	return c.reader.Buffered() + c.head.Buffered()
 }
 
-// popIdle removes and returns the idle connection that was added last, or nil if
-// there is none.
-func (p *Pool) popIdle(target Target) *connection {
+// popIdle removes and returns the idle connection that was added last among those
+// that have not carried a request with this identifier, or nil if there is none.
+func (p *Pool) popIdle(target Target, id uint64) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[target]
-	if len(idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(idle) {
+		if conn.sent.contains(id) {
+			continue
+		}
+		p.idle[target] = slices.Delete(idle, i, i+1)
+		return conn
 	}
-	newest := idle[len(idle)-1]
-	p.idle[target] = idle[:len(idle)-1]
-	return newest
+	return nil
 }
 
 // putIdle adds a connection to the idle ones, or closes it if it may not stay
