Show that answers that stop in the head or in an event never look complete

Reports of other operators: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body; an answer that broke off halfway reached the caller as a complete success.

None of it can be shown here. TestHeadThatStopsIsAFailure stops in 13 places of the head and the framing, TestResetAnswerWithoutALengthIsNoSuccess resets answers without a length, TestStreamWithoutALengthThatEndsInsideAnEventIsBrokenOff ends streams in 6 places of an event; idempotent, non-idempotent and streaming routes.

--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -73,6 +73,26 @@
 	return instance
 }
 
+// writing returns a handler that writes a text, in which ID stands for the
+// identifier of the request, and ends the connection.
+func writing(text string) func(*net.TCPConn, *http.Request, int) bool {
+	return func(connection *net.TCPConn, request *http.Request, _ int) bool {
+		writeText(connection, request, text)
+		return false
+	}
+}
+
+// resetting is like writing, but resets the connection after the text has
+// arrived.
+func resetting(text string) func(*net.TCPConn, *http.Request, int) bool {
+	return func(connection *net.TCPConn, request *http.Request, _ int) bool {
+		writeText(connection, request, text)
+		time.Sleep(30 * time.Millisecond)
+		_ = connection.SetLinger(0)
+		return false
+	}
+}
+
 func writeText(connection *net.TCPConn, request *http.Request, text string) {
 	_, _ = io.WriteString(connection, strings.ReplaceAll(text, "ID", request.Header.Get(headers.RequestID)))
 }
@@ -117,3 +137,84 @@
 		})
 	}
 }
+
+// Guards against a success with an empty or short body after the endpoint stopped
+// in the middle of its head, or before the end of its body, and closed.
+func TestHeadThatStopsIsAFailure(t *testing.T) {
+	for name, text := range map[string]string{
+		"nothing":            "",
+		"status line":        "HTTP/1.1 200 OK",
+		"status line's end":  "HTTP/1.1 200 OK\r\n",
+		"header":             "HTTP/1.1 200 OK\r\n" + headers.RequestID + ": ID\r\nX-Head",
+		"signature":          strings.TrimSuffix(success, "g\r\n"),
+		"no blank line":      success,
+		"half a blank line":  success + "\r",
+		"no body":            success + "Content-Length: 5\r\n\r\n",
+		"short body":         success + "Content-Length: 500\r\n\r\n" + event(1),
+		"no chunk":           success + "Transfer-Encoding: chunked\r\n\r\n",
+		"half a chunk":       success + "Transfer-Encoding: chunked\r\n\r\n40\r\n" + event(1),
+		"no last chunk":      success + "Transfer-Encoding: chunked\r\n\r\n4\r\n: a\n\r\n",
+		"half of last chunk": success + "Transfer-Encoding: chunked\r\n\r\n4\r\n: a\n\r\n0\r\n",
+	} {
+		for path, service := range paths {
+			t.Run(name+" "+path, func(t *testing.T) {
+				s := newSetup(t)
+				stopping := newWorker(t, writing(text))
+				s.register(stopping.instance("i-1", service))
+				got := s.send(path)
+				assert.Assert(t, got.status == http.StatusBadGateway || got.err != nil, "%d looks complete: %q", got.status, got.body)
+				assert.Equal(t, stopping.runs.Load(), int64(1))
+			})
+		}
+	}
+}
+
+// Guards against an answer without a length that is reset on the way and looks
+// complete, whether it is short or longer than what is buffered.
+func TestResetAnswerWithoutALengthIsNoSuccess(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "short": "short", "long": longBody[:1<<20], "event": event(1), "inside an event": event(1) + "id: 2\nda"} {
+		for path, service := range paths {
+			t.Run(name+" "+path, func(t *testing.T) {
+				s := newSetup(t)
+				s.register(newWorker(t, resetting(success+"\r\n"+body)).instance("i-1", service))
+				got := s.send(path)
+				assert.Assert(t, got.status == http.StatusBadGateway || got.err != nil, "%d looks complete: %d bytes", got.status, len(got.body))
+			})
+		}
+	}
+}
+
+// An answer without a length that ends with its connection is whole.
+func TestAnswerWithoutALengthIsWhole(t *testing.T) {
+	for _, path := range []string{"/read/x", "/post2/x"} {
+		s := newSetup(t)
+		s.register(newWorker(t, writing(success+"\r\nall of it")).instance("i-1", "plain"))
+		got := s.send(path)
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "all of it")
+	}
+}
+
+// Guards against a stream without a length that ends inside an event, or before
+// its first, and looks complete.
+func TestStreamWithoutALengthThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	for name, end := range map[string]string{
+		"field name":      "id: 2\nda",
+		"empty field":     "id: 2\ndata:",
+		"before a CR LF":  "id: 2\r\ndata: t2",
+		"inside a CR LF":  "id: 2\r\ndata: t2\r",
+		"no blank line":   "id: 2\r\ndata: t2\r\n",
+		"half blank line": "id: 2\r\ndata: t2\r\n\r",
+	} {
+		for _, before := range []string{event(1), ""} {
+			t.Run(fmt.Sprintf("%s after %d bytes", name, len(before)), func(t *testing.T) {
+				s := newSetup(t)
+				s.register(newWorker(t, writing(success+"Content-Type: text/event-stream\r\n\r\n"+before+end)).instance("i-1", "llm"))
+				got := s.send("/stream/x")
+				assert.Assert(t, got.status == http.StatusBadGateway || got.err != nil, "%d looks complete: %q", got.status, got.body)
+				assert.Assert(t, got.status == http.StatusBadGateway || got.body == before, got.body)
+			})
+		}
+	}
+}
