Resume a stream with nothing but the next event of a series of events

Callers saw, after a stream had broken off at its third event: the text of the next endpoint's page, or the head of an error, in the middle of their stream, or a stream that ended as complete after three events.

Cause: a resumed response was joined to the stream if its status was 200 and it was signed. Only events with data were compared with the last identifier; other text, and comments, went through, and a response that ended without any event counted as the end.

Ruled out: errors (400, 404, 429, 500, 503, with and without the statement that the request has not run), unsigned, foreign and cut responses; they pass before.

Change: a response that resumes a begun stream must have the content type of events.

Tests, before: TestResumedStreamContinuesWithNothingButTheNextEvent fails in 11 of 29 cases, as page: "the response looks complete: ...t3\n\n<p>An error occurred.</p>\n\n"; TestResumedStreamLeavesOutWhatPrecedesTheNextEvent fails.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -237,25 +237,37 @@
 // copyEvents forwards complete events until the response ends. It calls progress
 // after each event that carries data, and flushes when no further event is
 // buffered. Comments and empty events are forwarded, but a stream that sends
-// nothing else makes no progress.
+// nothing else makes no progress. A resumed stream must be a series of events and
+// is forwarded from the event after the last one sent; whether one that ends
+// before it is complete cannot be known.
 func (p *Proxy) copyEvents(response *upstream.Response, client *delivery, progress func()) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
-	resumedAt, resumes := client.lastEventID, client.started
+	order := eventOrder{last: client.lastEventID, resumes: client.started}
+	if order.resumes && !isEventStream(response) {
+		return errStreamGap
+	}
 	for {
 		event, err := readEvent(reader)
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF) && order.resumes:
+			return errStreamGap
+		case err != nil:
 			return p.finishStream(client, response, event, err)
 		}
 		id := eventID(event)
 		carriesData := id != "" || hasData(event)
-		if carriesData && resumes && !isNextEvent(resumedAt, id) {
-			return errStreamGap
+		if carriesData {
+			if err := order.check(id); err != nil {
+				return err
+			}
+		}
+		if order.resumes {
+			continue
 		}
 		if err := client.write(response, event); err != nil {
 			return err
 		}
 		if carriesData {
-			resumes = false
 			client.events++
 			progress()
 		}
