Do not resume a stream of which an event had no identifier

Callers would see an event twice: a stream without identifiers that broke off was sent from its beginning by the next endpoint, and one of which an event had none resumed before that event.

Change: such a stream is broken off.

Test, before: TestStreamWithoutIdentifiersIsNotResumed/none: "the response looks complete: "data: a\n\ndata: a\n\ndata: b\n\n""; /one_missing: "1 (int64) != 0 (int64)".

--- a/internal/proxy/resume_test.go
+++ b/internal/proxy/resume_test.go
@@ -90,3 +90,22 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, allEvents(4)+": still here\n\n"+event(5))
 }
+
+// Guards against sending the events of a stream twice: without identifiers,
+// another endpoint cannot continue after those that the caller has.
+func TestStreamWithoutIdentifiersIsNotResumed(t *testing.T) {
+	for name, begin := range map[string]string{"none": "data: a\n\n", "one missing": event(1) + "data: a\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			failing := newWorker(t, writing(eventStream+"\r\n"+begin+"da"))
+			other := newWorker(t, writing(sized(eventStream, "data: a\n\ndata: b\n\n")))
+			far := other.instance("i-2", "llm")
+			far.DataCentre = "dc-b"
+			s.register(failing.instance("i-1", "llm"), far)
+			got := s.send("/stream/x")
+			assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+			assert.Equal(t, got.body, begin)
+			assert.Equal(t, other.runs.Load(), int64(0))
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -39,6 +39,7 @@
 	started     bool   // the status and headers were sent
 	events      int    // complete events sent
 	lastEventID string // of the last complete event sent; at first as sent by the caller
+	unnumbered  bool   // an event without an identifier was sent
 }
 
 // serveStream proxies a request whose response is a stream of server-sent events.
@@ -77,7 +78,7 @@
 // mayResume reports whether the stream may continue with another attempt, and
 // takes that attempt from the retry budget.
 func (p *Proxy) mayResume(ctx context.Context, j *job, client *delivery) bool {
-	if client.started && !j.route.Resumable {
+	if client.started && (!j.route.Resumable || client.unnumbered) {
 		return false
 	}
 	return p.mayRepeat(ctx, j)
@@ -268,6 +269,7 @@
 			return err
 		}
 		if carriesData {
+			client.unnumbered = client.unnumbered || id == ""
 			client.events++
 			progress()
 		}
