Fail a stream without a length that ends before its first event

Callers saw a 200 with an empty body, framed as whole, from an endpoint that closed after the head of a stream that has neither a length nor chunks.

Cause: an end between two events counts as the end of the stream, also before the first one. A stream with a length or chunks states itself that it is empty and is still passed on.

Test, before: TestStreamWithoutALengthAndEventsIsAFailure/empty: "200 looks complete: """, /comment: "200 looks complete: ": hello\n\n"".

--- a/internal/proxy/resume_test.go
+++ b/internal/proxy/resume_test.go
@@ -109,3 +109,16 @@
 		})
 	}
 }
+
+// Guards against a success without any event from a stream without a length,
+// whose endpoint closed after the head.
+func TestStreamWithoutALengthAndEventsIsAFailure(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "comment": ": hello\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			s.register(newWorker(t, writing(eventStream+"\r\n"+body)).instance("i-1", "llm"))
+			got := s.send("/stream/x")
+			assert.Assert(t, got.status == http.StatusBadGateway || got.err != nil, "%d looks complete: %q", got.status, got.body)
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -310,12 +310,13 @@
 }
 
 // finishStream handles a read error at the end of a response. It returns nil if
-// the response ended after a complete event.
+// the response ended after a complete event. One without a length ends with its
+// connection, so that without any event it may have broken off.
 func (p *Proxy) finishStream(client *delivery, response *upstream.Response, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	if len(bytes.TrimSpace(rest)) > 0 {
+	if len(bytes.TrimSpace(rest)) > 0 || (client.events == 0 && response.EndsWithConnection()) {
 		return io.ErrUnexpectedEOF
 	}
 	return client.write(response, rest)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -45,6 +45,11 @@
 	*http.Response
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // CallError is the failure of a call and records how far the call got.
 type CallError struct {
 	Sent    bool // some of the request may have reached the endpoint
