Break a stream off at an event whose identifier does not increase

Callers saw a piece twice, in a stream that ended as complete, from an endpoint that wrote the last events, or all of them, once more after the last one.

On the users' pages identifiers increase; nothing marks the last event, so that events after it are known by their identifiers alone. One that goes on increasing cannot be told from the stream.

What was accepted before is flushed first.

--- a/internal/proxy/resume_test.go
+++ b/internal/proxy/resume_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+// Guards against events that an endpoint writes once more after the last one, with
+// or without a length.
+func TestStreamWithRepeatedEventsIsBrokenOff(t *testing.T) {
+	for name, text := range map[string]string{
+		"all":                   sized(eventStream, allEvents(3)+allEvents(3)),
+		"all, without a length": eventStream + "\r\n" + allEvents(3) + allEvents(3),
+		"last":                  eventStream + "\r\n" + allEvents(3) + event(3),
+		"earlier":               eventStream + "\r\n" + allEvents(3) + event(2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			s.register(newWorker(t, writing(text)).instance("i-1", "llm"))
+			got := s.send("/stream/x")
+			assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+			assert.Equal(t, got.body, allEvents(3))
+		})
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -259,7 +259,7 @@
 		carriesData := id != "" || hasData(event)
 		if carriesData {
 			if err := order.check(id); err != nil {
-				return err
+				return errors.Join(err, client.flush())
 			}
 		}
 		if order.resumes {
