Fail a body without a length in which a second response begins

Callers saw the head and body of a second response at the end of a success that had neither a length nor chunks, and that head as an event of a stream.

Cause: such a body ends with its connection, so that all that an endpoint writes belongs to it by HTTP alone.

Change: where a status line and header fields up to the identifier appear in such a body, reading it fails there: 502, or the response or stream is broken off and resumes where its route allows. Bodies with a length or chunks are not searched.

TestBytesAfterACompleteStreamAreLeftOut passes before and after.

--- a/internal/proxy/event_order.go
+++ b/internal/proxy/event_order.go
@@ -25,8 +25,12 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
-// check returns an error if the event may not be sent to the caller.
-func (o *eventOrder) check(id string) error {
+// check returns an error if the event may not be sent to the caller. Only events
+// that carry data have an order.
+func (o *eventOrder) check(id string, carriesData bool) error {
+	if !carriesData {
+		return nil
+	}
 	if o.resumes && !isNextEvent(o.last, id) {
 		return errStreamGap
 	}
--- a/internal/proxy/resume_test.go
+++ b/internal/proxy/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -141,3 +142,52 @@
 		})
 	}
 }
+
+// Guards against a second response in a response without a length: it belongs to
+// no request, and the first one must not look complete.
+func TestSecondResponseInAResponseWithoutALengthIsAFailure(t *testing.T) {
+	second := sized(failure(503)+headers.NotRun+": 1\r\n", "full")
+	for name, c := range map[string]struct{ path, body, end string }{
+		"plain":                    {"/read/x", "all of it", second},
+		"plain, after a line":      {"/post2/x", "all of it\r\n", second},
+		"plain, success":           {"/post2/x", "all of it", sized(success, "again")},
+		"plain, long":              {"/post2/x", longBody[:1<<20], second},
+		"stream":                   {"/stream/x", allEvents(3), second},
+		"stream, inside an event":  {"/stream/x", allEvents(3) + "id: 4\ndata: t", second},
+		"stream, success":          {"/stream/x", allEvents(3), sized(eventStream, allEvents(3))},
+		"stream, without a length": {"/stream/x", allEvents(3), eventStream + "\r\n" + allEvents(3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			faulty := newWorker(t, func(connection *net.TCPConn, request *http.Request, _ int) bool {
+				writeText(connection, request, eventStream+"\r\n"+c.body+c.end)
+				return false
+			})
+			s.register(faulty.instance("i-1", paths[c.path]))
+			got := s.send(c.path)
+			assert.Assert(t, got.status == http.StatusBadGateway || got.err != nil, "%d looks complete: %d bytes, %.200q", got.status, len(got.body), got.body)
+			if c.path == "/stream/x" {
+				assert.Equal(t, got.body, allEvents(3))
+			}
+		})
+	}
+}
+
+// What follows the last chunk, or the length, of a stream does not reach the
+// caller.
+func TestBytesAfterACompleteStreamAreLeftOut(t *testing.T) {
+	for name, text := range map[string]string{
+		"chunks": eventStream + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(allEvents(3)), allEvents(3)),
+		"length": sized(eventStream, allEvents(3)),
+	} {
+		for end, extra := range map[string]string{"event": event(4), "response": sized(failure(503), "full")} {
+			t.Run(name+" "+end, func(t *testing.T) {
+				s := newSetup(t)
+				s.register(newWorker(t, writing(text+extra)).instance("i-1", "llm"))
+				got := s.send("/stream/x")
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.body, allEvents(3))
+			})
+		}
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -257,10 +257,8 @@
 		}
 		id := eventID(event)
 		carriesData := id != "" || hasData(event)
-		if carriesData {
-			if err := order.check(id); err != nil {
-				return errors.Join(err, client.flush())
-			}
+		if err := order.check(id, carriesData); err != nil {
+			return errors.Join(err, client.flush())
 		}
 		if order.resumes {
 			continue
@@ -269,13 +267,9 @@
 			return err
 		}
 		if carriesData {
-			client.unnumbered = client.unnumbered || id == ""
-			client.events++
+			client.count(id)
 			progress()
 		}
-		if id != "" {
-			client.lastEventID = id
-		}
 		if !hasBufferedEvent(reader) {
 			if err := client.flush(); err != nil {
 				return err
@@ -336,6 +330,16 @@
 	return nil
 }
 
+// count records an event with data that was written, and its identifier, if any.
+func (d *delivery) count(id string) {
+	d.events++
+	if id == "" {
+		d.unnumbered = true
+		return
+	}
+	d.lastEventID = id
+}
+
 // flush sends buffered data to the caller.
 func (d *delivery) flush() error {
 	if err := d.control.Flush(); err != nil {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -115,8 +115,12 @@
 	if err != nil {
 		return nil, e.failure(true, err)
 	}
+	received := &Response{Response: response}
+	if received.EndsWithConnection() {
+		response.Body = &unframedBody{ReadCloser: response.Body, pattern: e.pool.secondHead}
+	}
 	response.Body = &responseBody{ReadCloser: response.Body, exchange: e, response: response}
-	return &Response{Response: response}, nil
+	return received, nil
 }
 
 // failure returns the error of this call.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"slices"
 	"sync"
 	"syscall"
@@ -37,9 +38,10 @@
 
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	idHeader string
-	dialer   net.Dialer
-	now      func() time.Time
+	idHeader   string
+	secondHead *regexp.Regexp
+	dialer     net.Dialer
+	now        func() time.Time
 
 	mu   sync.Mutex
 	idle map[Target][]*connection
@@ -64,7 +66,7 @@
 // response, which links a response to its request.
 func New(idHeader string) *Pool {
 	return &Pool{
-		idHeader: idHeader, now: time.Now, idle: make(map[Target][]*connection),
+		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, idle: make(map[Target][]*connection),
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout},
 	}
 }
