Do not count what an endpoint wrote wrongly as its crash

Callers saw 503 crashes_endpoints for a sound request after two endpoints had written what does not belong into its stream.

Cause: each stream that failed on a connection of its own was reported as a possible crash, also where the proxy itself ended it: an event out of order or too long, a response without an identifier, a second response.

Change: only errors of the connection are reported.

Test, before: TestSpoiledStreamIsNoCrash: "503 (got.status int) != 200 (http.StatusOK int): {"error":"crashes_endpoints"}".

--- a/internal/proxy/resume_test.go
+++ b/internal/proxy/resume_test.go
@@ -191,3 +191,19 @@
 		}
 	}
 }
+
+// Guards against refusing a sound request as the cause of crashes, after two
+// endpoints wrote what does not belong into its stream: none of them crashed.
+func TestSpoiledStreamIsNoCrash(t *testing.T) {
+	s := newSetup(t)
+	spoiled := newWorker(t, writing(eventStream+"\r\n"+event(1)+event(1)))
+	far := spoiled.instance("i-2", "llm")
+	far.DataCentre = "dc-b"
+	s.register(spoiled.instance("i-1", "llm"), far)
+	assert.Assert(t, s.send("/stream/x").err != nil)
+	assert.Equal(t, spoiled.runs.Load(), int64(2))
+	s.register(newEndpoint(t, events(3, 0)).instance("i-3", "llm"))
+	got := s.send("/stream/x")
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, got.body, allEvents(3))
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -206,9 +206,10 @@
 	}
 	j.mayHaveRun = true
 	j.cause = "broken"
-	if failure == nil || !failure.Reused {
+	if flamingodoor.CodeOf(err) == flamingodoor.CodeInternal && (failure == nil || !failure.Reused) {
 		// The endpoint closed the connection: it may have crashed. If a reused
-		// connection gave no response, it may have been closed while idle.
+		// connection gave no response, it may have been closed while idle. Errors
+		// with a code of their own are about what the endpoint sent.
 		p.crashTracker.ReportCrash(ctx, j.fingerprint, dest.instance.ID)
 	}
 	return p.callerLeftOr(ctx, outcomeFailed)
