--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -39,6 +39,7 @@
 	started     bool   // the status and headers were sent
 	events      int    // complete events sent
 	lastEventID string // of the last complete event sent; at first as sent by the caller
+	unnumbered  bool   // an event without an identifier was sent
 }
 
 // serveStream proxies a request whose response is a stream of server-sent events.
@@ -77,7 +78,7 @@
 // mayResume reports whether the stream may continue with another attempt, and
 // takes that attempt from the retry budget.
 func (p *Proxy) mayResume(ctx context.Context, j *job, client *delivery) bool {
-	if client.started && !j.route.Resumable {
+	if client.started && (!j.route.Resumable || client.unnumbered) {
 		return false
 	}
 	return p.mayRepeat(ctx, j)
@@ -205,9 +206,10 @@
 	}
 	j.mayHaveRun = true
 	j.cause = "broken"
-	if failure == nil || !failure.Reused {
+	if flamingodoor.CodeOf(err) == flamingodoor.CodeInternal && (failure == nil || !failure.Reused) {
 		// The endpoint closed the connection: it may have crashed. If a reused
-		// connection gave no response, it may have been closed while idle.
+		// connection gave no response, it may have been closed while idle. Errors
+		// with a code of their own are about what the endpoint sent.
 		p.crashTracker.ReportCrash(ctx, j.fingerprint, dest.instance.ID)
 	}
 	return p.callerLeftOr(ctx, outcomeFailed)
@@ -237,31 +239,38 @@
 // copyEvents forwards complete events until the response ends. It calls progress
 // after each event that carries data, and flushes when no further event is
 // buffered. Comments and empty events are forwarded, but a stream that sends
-// nothing else makes no progress.
+// nothing else makes no progress. A resumed stream must be a series of events and
+// is forwarded from the event after the last one sent; whether one that ends
+// before it is complete cannot be known.
 func (p *Proxy) copyEvents(response *upstream.Response, client *delivery, progress func()) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
-	resumedAt, resumes := client.lastEventID, client.started
+	order := eventOrder{last: client.lastEventID, resumes: client.started}
+	if order.resumes && !isEventStream(response) {
+		return errStreamGap
+	}
 	for {
 		event, err := readEvent(reader)
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF) && order.resumes:
+			return errStreamGap
+		case err != nil:
 			return p.finishStream(client, response, event, err)
 		}
 		id := eventID(event)
 		carriesData := id != "" || hasData(event)
-		if carriesData && resumes && !isNextEvent(resumedAt, id) {
-			return errStreamGap
+		if err := order.check(id, carriesData); err != nil {
+			return errors.Join(err, client.flush())
+		}
+		if order.resumes {
+			continue
 		}
 		if err := client.write(response, event); err != nil {
 			return err
 		}
 		if carriesData {
-			resumes = false
-			client.events++
+			client.count(id)
 			progress()
 		}
-		if id != "" {
-			client.lastEventID = id
-		}
 		if !hasBufferedEvent(reader) {
 			if err := client.flush(); err != nil {
 				return err
@@ -296,12 +305,13 @@
 }
 
 // finishStream handles a read error at the end of a response. It returns nil if
-// the response ended after a complete event.
+// the response ended after a complete event. One without a length ends with its
+// connection, so that without any event it may have broken off.
 func (p *Proxy) finishStream(client *delivery, response *upstream.Response, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	if len(bytes.TrimSpace(rest)) > 0 {
+	if len(bytes.TrimSpace(rest)) > 0 || (client.events == 0 && response.EndsWithConnection()) {
 		return io.ErrUnexpectedEOF
 	}
 	return client.write(response, rest)
@@ -321,6 +331,16 @@
 	return nil
 }
 
+// count records an event with data that was written, and its identifier, if any.
+func (d *delivery) count(id string) {
+	d.events++
+	if id == "" {
+		d.unnumbered = true
+		return
+	}
+	d.lastEventID = id
+}
+
 // flush sends buffered data to the caller.
 func (d *delivery) flush() error {
 	if err := d.control.Flush(); err != nil {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -45,6 +45,11 @@
 	*http.Response
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // CallError is the failure of a call and records how far the call got.
 type CallError struct {
 	Sent    bool // some of the request may have reached the endpoint
@@ -66,10 +71,12 @@
 // Do sends the call once. Cancelling the context closes the connection, which
 // ends the work at the endpoint.
 func (p *Pool) Do(ctx context.Context, target Target, call Call) (*Response, error) {
-	conn, err := p.acquire(ctx, target, call.NewConnection)
+	id := hashID(call.Header.Get(p.idHeader))
+	conn, err := p.acquire(ctx, target, call.NewConnection, id)
 	if err != nil {
 		return nil, &CallError{Refused: connectionRefused(err), cause: err}
 	}
+	conn.sent.add(id)
 	stopClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	exchange := &exchange{pool: p, target: target, conn: conn, stopClose: stopClose, call: call}
 	response, err := exchange.run()
@@ -108,8 +115,12 @@
 	if err != nil {
 		return nil, e.failure(true, err)
 	}
+	received := &Response{Response: response}
+	if received.EndsWithConnection() {
+		response.Body = &unframedBody{ReadCloser: response.Body, pattern: e.pool.secondHead}
+	}
 	response.Body = &responseBody{ReadCloser: response.Body, exchange: e, response: response}
-	return &Response{Response: response}, nil
+	return received, nil
 }
 
 // failure returns the error of this call.
@@ -173,7 +184,7 @@
 	}
 	e.done = true
 	// If the context has ended, its AfterFunc closes the connection.
-	if !e.stopClose() || response.Close || e.conn.buffered() > 0 || !e.bodySent() {
+	if !e.stopClose() || response.Close || e.conn.buffered() > 0 || e.conn.sent.full() || !e.bodySent() {
 		_ = e.conn.Close()
 		return
 	}
