Send nothing to an instance that states that it is leaving

Cause: an instance states in all its answers that it leaves (Server-Leaving), but the hosts looked only at its registration. Where the list lags, or the instance never registers as draining, it got requests until it closed its port; callers then saw failed or repeated attempts.

Now each head that the connection to an instance yields is observed: successes, errors, refusals, streams, interim answers and those that are skipped, and the answers to reports and orders. The roster keeps a mark for the process (identifier and start) that no list clears, its view shows the entry as leaving, and the other hosts hear of it like of a loss, relays included. Thus retries, resumed streams and the planner need no rule of their own: a group with such a member takes no new work and is dissolved as for a registration that says draining. A newer start under the identifier ends the mark; without an entry it is dropped after a minute. 421 does not count: another instance answered at the address.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,7 @@
 // Platform provides access to the platform's services and to the instances.
 type Platform struct {
 	Followers TopicFollowers
-	Instances flamingodoor.InstanceClient
+	Instances InstanceClient
 	Epochs    flamingodoor.EpochLog
 	Heads     flamingodoor.HeadStore
 	Loads     flamingodoor.LoadStore
@@ -105,6 +105,15 @@
 	Headers   proxy.Headers
 }
 
+// InstanceClient queries instances, sends them orders, and passes on what they
+// state about themselves in their responses.
+type InstanceClient interface {
+	flamingodoor.InstanceClient
+	// Observe sets the function that gets these statements. It is called before
+	// the first request.
+	Observe(observe func(notice flamingodoor.InstanceNotice))
+}
+
 // TopicFollowers follow the configuration and the registrations on the platform.
 type TopicFollowers interface {
 	// FollowConfiguration polls for changes of the configuration until the
@@ -157,7 +166,8 @@
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
 		Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics))
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving))
+	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	feeds := exchange.Feeds{
 		Registrations: platform.Followers.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.shareRegistrations),
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -62,14 +62,15 @@
 }
 
 // lossReport is a finding of this host, or one that it forwards, about an
-// instance or a group. Without alive or retiring, it reports that the instance
-// did not answer or that the group makes no progress.
+// instance or a group. Without alive, leaving or retiring, it reports that the
+// instance did not answer or that the group makes no progress.
 type lossReport struct {
 	instanceID string          // empty in a report about a group
 	startedAt  time.Time       // of the instance
 	group      roster.GroupKey // zero in a report about an instance
 	retiring   bool            // the group takes no new work
 	alive      bool            // the instance answers: earlier losses no longer hold
+	leaving    bool            // the instance stated that it is leaving
 	at         time.Time       // when it was found
 }
 
@@ -77,7 +78,7 @@
 // their times.
 func (l lossReport) sameEvent(other lossReport) bool {
 	return l.instanceID == other.instanceID && l.startedAt.Equal(other.startedAt) && l.group == other.group &&
-		l.retiring == other.retiring && l.alive == other.alive
+		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving
 }
 
 func newSharedState(gateway *Gateway) *sharedState {
@@ -113,7 +114,7 @@
 		recent = append(recent, loss)
 		message := &exchangev1.Loss{
 			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
-			Retiring: loss.retiring, Found: loss.alive,
+			Retiring: loss.retiring, Found: loss.alive, Leaving: loss.leaving,
 		}
 		if !loss.startedAt.IsZero() {
 			message.BornMs = loss.startedAt.UnixMilli()
@@ -181,6 +182,8 @@
 		switch {
 		case loss.retiring:
 			g.roster.MarkRetiring(loss.group, now)
+		case loss.leaving:
+			g.roster.MarkLeaving(loss.instanceID, loss.startedAt, now)
 		case loss.alive:
 			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 		case loss.group.Name != "":
@@ -201,7 +204,7 @@
 
 func decodeLoss(message *exchangev1.Loss, now time.Time) lossReport {
 	loss := lossReport{
-		instanceID: message.GetInstanceId(), retiring: message.GetRetiring(), alive: message.GetFound(),
+		instanceID: message.GetInstanceId(), retiring: message.GetRetiring(), alive: message.GetFound(), leaving: message.GetLeaving(),
 		group: roster.GroupKey{Name: message.GetGroup(), Epoch: message.GetEpoch()},
 		at:    now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
 	}
@@ -376,6 +379,12 @@
 	g.tracker.Wake()
 }
 
+// announceLeaving sends the peers what an instance stated in a response to this
+// host.
+func (g *Gateway) announceLeaving(instanceID string, startedAt time.Time) {
+	g.shared.publishLosses(lossReport{instanceID: instanceID, startedAt: startedAt, leaving: true, at: time.Now()})
+}
+
 // retireGroup stops new work for a group, here and on the other hosts.
 func (g *Gateway) retireGroup(key roster.GroupKey) {
 	now := time.Now()
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -273,6 +273,7 @@
 		// If a reused connection turns out to be closed, it is unknown whether
 		// the request has run.
 		NewConnection: !j.repeatable(),
+		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -27,6 +27,7 @@
 	LastEventID    string
 	ExpectVersion  string
 	WeightVersion  string
+	Leaving        string // set to "1" on all responses of an endpoint that is leaving
 }
 
 // job is a caller's authorised request and the state of its attempts.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -73,6 +73,7 @@
 	crashTracker    flamingodoor.CrashTracker
 	demand          *Demand
 	observer        Observer
+	onLeaving       func(instanceID string, startedAt time.Time)
 	logger          log.Logger
 	now             func() time.Time
 	uptime          func() time.Time // of confirmations
@@ -118,6 +119,12 @@
 	return func(p *Proxy) { p.observer = observer }
 }
 
+// WithLeavingListener sets the function that is called when this host is the
+// first to see that a process of an instance is leaving.
+func WithLeavingListener(onLeaving func(instanceID string, startedAt time.Time)) Option {
+	return func(p *Proxy) { p.onLeaving = onLeaving }
+}
+
 // Parts are the dependencies and settings of a Proxy.
 type Parts struct {
 	Headers      Headers
@@ -143,7 +150,7 @@
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, demand: parts.Demand, logger: parts.Logger,
-		observer: noObserver{}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
+		observer: noObserver{}, onLeaving: func(string, time.Time) {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 	}
 	for _, option := range options {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -140,6 +140,7 @@
 	answers       map[string]lastAnswer  // by instance ID
 	stalledGroups map[GroupKey]time.Time // when the mark expires
 	retiring      map[GroupKey]time.Time // when the mark expires
+	leaving       map[string]leavingMark // by instance ID
 	openSince     map[GroupKey]time.Time
 	unlisted      int  // entries that are not listed
 	dirty         bool // entries changed since the latest view
@@ -152,7 +153,7 @@
 func New() *Roster {
 	r := &Roster{
 		entries: make(map[string]*Entry), lostInstances: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
-		retiring: make(map[GroupKey]time.Time), openSince: make(map[GroupKey]time.Time),
+		retiring: make(map[GroupKey]time.Time), leaving: make(map[string]leavingMark), openSince: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
 	return r
@@ -204,6 +205,7 @@
 	if lost, isLost := r.lostInstances[instance.ID]; isLost && !lost.startedAt.Equal(instance.StartedAt) {
 		delete(r.lostInstances, instance.ID)
 	}
+	r.dropLeavingMark(instance.ID, instance.StartedAt)
 	if ok && !known.Listed {
 		r.unlisted--
 	}
@@ -341,6 +343,7 @@
 }
 
 func (r *Roster) expire(now time.Time) {
+	r.expireLeavingMarks(now)
 	if r.unlisted > 0 {
 		r.expireUnlisted(now)
 	}
@@ -362,10 +365,10 @@
 
 // buildView returns a view without marks.
 func (r *Roster) buildView(now time.Time) View {
-	view := View{Entries: maps.Clone(r.entries), ByService: make(map[string][]*Entry)}
+	view := View{Entries: r.viewEntries(), ByService: make(map[string][]*Entry)}
 	groups := make(map[GroupKey]*Group)
 	sizes := make(map[GroupKey]int)
-	for _, entry := range r.entries {
+	for _, entry := range view.Entries {
 		if entry.Listed {
 			view.ByService[entry.Service] = append(view.ByService[entry.Service], entry)
 		}
@@ -373,7 +376,7 @@
 			sizes[entry.groupKey()] = max(sizes[entry.groupKey()], entry.Membership.Rank+1)
 		}
 	}
-	for _, entry := range r.entries {
+	for _, entry := range view.Entries {
 		if entry.inGroup() {
 			addMember(groups, entry, sizes[entry.groupKey()])
 		}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,6 +38,9 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // do not reuse an idle connection
+	// OnHead is called for each head that is received, also for interim and
+	// skipped responses. It may be nil.
+	OnHead func(status int, header http.Header)
 }
 
 // Response is the response of an endpoint. Its body must be closed.
@@ -132,6 +135,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if e.call.OnHead != nil {
+			e.call.OnHead(response.StatusCode, response.Header)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/serving.go
+++ b/serving.go
@@ -209,6 +209,14 @@
 	Restore(records RecordBatch)
 }
 
+// InstanceNotice is what an instance states about itself in the head of a
+// response, whatever was requested.
+type InstanceNotice struct {
+	InstanceID string
+	StartedAt  time.Time // of the process that responded
+	Leaving    bool      // the instance leaves and takes no new requests
+}
+
 // InstanceClient queries instances and sends them orders.
 type InstanceClient interface {
 	Report(ctx context.Context, address netip.AddrPort) (InstanceReport, error)
