Leave an instance alone until its Retry-After

Cause: an instance that is full may say in a 503 for how long it wants nothing from this host. The hosts paused it for 0.1 s, whatever it said, and told the caller a share of its own time as Retry-After.

Now the host holds that process of the instance until then: candidates exclude it, the own pause is kept apart and cannot shorten it, a later answer neither. If all instances of a request are held past its wait, it is refused at once, with the time until the first hold ends, spread at random and never later than callers wait. Other hosts are not told. A group with such a head stays as it is: full, not lost. An inspection probes a held member once, and the unknown load of a head is no stall.

--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -288,7 +288,8 @@
 }
 
 // inspect probes the members of a silent group. It marks those that do not
-// answer as lost and reports them to the peers.
+// answer as lost and reports them to the peers. A member that asked for no
+// requests and was probed since is left out.
 func (g *Gateway) inspect(ctx context.Context, group *roster.Group) stall.Inspection {
 	var mu sync.Mutex
 	inspection := stall.Inspection{Slowdown: noSlowdown}
@@ -297,6 +298,10 @@
 		if member.ID == "" {
 			continue
 		}
+		if !g.proxy.MayProbe(member.Instance) {
+			inspection.HeadUnknown = inspection.HeadUnknown || rank == 0
+			continue
+		}
 		probes.Go(func() error {
 			report, alive := g.probe(ctx, member.Instance)
 			mu.Lock()
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -26,10 +26,29 @@
 	maxRetryAfterShare = 0.33
 )
 
-// retryAfter returns the Retry-After of a refused job.
+// retryAfter returns the Retry-After of a refused job: a share of the time left.
 func (p *Proxy) retryAfter(j *job) time.Duration {
 	left := max(0, j.deadline.Sub(p.now()))
-	return time.Duration((minRetryAfterShare + p.random()*(maxRetryAfterShare-minRetryAfterShare)) * float64(left))
+	return p.retryAfterOr(j, time.Duration(minRetryAfterShare*float64(left))+p.retrySpread(left))
+}
+
+// retryAfterOr returns the Retry-After of a refused job if all its instances asked
+// for no requests: when the first of them takes requests again, but not later than
+// callers wait. Otherwise it returns the usual one.
+func (p *Proxy) retryAfterOr(j *job, usual time.Duration) time.Duration {
+	now := p.now()
+	roomAt, ok := p.roomAt(j, now)
+	if !ok {
+		return usual
+	}
+	left := max(0, j.deadline.Sub(now))
+	return min(roomAt.Sub(now)+p.retrySpread(left), time.Duration(maxRetryAfterShare*float64(left)))
+}
+
+// retrySpread returns a random part of the time left, by which the retries of
+// callers are spread.
+func (p *Proxy) retrySpread(left time.Duration) time.Duration {
+	return time.Duration(p.random() * (maxRetryAfterShare - minRetryAfterShare) * float64(left))
 }
 
 // destination is an instance that can take a job.
@@ -63,7 +82,7 @@
 		if err == nil && j.placedAt.IsZero() {
 			j.placedAt = p.now()
 		}
-		if err == nil || errors.Is(err, errNoInstance) {
+		if err == nil || errors.Is(err, errNoInstance) || isHeldPast(err, until) {
 			return dest, err
 		}
 		select {
@@ -76,6 +95,13 @@
 	}
 }
 
+// isHeldPast reports whether no instance takes requests before the given time,
+// because all of them asked for none.
+func isHeldPast(err error, until time.Time) bool {
+	var held *heldError
+	return errors.As(err, &held) && held.until.After(until)
+}
+
 // tryAcquire reserves a slot without waiting.
 func (p *Proxy) tryAcquire(j *job) (destination, error) {
 	if j.callerRetry && p.waiters.hasAny(j) {
@@ -86,10 +112,7 @@
 	now := p.now()
 	set := p.findCandidates(j, p.roster.View(), now)
 	if len(set.candidates) == 0 {
-		if set.coldLimited {
-			return destination{}, errFull
-		}
-		return destination{}, errNoInstance
+		return destination{}, set.emptyError()
 	}
 	id, ok := p.tracker.Pick(set.candidates, p.unreportedRequests(j, now), now)
 	if !ok {
@@ -146,6 +169,26 @@
 	candidates   []balance.Candidate
 	destinations map[string]destination // by instance
 	coldLimited  bool                   // a cold instance was excluded by its request rate
+	heldUntil    time.Time              // earliest end of the holds by which instances were excluded
+}
+
+// emptyError returns why there is no candidate.
+func (c *candidateSet) emptyError() error {
+	switch {
+	case c.coldLimited:
+		return errFull
+	case !c.heldUntil.IsZero():
+		return &heldError{until: c.heldUntil}
+	default:
+		return errNoInstance
+	}
+}
+
+// addHeld records an instance that is excluded until the given time.
+func (c *candidateSet) addHeld(until time.Time) {
+	if c.heldUntil.IsZero() || until.Before(c.heldUntil) {
+		c.heldUntil = until
+	}
 }
 
 // findCandidates returns the instances that can take the job: the heads of
@@ -184,12 +227,17 @@
 }
 
 // addCandidate adds an instance unless it failed the job before, its data centre
-// is evacuated, or it is cold and has reached its request rate.
+// is evacuated, it asked for no requests, or it is cold and has reached its
+// request rate.
 func (p *Proxy) addCandidate(set *candidateSet, j *job, dest destination, now time.Time) {
 	instance := dest.instance
 	if j.failedInstances[instance.ID] || p.catalogue.Evacuated(instance.DataCentre) {
 		return
 	}
+	if until, held := p.holds.Until(instance.ID, instance.StartedAt, now); held {
+		set.addHeld(until)
+		return
+	}
 	if !p.cold.HasRoom(instance, j.service.ColdRate, now) {
 		set.coldLimited = true
 		return
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -140,7 +140,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		p.recordFinished(j, "caller_left", 0, 0)
 	case !j.mayHaveRun:
-		p.refuse(writer, j, http.StatusServiceUnavailable, "not_run", shortRetryAfter)
+		p.refuse(writer, j, http.StatusServiceUnavailable, "not_run", p.retryAfterOr(j, shortRetryAfter))
 	case !p.now().Before(j.deadline):
 		p.refuse(writer, j, http.StatusGatewayTimeout, "deadline", 0)
 	default:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,6 +89,7 @@
 	longestDeadlines map[string]time.Duration          // longest deadline of callers, by route
 	divider          *share.Divider
 	cold             *cold.Limiter
+	holds            *balance.Holds
 	waiters          *waitCounter
 	arrivalRates     *arrivalRates
 }
@@ -151,7 +152,7 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 	}
 	for _, option := range options {
 		option(p)
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -63,6 +63,8 @@
 	Lost     []string // members that do not respond
 	Slowdown float64  // of the slowest member; above 1 for a slow one
 	HeadLoad HeadLoad
+	// HeadUnknown is set if the head was not asked: its load may have changed.
+	HeadUnknown bool
 }
 
 // HeadLoad is the load of the head of a group. It changes while the group makes
@@ -299,7 +301,7 @@
 	if result.Slowdown > 0 {
 		state.slowdown = result.Slowdown
 	}
-	if state.cleanInspections > 0 && result.HeadLoad != state.headLoad {
+	if state.cleanInspections > 0 && (result.HeadUnknown || result.HeadLoad != state.headLoad) {
 		state.headLoadChanged = m.now()
 	}
 	state.headLoad = result.HeadLoad
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -181,3 +181,15 @@
 	s.advance(5 * time.Second)
 	assert.Equal(t, s.monitor.Speed("head"), 1.0)
 }
+
+// The head of a group that asked for no requests is not probed each time. Its
+// unknown load must not be taken for one that does not change.
+func TestUnknownLoadOfTheHeadIsNoStall(t *testing.T) {
+	s := newFixture(t)
+	s.inspection.HeadUnknown = true
+	_, ctx := s.begin()
+	s.advance(2400 * time.Millisecond)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, len(s.stalled), 0)
+	assert.Assert(t, s.inspected > 2)
+}
--- a/serving.go
+++ b/serving.go
@@ -215,6 +215,7 @@
 	InstanceID string
 	StartedAt  time.Time // of the process that responded
 	Leaving    bool      // the instance leaves and takes no new requests
+	RetryAfter string    // Retry-After of a response with status 503
 }
 
 // InstanceClient queries instances and sends them orders.
