--- a/serving.go
+++ b/serving.go
@@ -209,6 +209,15 @@
 	Restore(records RecordBatch)
 }
 
+// InstanceNotice is what an instance states about itself in the head of a
+// response, whatever was requested.
+type InstanceNotice struct {
+	InstanceID string
+	StartedAt  time.Time // of the process that responded
+	Leaving    bool      // the instance leaves and takes no new requests
+	RetryAfter string    // Retry-After of a response with status 503
+}
+
 // InstanceClient queries instances and sends them orders.
 type InstanceClient interface {
 	Report(ctx context.Context, address netip.AddrPort) (InstanceReport, error)
