Refuse requests with a part of a prompt that crashes instances

Cause: crashes are counted against whole requests, whose fingerprints never repeat here. At each crash all streams of the instance break, also those that began long before; only the request that was about to begin is the cause.

Ruled out: reports that come too late (no request was refused anywhere), and crashes that are not noticed (each broke the streams of 1 to 7 hosts).

The fix: poison.PartLedger. Suspects of a crash are the parts of the requests in flight without a response; a response that begins clears its parts everywhere; what explains three crashes is blocked, checked before each send. A broken stream counts only if the process does not answer a probe. Hosts exchange crashes, cleared and blocked parts, and store the latter, so that restarts lose nothing. The log has begun, instance_crashed, parts_suspected, parts_blocked and parts_cleared.

It works because the part is a suspect of each of its crashes and is never cleared, while a sound part is cleared by the next response. Parts that only occurred together are blocked together, and the first response with one of them leaves the other.

Messages: 8 bytes a suspect for 3 s after a crash (at most 16 crashes of 128 parts), about 12 bytes for each blocked part (at most 32); nothing otherwise. One write for a blocked part and one read for a start at the store.

A difference from the chosen design: only a request that was itself a suspect is not sent again; a stream that had begun resumes, although a part that it shares with others may be a suspect of two crashes until the next response.

--- a/interfaces.go
+++ b/interfaces.go
@@ -207,6 +207,25 @@
 	ReportCrash(ctx context.Context, fingerprint Fingerprint, incarnation string)
 }
 
+// PartTracker records which parts of prompts crash instances, so that requests
+// with these parts can be refused.
+type PartTracker interface {
+	// Loaded reports whether this host has read the blocked parts from the platform
+	// or tried to.
+	Loaded() bool
+	// Blocked reports whether a request with the parts would crash an instance.
+	Blocked(parts []PromptPart, now time.Time) bool
+	// Suspected reports whether any of the parts may have caused two crashes.
+	Suspected(parts []PromptPart) bool
+	// ReportBegun records that an instance began a response to a request with the
+	// parts, which therefore do not crash instances.
+	ReportBegun(parts []PromptPart)
+	// ReportBroken records that a request with the parts ended at an instance
+	// before its response began, and finds out whether the instance has crashed. It
+	// waits for this only for a limited time.
+	ReportBroken(ctx context.Context, instance Instance, parts []PromptPart)
+}
+
 // ClubUsage provides the number of slots that the requests of each club use at
 // the other entry hosts.
 type ClubUsage interface {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	Epochs    flamingodoor.EpochLog
 	Heads     flamingodoor.HeadStore
 	Loads     flamingodoor.LoadStore
+	Blocked   flamingodoor.BlockedPartStore
 	Election  func(ttl time.Duration) flamingodoor.Election
 	Directory flamingodoor.HostDirectory
 	Headers   proxy.Headers
@@ -136,6 +137,7 @@
 	pool         *upstream.Pool
 	monitor      *stall.Monitor
 	crashTracker *poison.Ledger
+	parts        *partTracker
 	demand       *proxy.Demand
 	proxy        *proxy.Proxy
 	exchanger    *exchange.Exchanger
@@ -151,12 +153,13 @@
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
 		crashTracker: poison.New(), demand: proxy.NewDemand(),
 	}
+	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
 	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now)
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
-		Demand: g.demand, Logger: logger,
+		PartTracker: g.parts, Demand: g.demand, Logger: logger,
 	}, proxy.WithObserver(metrics))
 	g.shared = newSharedState(g)
 	feeds := exchange.Feeds{
@@ -249,6 +252,7 @@
 		func() { g.planner.RunElection(planning, renewInterval) },
 		func() { g.planner.Run(planning) },
 		func() { g.runMaintenance(background) },
+		func() { g.parts.Run(background) },
 	} {
 		tasks.Go(run)
 	}
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -11,6 +11,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
@@ -103,6 +104,7 @@
 			request.Strikes = append(request.Strikes, strike)
 		}
 	}
+	s.gateway.parts.ledger.Describe(request, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent := s.losses[:0]
@@ -138,6 +140,7 @@
 		g.tracker.SetPeerInFlight(request.GetHostId(), uses, now)
 	}
 	g.crashTracker.Merge(request.GetStrikes(), now)
+	g.parts.merge(request, now)
 	s.applyDemand(request, now)
 	s.applyLosses(request, now)
 }
@@ -183,6 +186,7 @@
 			g.roster.MarkRetiring(loss.group, now)
 		case loss.alive:
 			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
+			g.parts.refute(poison.Process{InstanceID: loss.instanceID, StartedMS: loss.startedAt.UnixMilli()}, loss.at)
 		case loss.group.Name != "":
 			lost = g.roster.MarkStalled(loss.group, now) || lost
 		default:
@@ -371,6 +375,7 @@
 // lost, and sends this to the peers.
 func (g *Gateway) markAlive(instance flamingodoor.Instance, at time.Time) {
 	g.roster.MarkAlive(instance.ID, instance.StartedAt, at)
+	g.parts.refute(poison.ProcessOf(instance), at)
 	g.roster.Publish(time.Now())
 	g.shared.publishLosses(lossReport{instanceID: instance.ID, startedAt: instance.StartedAt, alive: true, at: at})
 	g.tracker.Wake()
--- /dev/null
+++ b/internal/poison/parts_test.go
@@ -0,0 +1,284 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/poison"
+)
+
+const (
+	common flamingodoor.PromptPart = iota + 1 // in every prompt
+	deadly
+	rare
+	rarer
+)
+
+// partFleet is a fleet of hosts that exchange their findings.
+type partFleet struct {
+	now     time.Time
+	ledgers []*poison.PartLedger
+	crashes int
+}
+
+func newPartFleet(hosts int) *partFleet {
+	f := &partFleet{now: time.Unix(1_800_000_000, 0)}
+	for range hosts {
+		f.ledgers = append(f.ledgers, poison.NewPartLedger())
+	}
+	return f
+}
+
+func (f *partFleet) process() poison.Process {
+	return poison.Process{InstanceID: fmt.Sprint("i-", f.crashes), StartedMS: 1}
+}
+
+// crash ends the next process, at which each host has the given request in flight.
+func (f *partFleet) crash(requests ...[]flamingodoor.PromptPart) {
+	f.crashes++
+	for host, parts := range requests {
+		f.ledgers[host].ReportCrash(f.process(), parts, f.now)
+	}
+	f.pass(200 * time.Millisecond)
+}
+
+// begun begins a response to a request of a host.
+func (f *partFleet) begun(host int, parts ...flamingodoor.PromptPart) {
+	f.ledgers[host].ReportBegun(parts, f.now)
+	f.pass(200 * time.Millisecond)
+}
+
+// pass lets the time pass, after which all hosts exchange messages.
+func (f *partFleet) pass(length time.Duration) {
+	f.now = f.now.Add(length)
+	for _, from := range f.ledgers {
+		var message exchangev1.ShareRequest
+		from.Describe(&message, f.now)
+		for _, to := range f.ledgers {
+			if to != from {
+				to.Merge(&message, f.now)
+			}
+		}
+	}
+	for _, ledger := range f.ledgers {
+		ledger.Settle(f.now)
+	}
+}
+
+// blocked returns whether the hosts refuse requests with the parts, and fails if
+// they differ.
+func (f *partFleet) blocked(t *testing.T, parts ...flamingodoor.PromptPart) bool {
+	t.Helper()
+	first := f.ledgers[0].Blocked(parts, f.now)
+	for _, ledger := range f.ledgers {
+		assert.Equal(t, ledger.Blocked(parts, f.now), first)
+	}
+	return first
+}
+
+func prompt(parts ...flamingodoor.PromptPart) []flamingodoor.PromptPart { return parts }
+
+// Guards against instances crashing one after the other because of one part of
+// their requests' prompts, no two of which are alike (rules BUDGET and LOST on the
+// day tainted of the Kivuko deployment, seed 1).
+func TestPartThatCrashesInstancesIsFound(t *testing.T) {
+	f := newPartFleet(3)
+	for crash := range 3 {
+		assert.Assert(t, !f.blocked(t, common, deadly), "after %d crashes", crash)
+		own := flamingodoor.PromptPart(100 + crash)
+		f.crash(prompt(common, deadly, own), prompt(common, own+10), prompt(common, own+20, own+30))
+		f.begun(1, common)
+	}
+	assert.Assert(t, f.blocked(t, common, deadly))
+	assert.Assert(t, f.blocked(t, deadly, rare))
+	assert.Assert(t, !f.blocked(t, common, rare))
+	assert.Assert(t, !f.blocked(t, common, 110))
+	f.pass(59 * time.Minute)
+	assert.Assert(t, f.blocked(t, deadly))
+	f.pass(2 * time.Minute)
+	assert.Assert(t, !f.blocked(t, deadly))
+}
+
+// Guards against refusing sound requests that share the first part of their
+// prompts with those that crash instances, or that were in flight at crashes.
+func TestSoundPartsAreServed(t *testing.T) {
+	f := newPartFleet(2)
+	for range 5 {
+		f.crash(prompt(common, deadly), prompt(common, rare))
+		f.begun(0, common)
+		f.begun(1, rare)
+	}
+	for _, parts := range [][]flamingodoor.PromptPart{{common}, {common, rare}, {rare}, {}} {
+		assert.Assert(t, !f.blocked(t, parts...), parts)
+	}
+	f.crash(prompt(rarer))
+	f.crash(prompt(rarer))
+	assert.Assert(t, !f.blocked(t, rarer))
+	assert.Assert(t, f.ledgers[1].Suspected(prompt(rarer)))
+	f.begun(1, rarer)
+	assert.Assert(t, !f.ledgers[0].Suspected(prompt(rarer)))
+}
+
+// Guards against blocking a part that was only ever in flight together with the
+// one that crashes instances, and against never deciding between the two.
+func TestPartsThatOccurTogetherAreToldApart(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(deadly, rare))
+	}
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, deadly, rare))
+	assert.Assert(t, !f.blocked(t, deadly), "no crash shows that this part is at fault")
+	assert.Assert(t, !f.blocked(t, rare))
+	f.crash(prompt(deadly, rarer))
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, deadly))
+	assert.Assert(t, !f.blocked(t, rare))
+	// A host that starts now knows the decision.
+	f.ledgers = append(f.ledgers, poison.NewPartLedger())
+	f.pass(10 * time.Second)
+	assert.Assert(t, f.blocked(t, deadly, common))
+	assert.Assert(t, !f.blocked(t, rare))
+}
+
+// A response that begins with one of two blocked parts proves the other.
+func TestBegunResponseNarrowsBlockedParts(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(deadly, rare))
+	}
+	f.pass(time.Second)
+	cleared := f.ledgers[1].ReportBegun(prompt(rare), f.now)
+	assert.Equal(t, len(cleared.Ended), 1)
+	assert.DeepEqual(t, cleared.Remaining[0].Parts, prompt(deadly))
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, deadly))
+	assert.Assert(t, !f.blocked(t, rare))
+	cleared = f.ledgers[0].ReportBegun(prompt(deadly), f.now)
+	assert.Equal(t, len(cleared.Remaining), 0)
+	f.pass(time.Second)
+	assert.Assert(t, !f.blocked(t, deadly))
+}
+
+// Guards against forgetting what the hosts found when one or all of them restart:
+// a host learns it from its peers or from the store.
+func TestRestartedHostsKnowBlockedParts(t *testing.T) {
+	f := newPartFleet(3)
+	for range 3 {
+		f.crash(prompt(common, deadly))
+		f.begun(1, common)
+	}
+	f.pass(time.Second)
+	f.ledgers = append(f.ledgers[1:], poison.NewPartLedger())
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, deadly))
+
+	fresh := newPartFleet(1)
+	for range 3 {
+		fresh.crashes++
+		fresh.ledgers[0].ReportCrash(fresh.process(), prompt(deadly), fresh.now)
+	}
+	settled := fresh.ledgers[0].Settle(fresh.now.Add(time.Second))
+	stored := settled.Blocked
+	assert.Equal(t, len(stored), 1)
+	restarted := poison.NewPartLedger()
+	restarted.Restore(stored, fresh.now)
+	assert.Assert(t, restarted.Blocked(prompt(deadly), fresh.now))
+	stored[0].CrashedAt = fresh.now.Add(time.Hour)
+	ahead := poison.NewPartLedger()
+	ahead.Restore(stored, fresh.now)
+	assert.Assert(t, !ahead.Blocked(prompt(deadly), fresh.now.Add(time.Hour)), "the clock of another host is ahead")
+}
+
+// Guards against a host that was cut off bringing back a part that has been
+// cleared meanwhile.
+func TestClearedPartIsNotBroughtBack(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(rare))
+	}
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, rare))
+	f.ledgers[0].ReportBegun(prompt(rare), f.now)
+	f.now = f.now.Add(time.Minute) // without an exchange
+	assert.Assert(t, f.ledgers[1].Blocked(prompt(rare), f.now))
+	f.pass(200 * time.Millisecond)
+	f.pass(200 * time.Millisecond)
+	f.pass(200 * time.Millisecond)
+	assert.Assert(t, !f.blocked(t, rare))
+}
+
+// Guards against stopping at the first of two parts that crash instances at the
+// same time.
+func TestTwoPartsAreFound(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(common, deadly), prompt(common, rare))
+		f.begun(0, common)
+		f.crash(prompt(common, rarer))
+		f.begun(0, common)
+	}
+	// The first two parts crashed together each time; one more crash decides.
+	f.crash(prompt(common, deadly))
+	f.begun(0, common)
+	f.begun(0, rare)
+	assert.Assert(t, f.blocked(t, deadly))
+	assert.Assert(t, f.blocked(t, rarer))
+	assert.Assert(t, !f.blocked(t, rare))
+	assert.Assert(t, !f.blocked(t, common))
+}
+
+// Guards against blocking a part because of instances that a host could not
+// reach for a while.
+func TestReachableProcessIsNoCrash(t *testing.T) {
+	f := newPartFleet(1)
+	ledger := f.ledgers[0]
+	for range 3 {
+		f.crash(prompt(rare))
+	}
+	f.pass(time.Second)
+	assert.Assert(t, f.blocked(t, rare))
+	assert.Assert(t, ledger.Known(f.process()))
+	cleared := ledger.Refute(f.process(), f.now)
+	assert.Equal(t, len(cleared.Ended), 1)
+	assert.Assert(t, !ledger.Known(f.process()))
+	assert.Assert(t, !f.blocked(t, rare))
+	assert.Assert(t, !ledger.ReportCrash(f.process(), prompt(rare), f.now))
+}
+
+// Guards against memory and messages that grow with the crashes and with what
+// other hosts send.
+func TestPartsAreBounded(t *testing.T) {
+	f := newPartFleet(1)
+	ledger := f.ledgers[0]
+	many := make([]flamingodoor.PromptPart, 0, 1000)
+	for part := range 1000 {
+		many = append(many, flamingodoor.PromptPart(part))
+	}
+	for crash := range 2000 {
+		parts := prompt(flamingodoor.PromptPart(10_000 + crash/3))
+		if crash%10 == 0 {
+			parts = many
+		}
+		f.crashes++
+		ledger.ReportCrash(f.process(), parts, f.now)
+		f.now = f.now.Add(time.Millisecond)
+		if crash%30 == 29 {
+			ledger.Settle(f.now.Add(time.Second))
+		}
+	}
+	var message exchangev1.ShareRequest
+	ledger.Describe(&message, f.now)
+	assert.Equal(t, len(message.GetPartCrashes()), 16)
+	assert.Equal(t, len(message.GetBlockedParts()), 32)
+	for _, crash := range message.GetPartCrashes() {
+		assert.Assert(t, len(crash.GetSuspects()) <= 128)
+	}
+	huge := &exchangev1.ShareRequest{BlockedParts: []*exchangev1.BlockedParts{{Parts: make([]uint64, 100)}, {Parts: []uint64{5}, AgeMs: -1 << 62}}}
+	poison.NewPartLedger().Merge(huge, f.now)
+}
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -58,6 +58,9 @@
 		defer p.waiters.add(j)()
 	}
 	for {
+		if p.partTracker.Blocked(j.parts, p.now()) {
+			return destination{}, errPartBlocked
+		}
 		changed := p.tracker.Changed()
 		dest, err := p.tryAcquire(j)
 		if err == nil && j.placedAt.IsZero() {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -127,6 +127,9 @@
 	if j.sends == 0 {
 		return true
 	}
+	if j.suspected && p.partTracker.Suspected(j.parts) {
+		return false
+	}
 	if j.sends-j.exemptSends >= j.route.MaxAttempts {
 		return false
 	}
@@ -157,6 +160,8 @@
 	switch {
 	case ctx.Err() != nil || j.mayHaveRun:
 		p.respondFailed(ctx, writer, j)
+	case errors.Is(err, errPartBlocked):
+		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
 	case errors.Is(err, errNoInstance):
 		p.refuse(writer, j, http.StatusServiceUnavailable, "no_instance", delay)
 	default:
@@ -166,8 +171,12 @@
 
 // attempt sends the job to an instance and buffers the response.
 func (p *Proxy) attempt(ctx context.Context, j *job, dest destination) (bufferedResponse, outcome) {
+	sendsBefore := j.sends
 	response, err := p.send(ctx, j, dest, j.lastEventID)
 	if err != nil {
+		if j.sends > sendsBefore {
+			p.reportUnbegun(ctx, j, dest)
+		}
 		return bufferedResponse{}, p.handleSendError(ctx, j, dest, err)
 	}
 	if p.notRun(response) {
@@ -178,12 +187,15 @@
 	j.mayHaveRun = true
 	buffered, err := bufferResponse(response)
 	if err != nil {
+		p.reportUnbegun(ctx, j, dest)
 		return bufferedResponse{}, p.handleBrokenResponse(ctx, j, dest, err)
 	}
 	checked, result := p.checkResponse(ctx, j, dest, buffered)
 	if result != outcomeDone {
 		checked.discard()
+		return checked, result
 	}
+	p.reportBegun(j)
 	return checked, result
 }
 
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -20,6 +20,7 @@
 	Workspace      string
 	Model          string
 	Tokens         string // prompt tokens and limit of output tokens
+	PromptParts    string // parts of the prompt, of which the last is the request's own
 	Signature      string // set by an endpoint on its responses
 	Priority       string
 	FaultInstance  string // set on responses; names the instance at fault, and is only logged
@@ -49,7 +50,8 @@
 	body            []byte
 	lastEventID     string // as sent by the caller
 	fingerprint     flamingodoor.Fingerprint
-	priority        int // 0 to 9, 0 is the most urgent
+	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
+	priority        int                       // 0 to 9, 0 is the most urgent
 
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
@@ -57,6 +59,7 @@
 	retryGranted    bool            // the retry budget has granted the next send
 	responseStarted bool            // the caller has received a part of the response
 	mayHaveRun      bool            // an endpoint may have run the request
+	suspected       bool            // an endpoint may have crashed because of the request
 	failedInstances map[string]bool // not tried again
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
@@ -146,6 +149,7 @@
 	}
 	j.waitUntil = received.Add(min(route.LatencyObjective, j.deadline.Sub(received)) / waitDivisor)
 	j.fingerprint = fingerprint(j)
+	j.parts = promptParts(j.service.Name, request.Header.Values(p.headers.PromptParts))
 	return j
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -71,6 +71,7 @@
 	pool            *upstream.Pool
 	monitor         *stall.Monitor
 	crashTracker    flamingodoor.CrashTracker
+	partTracker     flamingodoor.PartTracker
 	demand          *Demand
 	observer        Observer
 	logger          log.Logger
@@ -130,6 +131,7 @@
 	Pool         *upstream.Pool
 	Monitor      *stall.Monitor
 	CrashTracker flamingodoor.CrashTracker
+	PartTracker  flamingodoor.PartTracker
 	Demand       *Demand
 	Logger       log.Logger
 }
@@ -142,7 +144,7 @@
 	p := &Proxy{
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
-		crashTracker: parts.CrashTracker, demand: parts.Demand, logger: parts.Logger,
+		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, demand: parts.Demand, logger: parts.Logger,
 		observer: noObserver{}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 	}
@@ -223,10 +225,10 @@
 	p.stopping.Store(true)
 }
 
-// Ready reports whether this host has loaded the configuration and the
-// registrations, may still accept keys, and is not stopping.
+// Ready reports whether this host has loaded the configuration, the blocked
+// parts and the registrations, may still accept keys, and is not stopping.
 func (p *Proxy) Ready() bool {
-	return p.catalogue.Index() != nil && p.roster.Loaded() && p.keysConfirmed() && !p.stopping.Load()
+	return p.catalogue.Index() != nil && p.partTracker.Loaded() && p.roster.Loaded() && p.keysConfirmed() && !p.stopping.Load()
 }
 
 // keysConfirmed reports whether the configuration is recent enough to accept
@@ -244,7 +246,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	index := p.catalogue.Index()
-	if index == nil {
+	if index == nil || !p.partTracker.Loaded() {
 		p.reject(writer, request, http.StatusServiceUnavailable, "no_configuration", shortRetryAfter)
 		return
 	}
@@ -267,6 +269,10 @@
 		p.refuse(writer, j, http.StatusServiceUnavailable, "crashes_endpoints", 0)
 		return
 	}
+	if p.partTracker.Blocked(j.parts, received) {
+		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
+		return
+	}
 	p.retryBudget(j.service.Name).CountRequest(received)
 	p.arrivalRates.add(j.key(), received)
 	ctx, cancel := context.WithDeadline(request.Context(), j.deadline)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -35,7 +35,7 @@
 var headers = proxy.Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", ExpectInstance: "X-Expect", NotRun: "X-Not-Run", Workspace: "X-Workspace",
 	Model: "X-Model", Tokens: "X-Tokens", Signature: "X-Signature", Priority: "X-Priority", FaultInstance: "X-Fault",
-	LastEventID: "Last-Event-Id",
+	LastEventID: "Last-Event-Id", PromptParts: "X-Parts",
 }
 
 // endpoint is a stand-in that counts its requests and keeps the last headers.
@@ -95,18 +95,19 @@
 	roster    *roster.Roster
 	tracker   *balance.Tracker
 	monitor   *stall.Monitor
+	parts     *partTracker
 	front     *httptest.Server
 }
 
 func newSetup(t *testing.T, options ...proxy.Option) *setup {
 	t.Helper()
-	s := &setup{t: t, roster: roster.New(), tracker: balance.New(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
+	s := &setup{t: t, roster: roster.New(), tracker: balance.New(), parts: newPartTracker(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
 	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
 	s.monitor = monitor
 	s.proxy = proxy.New(proxy.Parts{
 		Headers: headers, Limits: proxy.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
 		HostID: "host-1", DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
-		Monitor: monitor, CrashTracker: poison.New(), Demand: proxy.NewDemand(), Logger: log.NewNopLogger(),
+		Monitor: monitor, CrashTracker: poison.New(), PartTracker: s.parts, Demand: proxy.NewDemand(), Logger: log.NewNopLogger(),
 	}, options...)
 	s.catalogue.Configure(&flamingodoor.Catalogue{
 		Version: 1,
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		if j.sends > sendsBefore {
 			p.exemptLostAttempt(j, dest)
+			p.reportUnbegun(ctx, j, dest)
 		}
 		return p.handleStreamError(ctx, j, dest, err)
 	}
@@ -137,10 +138,15 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	j.target = dest.instance.ID
+	begun := false
 	err = p.copyEvents(response, client, func() {
 		if watch != nil {
 			watch.Progress()
 		}
+		if !begun {
+			begun = true
+			p.reportBegun(j)
+		}
 		if client.events == 1 {
 			j.firstEventAt = p.now()
 			p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
@@ -150,8 +156,11 @@
 		return outcomeDone
 	}
 	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "instance", dest.instance.ID,
-		"last_event", client.lastEventID, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
+		"last_event", client.lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
 	p.exemptLostAttempt(j, dest)
+	if !begun {
+		p.reportUnbegun(ctx, j, dest)
+	}
 	return p.handleStreamError(ctx, j, dest, err)
 }
 
--- a/serving.go
+++ b/serving.go
@@ -286,6 +286,23 @@
 	Load(ctx context.Context) ([]WeightLoad, error)
 }
 
+// PromptPart identifies a part of the prompts of a service. Requests share parts.
+type PromptPart uint64
+
+// BlockedParts are parts of prompts that crash the instances which begin a
+// response to a request with all of them.
+type BlockedParts struct {
+	Parts     []PromptPart // in ascending order
+	CrashedAt time.Time    // the latest crash
+}
+
+// BlockedPartStore persists blocked parts, so that they outlive the entry hosts.
+type BlockedPartStore interface {
+	// Save adds blocked parts and removes those in ended.
+	Save(ctx context.Context, blocked, ended []BlockedParts) error
+	Load(ctx context.Context) ([]BlockedParts, error)
+}
+
 // Election elects one host as the leader.
 type Election interface {
 	// Renew joins the election or renews this host's candidacy. It reports
