Store blocked parts 0.1 s after the crash that decides

A part was blocked 0.3 s after its latest crash, by a check each 0.25 s, so that it could take 0.55 s until it was stored.

Now it takes 0.1 to 0.15 s: the other hosts' suspects come with messages that are sent at once. The check does nothing while no crash is new.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -23,8 +23,9 @@
 	// at which it ended has crashed. A process that ended refuses connections at
 	// once.
 	crashWait = 150 * time.Millisecond
-	// settleInterval is the time between two checks for parts to block.
-	settleInterval = 250 * time.Millisecond
+	// settleInterval is the time between two checks for parts to block. It is short,
+	// because hosts that are all killed at once forget what is not stored.
+	settleInterval = 50 * time.Millisecond
 	// blockedLoadTimeout bounds the first read of the blocked parts, for which a
 	// starting host waits before it is ready.
 	blockedLoadTimeout = time.Second
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -23,7 +23,7 @@
 	// all hosts have reported their requests in flight at the crash. A host that
 	// had no request with the part in flight there waits for othersSettleTime, so
 	// that usually only one host stores the part.
-	settleTime       = 300 * time.Millisecond
+	settleTime       = 100 * time.Millisecond
 	othersSettleTime = 3 * settleTime
 
 	maxPartCrashes      = 512
@@ -54,7 +54,8 @@
 	crashesOf map[flamingodoor.PromptPart]map[*partCrash]struct{} // by suspect
 	begun     map[flamingodoor.PromptPart]begunPart
 	blocked   []flamingodoor.BlockedParts
-	unsettled bool // crashes were added since Settle last examined all
+	unsettled bool      // crashes were added since Settle last examined all
+	expiredAt time.Time // when Settle last dropped what had expired
 }
 
 // partCrash is the crash of one process.
@@ -180,7 +181,10 @@
 func (l *PartLedger) Settle(now time.Time) Settled {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expire(now)
+	if now.Sub(l.expiredAt) >= time.Second {
+		l.expire(now)
+		l.expiredAt = now
+	}
 	var settled Settled
 	if !l.unsettled {
 		return settled
