End requests in flight that would crash their instances next

A host now ends its own requests whose responses have not begun once their parts are blocked, if the parts are suspects of more than half of the crashes of the last 10 s. Without this condition a part that was blocked wrongly, after many instances were lost for another reason, could not be cleared by the requests in flight.

Callers of these requests get 502, or the abort of a stream that was resumed.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -115,13 +115,23 @@
 	}
 	_ = level.Info(t.gateway.logger).Log("event", "parts_suspected", "instance", instance.ID, "parts", formatParts(parts))
 	t.gateway.exchanger.SendUrgent()
+	t.endUnbegun(now)
 }
 
 // merge records what a peer found. A relay passes it on at once.
 func (t *partTracker) merge(request *exchangev1.ShareRequest, now time.Time) {
-	if t.ledger.Merge(request, now) && t.gateway.exchanger.IsRelay() {
+	if !t.ledger.Merge(request, now) {
+		return
+	}
+	if t.gateway.exchanger.IsRelay() {
 		t.gateway.exchanger.SendUrgent()
 	}
+	t.endUnbegun(now)
+}
+
+// endUnbegun ends this host's requests that would crash instances next.
+func (t *partTracker) endUnbegun(now time.Time) {
+	t.gateway.proxy.EndUnbegun(func(parts []flamingodoor.PromptPart) bool { return t.ledger.BlamedAlone(parts, now) })
 }
 
 // refute records that a process answers that some host took for crashed.
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -26,6 +26,10 @@
 	settleTime       = 100 * time.Millisecond
 	othersSettleTime = 3 * settleTime
 
+	// blameTime is how long ago the crashes may be that decide whether requests in
+	// flight are ended.
+	blameTime = 10 * time.Second
+
 	maxPartCrashes      = 512
 	maxSuspectsPerCrash = 128
 	maxBlockedParts     = 256
@@ -101,6 +105,31 @@
 	return false
 }
 
+// BlamedAlone reports whether a request with the parts would be refused, and its
+// parts are suspects of most of the latest crashes. When many instances are lost
+// for another reason, a harmless part can be a suspect at several of them.
+func (l *PartLedger) BlamedAlone(parts []flamingodoor.PromptPart, now time.Time) bool {
+	if !l.Blocked(parts, now) {
+		return false
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	recent, explained := 0, 0
+	for _, crash := range l.crashes {
+		if crash.refuted || now.Sub(crash.at) >= blameTime {
+			continue
+		}
+		recent++
+		if slices.ContainsFunc(parts, func(part flamingodoor.PromptPart) bool {
+			_, suspected := crash.suspects[part]
+			return suspected && len(l.crashesOf[part]) >= partBlockThreshold
+		}) {
+			explained++
+		}
+	}
+	return explained >= partBlockThreshold && 2*explained > recent
+}
+
 // Suspected reports whether any of the parts may have caused two crashes.
 func (l *PartLedger) Suspected(parts []flamingodoor.PromptPart) bool {
 	l.mu.RLock()
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -282,3 +282,19 @@
 	huge := &exchangev1.ShareRequest{BlockedParts: []*exchangev1.BlockedParts{{Parts: make([]uint64, 100)}, {Parts: []uint64{5}, AgeMs: -1 << 62}}}
 	poison.NewPartLedger().Merge(huge, f.now)
 }
+
+// Guards against ending requests in flight because many instances were lost for
+// another reason: the responses to these requests clear their parts.
+func TestBlameNeedsMostOfTheCrashes(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(deadly))
+	}
+	assert.Assert(t, f.ledgers[1].BlamedAlone(prompt(common, deadly), f.now))
+	assert.Assert(t, !f.ledgers[1].BlamedAlone(prompt(common, rare), f.now))
+	for range 3 {
+		f.crash(prompt(rare))
+	}
+	assert.Assert(t, !f.ledgers[1].BlamedAlone(prompt(common, deadly), f.now))
+	assert.Assert(t, f.blocked(t, deadly))
+}
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -127,7 +127,7 @@
 	if j.sends == 0 {
 		return true
 	}
-	if j.suspected && p.partTracker.Suspected(j.parts) {
+	if (j.suspected && p.partTracker.Suspected(j.parts)) || p.partTracker.Blocked(j.parts, now) {
 		return false
 	}
 	if j.sends-j.exemptSends >= j.route.MaxAttempts {
--- a/internal/proxy/parts.go
+++ b/internal/proxy/parts.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"strings"
+	"sync"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/stall"
@@ -36,6 +37,47 @@
 	return parts
 }
 
+// unbegunAttempts holds the attempts with parts whose responses have not begun. It
+// is safe for concurrent use.
+type unbegunAttempts struct {
+	mu       sync.Mutex
+	attempts map[*unbegunAttempt]struct{}
+}
+
+type unbegunAttempt struct {
+	parts  []flamingodoor.PromptPart
+	cancel context.CancelCauseFunc
+}
+
+// add holds an attempt until the returned function is called.
+func (u *unbegunAttempts) add(parts []flamingodoor.PromptPart, cancel context.CancelCauseFunc) (remove func()) {
+	if len(parts) == 0 {
+		return func() {}
+	}
+	attempt := &unbegunAttempt{parts: parts, cancel: cancel}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.attempts[attempt] = struct{}{}
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.attempts, attempt)
+	}
+}
+
+// EndUnbegun ends the attempts whose responses have not begun and whose parts are
+// to blame for crashes: an instance that has such a request crashes when it begins
+// the response.
+func (p *Proxy) EndUnbegun(toBlame func(parts []flamingodoor.PromptPart) bool) {
+	p.unbegun.mu.Lock()
+	defer p.unbegun.mu.Unlock()
+	for attempt := range p.unbegun.attempts {
+		if toBlame(attempt.parts) {
+			attempt.cancel(errPartBlocked)
+		}
+	}
+}
+
 // reportBegun reports that an endpoint began to respond to the job.
 func (p *Proxy) reportBegun(j *job) {
 	j.suspected = false
--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -111,3 +111,36 @@
 	assert.Equal(t, s.send("/stream/x", withParts("a:1,b:1")).body, allEvents(6))
 	assert.Equal(t, s.parts.broken.Load(), int64(0))
 }
+
+// Guards against an instance crashing because of a request that was sent shortly
+// before its part became blocked, and against ending streams that have begun.
+func TestUnbegunRequestsWithABlockedPartEnd(t *testing.T) {
+	s := newSetup(t)
+	waiting, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	e := newEndpoint(t, func(_ http.ResponseWriter, request *http.Request) {
+		waiting <- struct{}{}
+		<-request.Context().Done()
+		ended <- struct{}{}
+	})
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	other := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+		events(3, 0)(writer, request)
+		close(begun)
+		<-proceed
+	})
+	replies := make(chan reply, 2)
+	s.register(other.instance("i-1", "llm"))
+	go func() { replies <- s.send("/stream/a", withParts("dead:5,a:1")) }()
+	<-begun
+	s.register(e.instance("i-2", "llm"))
+	go func() { replies <- s.send("/stream/b", withParts("dead:5,b:1")) }()
+	<-waiting
+	s.parts.blockAll.Store(true)
+	s.proxy.EndUnbegun(func(parts []flamingodoor.PromptPart) bool { return len(parts) == 1 })
+	<-ended
+	got := <-replies
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, s.parts.broken.Load(), int64(0), "this host ended the attempt")
+	close(proceed)
+	assert.Equal(t, (<-replies).body, allEvents(3))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,6 +72,7 @@
 	monitor         *stall.Monitor
 	crashTracker    flamingodoor.CrashTracker
 	partTracker     flamingodoor.PartTracker
+	unbegun         unbegunAttempts
 	demand          *Demand
 	observer        Observer
 	logger          log.Logger
@@ -145,6 +146,7 @@
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, demand: parts.Demand, logger: parts.Logger,
+		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -118,6 +118,8 @@
 		watch = p.monitor.Begin(dest.group, p.expectedEventGap(j), cancel)
 		defer watch.End()
 	}
+	endUnbegun := p.unbegun.add(j.parts, cancel)
+	defer endUnbegun()
 	sentAt, sendsBefore := p.now(), j.sends
 	response, err := p.send(ctx, j, dest, client.lastEventID)
 	if err != nil {
@@ -145,6 +147,7 @@
 		}
 		if !begun {
 			begun = true
+			endUnbegun()
 			p.reportBegun(j)
 		}
 		if client.events == 1 {
@@ -201,7 +204,7 @@
 	switch {
 	case errors.As(err, &callerLeft):
 		return outcomeCallerLeft
-	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent):
+	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent), errors.Is(cause, errPartBlocked):
 		j.mayHaveRun = true
 		j.cause = cause.Error()
 		return outcomeFailed
