Hold an instance only for a Retry-After in the response to a request

Found by a review: an instance that writes an earlier refusal once more on a kept connection was held again for its whole Retry-After, although the statement is old, and callers were refused. The heads of skipped responses now count for leaving alone. TestRepeatedRefusalDoesNotHoldAgain: '503 (int) != 200 (int)' before.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -287,6 +287,9 @@
 		NewConnection: !j.repeatable(),
 		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
+	if err == nil {
+		p.observeRefusal(dest.instance, response)
+	}
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
 		j.sends++
--- a/internal/proxy/holds_test.go
+++ b/internal/proxy/holds_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -183,3 +184,30 @@
 	assert.Assert(t, s.proxy.MayProbe(head) && !s.proxy.MayProbe(head), "it is probed once")
 	assert.Assert(t, strings.Contains(s.send("/stream/x").body, "full"))
 }
+
+// Guards against a refusal that an instance writes once more on a kept connection
+// and that holds it again: its time counts from the first one.
+func TestRepeatedRefusalDoesNotHoldAgain(t *testing.T) {
+	s := newSetup(t)
+	refusal := "HTTP/1.1 503 E\r\n" + headers.RequestID + ": r1\r\n" + headers.NotRun + ": 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+	var requests atomic.Int64
+	worker := newWorker(t, func(connection *net.TCPConn, request *http.Request, number int) bool {
+		answer := success + "Content-Length: 2\r\n\r\nok"
+		switch {
+		case requests.Add(1) == 1:
+			answer = refusal
+		case number == 2:
+			answer = refusal + answer
+		}
+		writeText(connection, request, answer)
+		return true
+	})
+	s.register(worker.instance("i-1", "plain"))
+	sendAs := func(id string) int {
+		return s.send("/read/x", func(request *http.Request) { request.Header.Set(headers.RequestID, id) }).status
+	}
+	assert.Equal(t, sendAs("r1"), http.StatusServiceUnavailable)
+	time.Sleep(1100 * time.Millisecond)
+	assert.Equal(t, sendAs("r2"), http.StatusOK)
+	assert.Equal(t, sendAs("r3"), http.StatusOK)
+}
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/upstream"
 )
 
 const (
@@ -20,17 +21,27 @@
 	maxLoggedValue = 64
 )
 
-// observeHead applies what the head of a response states about the instance that
-// the request was meant for. Another instance responds with status 421.
+// observeHead applies what the head of a response, of whatever request, states
+// about the instance that this request was meant for. Another instance responds
+// with status 421.
 func (p *Proxy) observeHead(instance flamingodoor.Instance, status int, header http.Header) {
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
-	notice := flamingodoor.InstanceNotice{InstanceID: instance.ID, StartedAt: instance.StartedAt, Leaving: header.Get(p.headers.Leaving) == "1"}
-	if status == http.StatusServiceUnavailable {
-		notice.RetryAfter = header.Get("Retry-After")
+	p.Observe(flamingodoor.InstanceNotice{
+		InstanceID: instance.ID, StartedAt: instance.StartedAt, Leaving: header.Get(p.headers.Leaving) == "1",
+	})
+}
+
+// observeRefusal applies the Retry-After of the response to a request. That of a
+// skipped response counts from an earlier moment, which is not known.
+func (p *Proxy) observeRefusal(instance flamingodoor.Instance, response *upstream.Response) {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return
 	}
-	p.Observe(notice)
+	p.Observe(flamingodoor.InstanceNotice{
+		InstanceID: instance.ID, StartedAt: instance.StartedAt, RetryAfter: response.Header.Get("Retry-After"),
+	})
 }
 
 // Observe applies what an instance stated in a response to this host. An instance
