Take only a closed port or another process for a crash of an instance

Found by a review: one failed probe of one host (0.32 s) counted as a crash for all hosts. An instance that asked for a pause is not asked. Test: TestDeadlyPartIsContained passes (crashes are still found).

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -23,6 +25,8 @@
 	// at which it ended has crashed. A process that ended refuses connections at
 	// once.
 	crashWait = 150 * time.Millisecond
+	// closingTime separates two attempts to find out whether a process has ended.
+	closingTime = 50 * time.Millisecond
 	// settleInterval is the time between two checks for parts to block. It is short,
 	// because hosts that are all killed at once forget what is not stored.
 	settleInterval = 50 * time.Millisecond
@@ -100,7 +104,7 @@
 	if !t.ledger.Known(process) {
 		key := fmt.Sprint(process.InstanceID, " ", process.StartedMS)
 		_, _, _ = t.probes.Do(key, func() (any, error) {
-			if _, alive := t.gateway.probe(ctx, instance); alive {
+			if !t.gateway.proxy.MayProbe(instance) || !t.gateway.hasEnded(ctx, instance) {
 				_ = level.Info(t.gateway.logger).Log("event", "unbegun_without_crash", "instance", instance.ID)
 				return nil, nil //nolint:nilnil // the ledger holds the result
 			}
@@ -118,6 +122,34 @@
 	t.endUnbegun(now)
 }
 
+// hasEnded reports whether the process of an instance has ended: its port is
+// closed, or another process answers there. Silence does not show that. The port
+// may take a moment to close.
+func (g *Gateway) hasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for range probeAttempts {
+		report, err := g.platform.Instances.Report(ctx, instance.Address)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case err == nil:
+			return !report.StartedAt.IsZero() && !instance.StartedAt.IsZero() && !report.StartedAt.Equal(instance.StartedAt)
+		}
+		pause(ctx, closingTime)
+	}
+	return false
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // merge records what a peer found. A relay passes it on at once.
 func (t *partTracker) merge(request *exchangev1.ShareRequest, now time.Time) {
 	if !t.ledger.Merge(request, now) {
