Let only a success clear a part of a prompt

Found by a review: an error response of a plain service counted as a response to the prompt, so that an overloaded instance kept a part that crashes instances in use. TestErrorDoesNotClearAPart before: '502' where 503 is due after the third crash.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -195,7 +195,9 @@
 		checked.discard()
 		return checked, result
 	}
-	p.reportBegun(j)
+	if checked.status < http.StatusMultipleChoices {
+		p.reportBegun(j) // an error says nothing about the prompt
+	}
 	return checked, result
 }
 
--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -40,8 +40,10 @@
 
 func (p *partTracker) ReportBroken(_ context.Context, instance flamingodoor.Instance, parts []flamingodoor.PromptPart) {
 	process := poison.ProcessOf(instance)
-	process.StartedMS += p.broken.Add(1) // each attempt ends a process
-	p.ReportCrash(process, parts, time.Now())
+	count := p.broken.Add(1)
+	process.StartedMS += count // each attempt ends a process
+	// The crashes are apart, so that each counts.
+	p.ReportCrash(process, parts, time.Now().Add(time.Duration(count)*time.Second-time.Minute))
 }
 
 func withParts(value string) func(*http.Request) {
@@ -144,3 +146,23 @@
 	close(proceed)
 	assert.Equal(t, (<-replies).body, allEvents(3))
 }
+
+// Guards against clearing a part that crashes instances because an instance failed
+// for another reason: an error is no response to the prompt.
+func TestErrorDoesNotClearAPart(t *testing.T) {
+	s := newSetup(t)
+	var fails atomic.Bool
+	e := newEndpoint(t, func(writer http.ResponseWriter, _ *http.Request) {
+		if !fails.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		writer.WriteHeader(http.StatusInternalServerError)
+	})
+	s.register(e.instance("i-1", "plain"))
+	statuses := make([]int, 0, 6)
+	for i := range 6 {
+		fails.Store(i == 2)
+		statuses = append(statuses, s.send("/post/"+string(rune('a'+i)), withParts("dead:5,own:7")).status)
+	}
+	assert.DeepEqual(t, statuses, []int{502, 502, 500, 502, 503, 503})
+}
