Count crashes at one moment once, and refuse what they blame only briefly

Found by a review: when a machine or a data centre fails, many processes end at one moment. A part that many requests share is in flight at most of them, was blocked for an hour at once, and its requests in flight, which would have cleared it, were ended.

Crashes within 0.2 s now count once. Where three crashes do not count as three, the part is refused for 1.5 s only, and requests in flight go on and can clear it. A process whose crash was refuted counts again if it crashes later.

Evidence: TestOutageBlocksNoSharedPart ('blocked true' for 59 minutes before, in the review), TestReachableProcessCanCrashLater fail before.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -30,6 +30,14 @@
 	// flight are ended.
 	blameTime = 10 * time.Second
 
+	// separateTime is the time between two crashes from which they count as two. An
+	// outage of a machine or a data centre ends many processes at one moment, and a
+	// part that many requests share is in flight at most of them.
+	separateTime = 200 * time.Millisecond
+	// provisionalTime is how long a part is blocked by crashes that do not all count.
+	// Then requests with it decide.
+	provisionalTime = 1500 * time.Millisecond
+
 	maxPartCrashes      = 512
 	maxSuspectsPerCrash = 128
 	maxBlockedParts     = 256
@@ -68,6 +76,8 @@
 	at       time.Time
 	refuted  bool                             // the process answered later
 	suspects map[flamingodoor.PromptPart]bool // true if this host had a request with the part in flight
+
+	refutedAt time.Time
 }
 
 // begunPart is the latest begin of a response to a request with a suspected part.
@@ -97,12 +107,13 @@
 			return true
 		}
 	}
-	for _, part := range parts {
-		if len(l.crashesOf[part]) >= partBlockThreshold && containsAll(parts, l.alternatives(part)) {
-			return true
+	return slices.ContainsFunc(parts, func(part flamingodoor.PromptPart) bool {
+		crashes := l.crashesOf[part]
+		if len(crashes) < partBlockThreshold || !containsAll(parts, l.alternatives(part)) {
+			return false
 		}
-	}
-	return false
+		return l.countCrashes(part) >= partBlockThreshold || now.Sub(latestCrash(crashes).at) < provisionalTime
+	})
 }
 
 // BlamedAlone reports whether a request with the parts would be refused, and its
@@ -122,7 +133,7 @@
 		recent++
 		if slices.ContainsFunc(parts, func(part flamingodoor.PromptPart) bool {
 			_, suspected := crash.suspects[part]
-			return suspected && len(l.crashesOf[part]) >= partBlockThreshold
+			return suspected && l.countCrashes(part) >= partBlockThreshold
 		}) {
 			explained++
 		}
@@ -135,7 +146,7 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	return slices.ContainsFunc(parts, func(part flamingodoor.PromptPart) bool {
-		return len(l.crashesOf[part]) >= partSuspectThreshold
+		return l.countCrashes(part) >= partSuspectThreshold
 	})
 }
 
@@ -168,7 +179,7 @@
 	defer l.mu.Unlock()
 	var cleared Cleared
 	for _, part := range parts {
-		crashes := len(l.crashesOf[part])
+		crashes := l.countCrashes(part)
 		if l.clear(part, at, &cleared) {
 			cleared.Suspected = cleared.Suspected || crashes >= partSuspectThreshold
 		}
@@ -194,11 +205,11 @@
 	if !ok || crash.refuted || crash.at.After(at) {
 		return cleared
 	}
-	crash.refuted = true
+	crash.refuted, crash.refutedAt = true, at
 	for part := range crash.suspects {
-		crashes := len(l.crashesOf[part])
+		crashes := l.countCrashes(part)
 		l.removeSuspect(crash, part)
-		if crashes == partBlockThreshold {
+		if crashes == partBlockThreshold && l.countCrashes(part) < partBlockThreshold {
 			l.clear(part, at, &cleared)
 		}
 	}
@@ -220,7 +231,7 @@
 	}
 	l.unsettled = false
 	for part, crashes := range l.crashesOf {
-		if len(crashes) < partBlockThreshold {
+		if l.countCrashes(part) < partBlockThreshold {
 			continue
 		}
 		latest := latestCrash(crashes)
@@ -249,6 +260,28 @@
 	Ended   []flamingodoor.BlockedParts // replaced by fewer parts
 }
 
+// countCrashes returns how many crashes the part may have caused. Those at about
+// the same time count once.
+func (l *PartLedger) countCrashes(part flamingodoor.PromptPart) int {
+	crashes := l.crashesOf[part]
+	if len(crashes) <= 1 {
+		return len(crashes)
+	}
+	times := make([]time.Time, 0, len(crashes))
+	for crash := range crashes {
+		times = append(times, crash.at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	count, latest := 0, time.Time{}
+	for _, at := range times {
+		if count == 0 || at.Sub(latest) >= separateTime {
+			count++
+			latest = at
+		}
+	}
+	return count
+}
+
 // alternatives returns the parts that may have caused all crashes that the part
 // may have caused, in ascending order. The part is one of them.
 func (l *PartLedger) alternatives(part flamingodoor.PromptPart) []flamingodoor.PromptPart {
@@ -283,7 +316,10 @@
 		l.crashes[process] = crash
 	}
 	if crash.refuted {
-		return false
+		if !at.After(crash.refutedAt) {
+			return false
+		}
+		crash.refuted, crash.at = false, at
 	}
 	if at.Before(crash.at) {
 		crash.at = at
