--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -312,3 +312,33 @@
 	assert.NilError(t, <-stopped)
 	assert.Equal(t, len(begun), 0)
 }
+
+// Guards against an error 400 for a request of which the first half came together
+// with the request before it, and the second half during a stop.
+func TestPipelinedRequestHalfReadAtAStopIsServed(t *testing.T) {
+	front := gateway.NewFrontServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.URL.Path)
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = front.Serve(listener) }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	reader := bufio.NewReader(caller)
+	receive := func() int {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.StatusCode
+	}
+	_, _ = io.WriteString(caller, "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHo")
+	assert.Equal(t, receive(), http.StatusOK)
+	stopped := make(chan error, 1)
+	go func() { stopped <- front.Shutdown(t.Context()) }()
+	time.Sleep(200 * time.Millisecond)
+	_, _ = io.WriteString(caller, "st: x\r\n\r\n")
+	assert.Equal(t, receive(), http.StatusOK)
+	assert.NilError(t, <-stopped)
+}
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -343,3 +343,79 @@
 	}
 	assert.Assert(t, f.blocked(t, deadly))
 }
+
+// Guards against clearing a part at all hosts because one of them, which knows
+// only some of its crashes, learns that one of these was none.
+func TestRefutedCrashClearsNoOtherCrashes(t *testing.T) {
+	f := newPartFleet(1)
+	for range 5 {
+		f.crash(prompt(deadly))
+	}
+	f.pass(5 * time.Second)
+	f.ledgers = append(f.ledgers, poison.NewPartLedger())
+	for range 3 {
+		f.crash(prompt(deadly))
+	}
+	assert.Assert(t, f.blocked(t, deadly))
+	for _, ledger := range f.ledgers {
+		ledger.Refute(f.process(), f.now)
+	}
+	f.pass(200 * time.Millisecond)
+	f.pass(200 * time.Millisecond)
+	assert.Assert(t, f.ledgers[0].Blocked(prompt(deadly), f.now), "seven crashes remain")
+}
+
+// Guards against a message that a suspended host sends or receives late and that
+// brings back a part which has been cleared.
+func TestLateMessageDoesNotBringAClearedPartBack(t *testing.T) {
+	f := newPartFleet(2)
+	for range 3 {
+		f.crash(prompt(rare))
+	}
+	f.pass(500 * time.Millisecond)
+	assert.Assert(t, f.blocked(t, rare))
+	var late exchangev1.ShareRequest
+	f.ledgers[1].Describe(&late, f.now)
+	f.begun(0, rare)
+	assert.Assert(t, !f.blocked(t, rare))
+	f.pass(1300 * time.Millisecond)
+	f.ledgers[0].Merge(&late, f.now)
+	f.pass(11 * time.Second)
+	assert.Assert(t, !f.blocked(t, rare))
+}
+
+// Guards against leaving out the part that crashes instances among many suspects
+// of one crash.
+func TestDeadlyPartIsFoundAmongManySuspects(t *testing.T) {
+	f := newPartFleet(1)
+	next := flamingodoor.PromptPart(1000)
+	for range 5 {
+		f.crashes++
+		for range 13 {
+			parts := make([]flamingodoor.PromptPart, 0, 10)
+			for range 10 {
+				next++
+				parts = append(parts, next)
+			}
+			f.ledgers[0].ReportCrash(f.process(), parts, f.now)
+		}
+		f.ledgers[0].ReportCrash(f.process(), prompt(common, deadly), f.now)
+		f.pass(200 * time.Millisecond)
+		f.begun(0, common)
+	}
+	assert.Assert(t, f.blocked(t, deadly))
+}
+
+// Guards against forgetting many parts that only ever occur together.
+func TestManyPartsThatOccurTogetherReachNewHosts(t *testing.T) {
+	f := newPartFleet(2)
+	parts := prompt(10, 11, 12, 13, 14, 15, 16, 17, deadly)
+	for range 5 {
+		f.crash(parts)
+	}
+	f.pass(5 * time.Second)
+	assert.Assert(t, f.blocked(t, parts...))
+	f.ledgers = append(f.ledgers, poison.NewPartLedger())
+	f.pass(5 * time.Second)
+	assert.Assert(t, f.blocked(t, parts...))
+}
