Wait until the response has begun at the host in the test of blocked parts

The test waited until the endpoint had written them; under load the proxy had not read the first one yet, and rightly ended the request as one whose response has not begun. The test now waits for the proxy's report of the begin. Product code unchanged.

--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -20,6 +20,7 @@
 	*poison.PartLedger
 	blockAll atomic.Bool
 	broken   atomic.Int64
+	begun    atomic.Int64
 }
 
 func newPartTracker() *partTracker {
@@ -36,6 +37,7 @@
 
 func (p *partTracker) ReportBegun(parts []flamingodoor.PromptPart) {
 	p.PartLedger.ReportBegun(parts, time.Now())
+	p.begun.Add(1)
 }
 
 func (p *partTracker) ReportBroken(_ context.Context, instance flamingodoor.Instance, parts []flamingodoor.PromptPart) {
@@ -124,16 +126,17 @@
 		<-request.Context().Done()
 		ended <- struct{}{}
 	})
-	begun, proceed := make(chan struct{}), make(chan struct{})
+	proceed := make(chan struct{})
 	other := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
 		events(3, 0)(writer, request)
-		close(begun)
 		<-proceed
 	})
 	replies := make(chan reply, 2)
 	s.register(other.instance("i-1", "llm"))
 	go func() { replies <- s.send("/stream/a", withParts("dead:5,a:1")) }()
-	<-begun
+	for begun := time.Now(); s.parts.begun.Load() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begun) < 10*time.Second, "the response does not begin")
+	}
 	s.register(e.instance("i-2", "llm"))
 	go func() { replies <- s.send("/stream/b", withParts("dead:5,b:1")) }()
 	<-waiting
