--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -24,6 +24,7 @@
 		{"flamingodoor.registrations.age_ms", "Age of the read that the registrations stand for; -1 before", func() int64 { return ageMilliseconds(g.platform.Followers.AsOf(), time.Now()) }},
 		{"flamingodoor.instances", "Listed instances", g.listedInstances},
 		{"flamingodoor.groups.serving", "Groups that receive requests", g.servingGroups},
+		{"flamingodoor.instances.limited", "Instances that stated a limit of requests a second", func() int64 { return int64(g.proxy.Allowances().Count(time.Now())) }},
 		{"flamingodoor.requests.in_flight", "Requests of this host at instances", g.inFlight},
 	} {
 		if err := g.metrics.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -282,6 +282,7 @@
 		}
 		header.Set(p.headers.Priority, strconv.Itoa(min(9, max(0, priority))))
 	}
+	sentAt := p.now()
 	response, err := p.pool.Do(ctx, dest.target(), upstream.Call{
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
 		// If a reused connection turns out to be closed, it is unknown whether
@@ -290,7 +291,7 @@
 		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	if err == nil {
-		p.observeRefusal(dest.instance, response)
+		p.observeResponse(dest.instance, sentAt, response)
 	}
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -22,7 +22,7 @@
 // or not their requests are served. It is safe for concurrent use.
 type Demand struct {
 	mu               sync.Mutex
-	rates            map[DemandKey]*rate
+	rates            map[DemandKey]*meanRate
 	meanOutputLimits map[string]float64 // mean of callers' output token limits, by service
 }
 
@@ -30,15 +30,15 @@
 // limit.
 const outputLimitWeight = 0.01
 
-// rate is an exponentially decaying mean of an amount per second.
-type rate struct {
+// meanRate is an exponentially decaying mean of an amount per second.
+type meanRate struct {
 	perSecond float64
 	updatedAt time.Time
 }
 
 // NewDemand returns an empty Demand.
 func NewDemand() *Demand {
-	return &Demand{rates: make(map[DemandKey]*rate), meanOutputLimits: make(map[string]float64)}
+	return &Demand{rates: make(map[DemandKey]*meanRate), meanOutputLimits: make(map[string]float64)}
 }
 
 // Add counts a request by its estimated engine seconds. Services without an
@@ -54,11 +54,11 @@
 	rateOf(d.rates, key, now).add(work, now)
 }
 
-// rateOf returns the rate of a key, and adds a zero rate if there is none.
-func rateOf(rates map[DemandKey]*rate, key DemandKey, now time.Time) *rate {
+// rateOf returns the mean rate of a key, and adds a zero one if there is none.
+func rateOf(rates map[DemandKey]*meanRate, key DemandKey, now time.Time) *meanRate {
 	mean, ok := rates[key]
 	if !ok {
-		mean = &rate{updatedAt: now}
+		mean = &meanRate{updatedAt: now}
 		rates[key] = mean
 	}
 	return mean
@@ -68,11 +68,11 @@
 // safe for concurrent use.
 type arrivalRates struct {
 	mu    sync.Mutex
-	rates map[DemandKey]*rate
+	rates map[DemandKey]*meanRate
 }
 
 func newArrivalRates() *arrivalRates {
-	return &arrivalRates{rates: make(map[DemandKey]*rate)}
+	return &arrivalRates{rates: make(map[DemandKey]*meanRate)}
 }
 
 // add counts a request.
@@ -107,12 +107,12 @@
 	return limit * service.Engine.MeanAnswerTokens / mean
 }
 
-func (r *rate) add(amount float64, now time.Time) {
+func (r *meanRate) add(amount float64, now time.Time) {
 	r.decay(now)
 	r.perSecond += amount / rateTimeConstant.Seconds()
 }
 
-func (r *rate) decay(now time.Time) {
+func (r *meanRate) decay(now time.Time) {
 	r.perSecond *= math.Exp(-now.Sub(r.updatedAt).Seconds() / rateTimeConstant.Seconds())
 	r.updatedAt = now
 }
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -29,6 +29,7 @@
 	ExpectVersion  string
 	WeightVersion  string
 	Leaving        string // set to "1" on all responses of an endpoint that is leaving
+	RateLimit      string // requests a second that an endpoint in need accepts from all hosts
 }
 
 // job is a caller's authorised request and the state of its attempts.
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -33,20 +33,26 @@
 	})
 }
 
-// observeRefusal applies the Retry-After of the response to a request. That of a
-// skipped response counts from an earlier moment, which is not known.
-func (p *Proxy) observeRefusal(instance flamingodoor.Instance, response *upstream.Response) {
-	if response.StatusCode != http.StatusServiceUnavailable {
+// observeResponse applies the Retry-After and the rate limit in the response to a
+// request that was sent at the given time. Those of a skipped response count from
+// an earlier moment, which is not known.
+func (p *Proxy) observeResponse(instance flamingodoor.Instance, sentAt time.Time, response *upstream.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	p.Observe(flamingodoor.InstanceNotice{
-		InstanceID: instance.ID, StartedAt: instance.StartedAt, RetryAfter: response.Header.Get("Retry-After"),
-	})
+	notice := flamingodoor.InstanceNotice{
+		InstanceID: instance.ID, StartedAt: instance.StartedAt, RateLimit: response.Header.Get(p.headers.RateLimit), RequestSentAt: sentAt,
+	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		notice.RetryAfter = response.Header.Get("Retry-After")
+	}
+	p.Observe(notice)
 }
 
 // Observe applies what an instance stated in a response to this host. An instance
-// that is leaving gets no new requests from any host, and one that refused with a
-// Retry-After none from this host until then.
+// that is leaving gets no new requests from any host, one that refused with a
+// Retry-After none from this host until then, and one that stated a rate limit no
+// more than that from all hosts together.
 func (p *Proxy) Observe(notice flamingodoor.InstanceNotice) {
 	if notice.Leaving {
 		p.markLeaving(notice)
@@ -54,6 +60,7 @@
 	if notice.RetryAfter != "" {
 		p.hold(notice)
 	}
+	p.recordRateLimit(notice)
 }
 
 func (p *Proxy) markLeaving(notice flamingodoor.InstanceNotice) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,9 +17,11 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/admission"
+	"flamingodoor.example/flamingodoor/internal/allowance"
 	"flamingodoor.example/flamingodoor/internal/balance"
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/cold"
@@ -50,6 +52,9 @@
 	// maxDiscardedBytes limits the body of a response that is read only so that
 	// the connection can be used again.
 	maxDiscardedBytes = 64 << 10
+	// limitWarningInterval is the shortest time between two warnings of rate limits
+	// that cannot be followed.
+	limitWarningInterval = time.Second
 )
 
 // Limits apply to all entry hosts together.
@@ -92,6 +97,8 @@
 	divider          *share.Divider
 	cold             *cold.Limiter
 	holds            *balance.Holds
+	allowances       *allowance.Book
+	limitWarnings    rate.Sometimes
 	waiters          *waitCounter
 	arrivalRates     *arrivalRates
 }
@@ -156,7 +163,8 @@
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
+		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
 	for _, option := range options {
 		option(p)
--- a/serving.go
+++ b/serving.go
@@ -216,6 +216,10 @@
 	StartedAt  time.Time // of the process that responded
 	Leaving    bool      // the instance leaves and takes no new requests
 	RetryAfter string    // Retry-After of a response with status 503
+	RateLimit  string    // requests a second that the instance accepts from all hosts; empty if it states no limit
+	// RequestSentAt is when the caller's request to which the instance responded was
+	// sent. It is zero for reports and orders, which need not state a limit.
+	RequestSentAt time.Time
 }
 
 // InstanceClient queries instances and sends them orders.
