Keep the rate limits that instances state, fleet-wide

Cause: no host evaluated the statement.

Change: a host records what instances state in responses, reports and orders, and sends it to the peers: the first statement of a process at once, later ones with the rounds, at most one second in three. The limit is divided among as many hosts, first in the rendezvous order of the instance, that each may send about one request a second. It ends with the first response without one to a later request, or 30 s after the last statement. Requests beyond it go elsewhere; where no instance is left, they are refused at once with the time of the next free request.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -1,11 +1,15 @@
 // Package allowance keeps the request rates that instances stated they accept
-// from all entry hosts together.
+// from all entry hosts together, and limits this host to its part of them.
 package allowance
 
 import (
 	"maps"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
+
+	"flamingodoor.example/flamingodoor/internal/share"
 )
 
 const (
@@ -42,8 +46,11 @@
 	At time.Time
 }
 
-// Book holds the newest statement of each instance. It is safe for concurrent use.
+// Book holds the newest statement of each instance and counts the requests of this
+// host against its part of the rate. It is safe for concurrent use.
 type Book struct {
+	divider *share.Divider
+
 	mu      sync.Mutex
 	entries map[string]*entry // by instance
 }
@@ -51,13 +58,15 @@
 // entry is the newest statement of an instance.
 type entry struct {
 	Statement
+	bucket   *rate.Limiter
 	sharedAt time.Time // when the messages to the peers began to contain it
 	urgentAt time.Time // when it was last sent at once
 }
 
-// NewBook returns a book without statements.
-func NewBook() *Book {
-	return &Book{entries: make(map[string]*entry)}
+// NewBook returns a book without statements. While the divider knows no hosts,
+// limited instances get no requests from this host.
+func NewBook(divider *share.Divider) *Book {
+	return &Book{divider: divider, entries: make(map[string]*entry)}
 }
 
 // Recorded is the effect of a statement.
@@ -73,33 +82,45 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current, ok := b.entries[statement.InstanceID]
-	if ok && (statement.StartedAt.Before(current.StartedAt) ||
-		(statement.StartedAt.Equal(current.StartedAt) && !statement.At.After(current.At))) {
+	if ok && !statement.newerThan(current.Statement) {
 		return Recorded{}
 	}
 	if !ok || !statement.StartedAt.Equal(current.StartedAt) {
-		if statement.PerSecond == 0 {
-			return Recorded{}
-		}
-		current = &entry{Statement: Statement{StartedAt: statement.StartedAt}}
-		b.entries[statement.InstanceID] = current
+		current = &entry{bucket: rate.NewLimiter(0, 1)}
 	}
 	before := current.PerSecond
 	if before == 0 && statement.PerSecond == 0 {
 		return Recorded{}
 	}
 	current.Statement = statement
-	recorded := Recorded{Began: before == 0 && statement.PerSecond > 0, Ended: before > 0 && statement.PerSecond == 0}
-	if !forward {
-		return recorded
+	b.entries[statement.InstanceID] = current
+	recorded := Recorded{Began: before == 0, Ended: statement.PerSecond == 0}
+	if forward {
+		recorded.Urgent = current.forward(before, now)
 	}
-	if before != statement.PerSecond || now.Sub(current.sharedAt) >= renewInterval {
-		current.sharedAt = now
+	return recorded
+}
+
+// newerThan reports whether a statement replaces the known one.
+func (s Statement) newerThan(known Statement) bool {
+	if !s.StartedAt.Equal(known.StartedAt) {
+		return s.StartedAt.After(known.StartedAt)
 	}
-	if (recorded.Began || (!recorded.Ended && statement.PerSecond < urgentDrop*before)) && now.Sub(current.urgentAt) >= urgentInterval {
-		recorded.Urgent, current.urgentAt = true, now
+	return s.At.After(known.At)
+}
+
+// forward makes the messages to the peers contain the statement, unless they did
+// lately, and reports whether the peers must know it at once.
+func (e *entry) forward(before float64, now time.Time) (urgent bool) {
+	if before != e.PerSecond || now.Sub(e.sharedAt) >= renewInterval {
+		e.sharedAt = now
 	}
-	return recorded
+	began, fell := before == 0, e.PerSecond > 0 && e.PerSecond < urgentDrop*before
+	if (!began && !fell) || now.Sub(e.urgentAt) < urgentInterval {
+		return false
+	}
+	e.urgentAt = now
+	return true
 }
 
 // RecordNoLimit applies a response without a limit to a request that was sent at
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,7 +169,7 @@
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
 		PartTracker: g.parts, Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving))
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	feeds := exchange.Feeds{
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -106,6 +106,7 @@
 		}
 	}
 	s.gateway.parts.ledger.Describe(request, now)
+	s.describeRateLimits(request, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent := s.losses[:0]
@@ -142,6 +143,7 @@
 	}
 	g.crashTracker.Merge(request.GetStrikes(), now)
 	g.parts.merge(request, now)
+	s.applyRateLimits(request, now)
 	s.applyDemand(request, now)
 	s.applyLosses(request, now)
 }
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -33,8 +33,8 @@
 }
 
 // retryAfterOr returns the Retry-After of a refused job if all its instances asked
-// for no requests: when the first of them takes requests again, but not later than
-// callers wait. Otherwise it returns the usual one.
+// for no requests or no more from this host: when the first of them takes requests
+// again, but not later than callers wait. Otherwise it returns the usual one.
 func (p *Proxy) retryAfterOr(j *job, usual time.Duration) time.Duration {
 	now := p.now()
 	roomAt, ok := p.roomAt(j, now)
@@ -81,15 +81,20 @@
 			return destination{}, errPartBlocked
 		}
 		changed := p.tracker.Changed()
-		dest, err := p.tryAcquire(j)
+		dest, roomAt, err := p.tryAcquire(j)
 		if err == nil && j.placedAt.IsZero() {
 			j.placedAt = p.now()
 		}
 		if err == nil || errors.Is(err, errNoInstance) || isHeldPast(err, until) {
 			return dest, err
 		}
+		var room <-chan time.Time
+		if !roomAt.IsZero() {
+			room = time.After(roomAt.Sub(p.now()))
+		}
 		select {
 		case <-changed:
+		case <-room:
 		case <-timer.C:
 			return destination{}, err
 		case <-ctx.Done():
@@ -98,35 +103,37 @@
 	}
 }
 
-// isHeldPast reports whether no instance takes requests before the given time,
-// because all of them asked for none.
+// isHeldPast reports whether no instance takes requests of this host before the
+// given time, because all of them asked for none or no more.
 func isHeldPast(err error, until time.Time) bool {
 	var held *heldError
 	return errors.As(err, &held) && held.until.After(until)
 }
 
-// tryAcquire reserves a slot without waiting.
-func (p *Proxy) tryAcquire(j *job) (destination, error) {
+// tryAcquire reserves a slot without waiting. If there is none, it also returns when
+// the first of the instances that asked for no requests, or no more, takes one again;
+// the time is zero if none asked for that.
+func (p *Proxy) tryAcquire(j *job) (destination, time.Time, error) {
 	if j.callerRetry && p.waiters.hasAny(j) {
 		// Jobs that are not callers' retries take precedence: they have more
 		// time left for a response.
-		return destination{}, errFull
+		return destination{}, time.Time{}, errFull
 	}
 	now := p.now()
 	set := p.findCandidates(j, p.roster.View(), now)
 	if len(set.candidates) == 0 {
-		return destination{}, set.emptyError()
+		return destination{}, set.heldUntil, set.emptyError()
 	}
 	id, ok := p.tracker.Pick(set.candidates, p.unreportedRequests(j, now), now)
 	if !ok {
-		return destination{}, errFull
+		return destination{}, set.heldUntil, errFull
 	}
 	chosen := set.destinations[id]
-	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) {
+	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) || !p.allowances.Reserve(chosen.instance, now) {
 		p.tracker.Release(id)
-		return destination{}, errFull
+		return destination{}, set.heldUntil, errFull
 	}
-	return chosen, nil
+	return chosen, time.Time{}, nil
 }
 
 // waitCounter counts the waiting jobs that are not callers' retries. It is safe
@@ -172,7 +179,9 @@
 	candidates   []balance.Candidate
 	destinations map[string]destination // by instance
 	coldLimited  bool                   // a cold instance was excluded by its request rate
-	heldUntil    time.Time              // earliest end of the holds by which instances were excluded
+	// heldUntil is when the first of the instances that asked for no requests, or for
+	// no more from this host, takes one again. It is zero if there is none.
+	heldUntil time.Time
 }
 
 // emptyError returns why there is no candidate.
@@ -230,8 +239,9 @@
 }
 
 // addCandidate adds an instance unless it failed the job before, its data centre
-// is evacuated, it asked for no requests, or it is cold and has reached its
-// request rate.
+// is evacuated, it asked for no requests, or this host has used up its part of the
+// request rate of the instance, which the instance stated or which holds while it is
+// cold.
 func (p *Proxy) addCandidate(set *candidateSet, j *job, dest destination, now time.Time) {
 	instance := dest.instance
 	if j.failedInstances[instance.ID] || p.catalogue.Evacuated(instance.DataCentre) {
@@ -241,6 +251,10 @@
 		set.addHeld(until)
 		return
 	}
+	if until, full := p.allowances.FullUntil(instance, now); full {
+		set.addHeld(until)
+		return
+	}
 	if !p.cold.HasRoom(instance, j.service.ColdRate, now) {
 		set.coldLimited = true
 		return
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -110,20 +110,20 @@
 }
 
 // heldError is returned if every instance that could take a job asked for no
-// requests.
+// requests, or for no more from this host.
 type heldError struct {
 	until time.Time // earliest end
 }
 
 // Error states until when there is no instance.
 func (h *heldError) Error() string {
-	return "all instances asked for no requests until " + h.until.UTC().Format("15:04:05.000")
+	return "all instances asked for no more requests until " + h.until.UTC().Format("15:04:05.000")
 }
 
-// roomAt returns when the first instance of a job takes requests again, or false
-// unless all of them asked for none.
+// roomAt returns when the first instance of a job takes requests of this host again,
+// or false unless all of them asked for none or no more.
 func (p *Proxy) roomAt(j *job, now time.Time) (time.Time, bool) {
-	if !p.holds.Any(now) {
+	if !p.holds.Any(now) && p.allowances.Count(now) == 0 {
 		return time.Time{}, false
 	}
 	next := *j
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,6 +81,7 @@
 	demand          *Demand
 	observer        Observer
 	onLeaving       func(instanceID string, startedAt time.Time)
+	onLimited       func()
 	logger          log.Logger
 	now             func() time.Time
 	uptime          func() time.Time // of confirmations
@@ -135,6 +136,12 @@
 	return func(p *Proxy) { p.onLeaving = onLeaving }
 }
 
+// WithLimitListener sets the function that is called when an instance states a rate
+// limit that the other hosts must know at once.
+func WithLimitListener(onLimited func()) Option {
+	return func(p *Proxy) { p.onLimited = onLimited }
+}
+
 // Parts are the dependencies and settings of a Proxy.
 type Parts struct {
 	Headers      Headers
@@ -154,7 +161,7 @@
 
 // New returns a proxy. Until SetHosts is called, it computes its retry budget as
 // if it were the only host, and sends no requests to cold instances of services
-// with a ColdRate.
+// with a ColdRate or to instances that stated a rate limit.
 func New(parts Parts, options ...Option) *Proxy {
 	divider := share.NewDivider(parts.HostID)
 	p := &Proxy{
@@ -162,8 +169,8 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
-		observer: noObserver{}, onLeaving: func(string, time.Time) {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
+		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
 	for _, option := range options {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -35,7 +35,7 @@
 var headers = proxy.Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", ExpectInstance: "X-Expect", NotRun: "X-Not-Run", Workspace: "X-Workspace",
 	Model: "X-Model", Tokens: "X-Tokens", Signature: "X-Signature", Priority: "X-Priority", FaultInstance: "X-Fault",
-	LastEventID: "Last-Event-Id", Leaving: "X-Leaving", PromptParts: "X-Parts",
+	LastEventID: "Last-Event-Id", Leaving: "X-Leaving", PromptParts: "X-Parts", RateLimit: "X-Rate-Limit",
 }
 
 // endpoint is a stand-in that counts its requests and keeps the last headers.
--- a/internal/proxy/ratelimits.go
+++ b/internal/proxy/ratelimits.go
@@ -45,6 +45,9 @@
 	if recorded.Began {
 		_ = level.Info(p.logger).Log("event", "instance_limited", "instance", notice.InstanceID, "born_ms", notice.StartedAt.UnixMilli(), "per_second", perSecond)
 	}
+	if recorded.Urgent {
+		p.onLimited()
+	}
 }
 
 // parseRateLimit parses a decimal number that is not negative.
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"sync"
 
@@ -65,6 +66,21 @@
 	return part
 }
 
+// RateShare returns this host's part of a rate in requests per second, or 0 until
+// the hosts are known. A rate that is lower than the number of hosts is divided
+// among the first hosts in the rendezvous order of the key, so that each of them
+// may send about one request a second; the others get none. The parts of all hosts
+// add up to the rate.
+func (d *Divider) RateShare(key string, perSecond float64) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sharing := min(float64(len(d.hosts)), math.Ceil(perSecond))
+	if sharing < 1 || float64(d.rank(key)) >= sharing {
+		return 0
+	}
+	return perSecond / sharing
+}
+
 // rank returns the position of this host in the rendezvous order of the key.
 func (d *Divider) rank(key string) int {
 	if rank, ok := d.ranks[key]; ok {
