Log and count restores of the platform's store

No log line said that the store had been restored, or in which history a host reads. Positions and epochs do not use the era yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,14 @@
 	Election  func(ttl time.Duration) flamingodoor.Election
 	Directory flamingodoor.HostDirectory
 	Headers   proxy.Headers
+	Restores  Restores
+}
+
+// Restores tells when the platform's store has come back from a copy that lacks its
+// latest records. Each time its era rises.
+type Restores interface {
+	OnRestore(restored func(era int64))
+	Era() int64
 }
 
 // InstanceClient queries instances, sends them orders, and passes on what they
@@ -186,9 +194,15 @@
 		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy)
+	platform.Restores.OnRestore(g.onRestore)
 	return g
 }
 
+// onRestore logs that the platform's store lacks its latest records.
+func (g *Gateway) onRestore(era int64) {
+	_ = level.Warn(g.logger).Log("event", "store_restored", "era", era)
+}
+
 // SetLimits replaces the limits that all hosts share, after the settings
 // changed.
 func (g *Gateway) SetLimits(limits proxy.Limits) {
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -22,6 +22,7 @@
 		{"flamingodoor.configuration.version", "Version of the configuration in force", g.configurationVersion},
 		{"flamingodoor.configuration.age_ms", "Time since the configuration was confirmed; -1 before", func() int64 { return ageMilliseconds(g.catalogue.Confirmed(), uptime.Now()) }},
 		{"flamingodoor.registrations.age_ms", "Age of the read that the registrations stand for; -1 before", func() int64 { return ageMilliseconds(g.platform.Followers.AsOf(), time.Now()) }},
+		{"flamingodoor.store.era", "Number of times that the platform's store was restored, by its own count", g.platform.Restores.Era},
 		{"flamingodoor.instances", "Listed instances", g.listedInstances},
 		{"flamingodoor.groups.serving", "Groups that receive requests", g.servingGroups},
 		{"flamingodoor.instances.limited", "Instances that stated a limit of requests a second", func() int64 { return int64(g.proxy.Allowances().Count(time.Now())) }},
