--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -140,8 +140,8 @@
 		return message
 	}
 	message.RelayDuty = duty
-	if batch, ok := e.feeds.Registrations.ChangesSince(response.GetRegistrationsNext()); ok && isTarget {
-		message.Registrations = e.encodeRegistrations(round.batches, batch, maxBytes)
+	if isTarget {
+		message.Registrations = e.registrationsSince(response.GetRegistrationsNext(), round.batches, maxBytes)
 	}
 	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
 		message.Configuration = &exchangev1.Configuration{
@@ -152,6 +152,16 @@
 	return message
 }
 
+// registrationsSince returns the registrations for a peer that needs them from a
+// position on. A peer that needs more than this host keeps reads them itself.
+func (e *Exchanger) registrationsSince(from int64, batches *encodedBatches, maxBytes int) *exchangev1.RecordBatch {
+	batch, ok := e.feeds.Registrations.ChangesSince(from)
+	if !ok {
+		return &exchangev1.RecordBatch{From: from, Next: e.feeds.Registrations.NextOffset(), Omitted: true}
+	}
+	return e.encodeRegistrations(batches, batch, maxBytes)
+}
+
 // encodeRegistrations encodes a batch. A batch of more than maxBytes, or one
 // that cannot be encoded, is sent without its records, and the receiver reads
 // them from the store.
