Write again what a restore of the platform's store has lost of the hosts

What would be seen: after a restore, a later leader does not know the heads of groups that were formed shortly before it, loads weights again that are under way, or plans beside a leader whose lease the store has forgotten; hosts that start later do not find the others, and blocked parts of prompts pass.

Cause: operators and instances write again what they wrote, but the hosts' own records (heads, loads, blocked parts, the list of hosts, the lease) were written once, on the assumption that the store loses nothing that it has acknowledged.

Change: a restore ends the term of the leader; whoever wins the election next reads the store anew, saves the heads of the groups that it knows and the loads that it started, and forms no group for 2.5 s, until the registrations have settled. It saves the blocked parts, and each host announces itself again.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -120,6 +120,8 @@
 	wake          chan struct{}    // starts the next round at once
 	calls         sync.WaitGroup
 	copying       atomic.Bool // a configuration is being copied
+	announced     atomic.Bool // this host is in the platform's list of hosts
+	announceAgain chan struct{}
 
 	mu              sync.Mutex
 	peers           map[string]*peerState
@@ -192,7 +194,7 @@
 	e := &Exchanger{
 		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
-		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), peers: make(map[string]*peerState),
+		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
 		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary),
 	}
 	for _, option := range options {
@@ -410,10 +412,9 @@
 // RunDirectory adds this host to the platform's list of entry hosts and reads
 // the list until the context ends.
 func (e *Exchanger) RunDirectory(ctx context.Context) {
-	announced := false
 	for ctx.Err() == nil {
 		wait := directoryInterval
-		if err := e.readDirectory(ctx, &announced); err != nil {
+		if err := e.readDirectory(ctx); err != nil {
 			_ = level.Warn(e.logger).Log("event", "host_list_failed", "err", err)
 			wait = directoryRetryDelay
 		}
@@ -421,17 +422,28 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-e.announceAgain:
 		}
 		timer.Stop()
 	}
 }
 
-func (e *Exchanger) readDirectory(ctx context.Context, announced *bool) error {
-	if !*announced {
+// AnnounceAgain adds this host to the platform's list of entry hosts again, because
+// the platform may have lost its entry.
+func (e *Exchanger) AnnounceAgain() {
+	e.announced.Store(false)
+	select {
+	case e.announceAgain <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Exchanger) readDirectory(ctx context.Context) error {
+	if e.announced.CompareAndSwap(false, true) {
 		if err := e.directory.Announce(ctx, e.self); err != nil {
+			e.announced.Store(false)
 			return err
 		}
-		*announced = true
 	}
 	hosts, err := e.directory.Hosts(ctx)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -161,6 +162,7 @@
 	planner      *planner.Planner
 	shared       *sharedState
 	front        *FrontServer
+	restored     atomic.Bool // the leader has yet to save the blocked parts again
 }
 
 // New connects the parts of a gateway. Nothing runs or listens before Run.
@@ -198,9 +200,15 @@
 	return g
 }
 
-// onRestore logs that the platform's store lacks its latest records.
+// onRestore makes this host write again what the platform's store may have lost of it:
+// its place in the list of hosts and, if it comes to lead, the blocked parts. The
+// leader is elected anew.
 func (g *Gateway) onRestore(era int64) {
 	_ = level.Warn(g.logger).Log("event", "store_restored", "era", era)
+	g.restored.Store(true)
+	g.planner.StoreRestored()
+	g.exchanger.AnnounceAgain()
+	g.platform.Followers.Refresh()
 }
 
 // SetLimits replaces the limits that all hosts share, after the settings
@@ -405,8 +413,9 @@
 	return router
 }
 
-// runMaintenance closes expired idle connections and updates the hosts among
-// which the limits are divided, each second until the context ends.
+// runMaintenance closes expired idle connections, updates the hosts among which the
+// limits are divided, and saves the blocked parts again after a restore of the store,
+// each second until the context ends.
 func (g *Gateway) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
@@ -419,6 +428,9 @@
 			if g.exchanger.DirectoryLoaded() {
 				g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
 			}
+			if g.planner.Leads() && g.restored.CompareAndSwap(true, false) {
+				g.parts.save(g.parts.ledger.AllBlocked(), nil)
+			}
 		}
 	}
 }
--- a/internal/planner/election.go
+++ b/internal/planner/election.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// StoreRestored ends this host's term as leader, because the platform's store has come
+// back from a copy that may lack what the term is based on: leases, epochs, heads and
+// loads. Each host has to win the election in the restored store.
+func (p *Planner) StoreRestored() {
+	p.setLeadership(false, time.Time{})
+	p.restored.Store(true)
+	p.Renew()
+}
+
 func (p *Planner) awaitRenewal(ctx context.Context, interval time.Duration) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,9 @@
 	// preTrafficLoadDivisor is the factor by which weights load faster before the
 	// first request.
 	preTrafficLoadDivisor = 10
+	// restoreSettleTime is how long after a restore of the platform's store no
+	// groups are formed: instances have written again what was lost within about 2 s.
+	restoreSettleTime = 2500 * time.Millisecond
 )
 
 // Refresher reads the registrations from the platform.
@@ -123,6 +127,7 @@
 
 	renewals chan struct{}
 	yields   atomic.Bool // whether other hosts should lead
+	restored atomic.Bool // the platform's store was restored since the latest step
 
 	mu         sync.Mutex
 	leadsUntil time.Time
@@ -135,6 +140,8 @@
 	impairedSince  map[roster.GroupKey]time.Time             // when a group was found incomplete, without a head or with a leaving member
 	retiring       map[roster.GroupKey]time.Time             // when a group was retired
 	inheritedHeads map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host became leader
+	restoredAt     time.Time                                 // when the platform's store was last restored
+	storeMayLack   bool                                      // heads and loads that this host knows, because it was restored
 	probedAt       map[string]time.Time                      // by instance ID
 	activeLoads    map[string]flamingodoor.WeightLoad        // by instance ID
 	endedLoads     []string                                  // instances whose ended loads are still in the load store
@@ -216,10 +223,10 @@
 
 // Step runs one round of planning if this host is the leader.
 func (p *Planner) Step(ctx context.Context) {
-	leads := p.Leads()
-	if leads != p.wasLeading {
+	leads, restored := p.Leads(), p.restored.Swap(false)
+	if leads != p.wasLeading || restored {
 		p.wasLeading = leads
-		p.resetState(ctx, leads)
+		p.resetState(ctx, leads, restored)
 		_ = level.Info(p.Logger).Log("event", "leadership", "leads", leads, "epoch", p.epoch)
 	}
 	index := p.Catalogue.Index()
@@ -237,6 +244,7 @@
 		return
 	}
 	p.restoreHeads(p.Roster.View(), now)
+	p.saveLostHeads(ctx, p.Roster.View())
 	view := p.Roster.View()
 	p.logSummary(index, view, now)
 	p.probeUnlisted(ctx, view, now)
@@ -254,21 +262,30 @@
 }
 
 // resetState discards the state of an earlier term as leader. At the start of a
-// new term, it reads the newest epoch, the heads and the weight loads.
-func (p *Planner) resetState(ctx context.Context, leads bool) {
+// new term, it reads the newest epoch, the heads and the weight loads. If the
+// platform's store was restored, loads that this host knows count on, because the
+// store may lack them.
+func (p *Planner) resetState(ctx context.Context, leads, restored bool) {
 	clear(p.pending)
 	clear(p.dissolving)
 	clear(p.states)
 	clear(p.impairedSince)
 	clear(p.retiring)
+	known := maps.Clone(p.activeLoads)
 	clear(p.activeLoads)
 	p.endedLoads = nil
 	p.leaderSince = p.now()
+	if restored {
+		p.restoredAt, p.storeMayLack = p.now(), true
+	}
 	if leads {
 		p.readEpoch(ctx)
 		p.readHeads(ctx)
 		p.restoreLoads(ctx)
 	}
+	if p.storeMayLack {
+		p.keepLoads(ctx, known)
+	}
 	p.delayForming()
 }
 
@@ -335,13 +352,16 @@
 	return true
 }
 
-// delayForming postpones new groups until the orders of another planner show in
-// the registrations. Before the first request, it only triggers a read of the
-// registrations.
+// delayForming postpones new groups until the orders of another planner, and what a
+// restore of the platform's store has lost, show in the registrations. Before the
+// first request, it only triggers a read of the registrations.
 func (p *Planner) delayForming() {
 	if !p.NoRequestsYet() {
 		p.formAfter = p.now().Add(orderVisibilityDelay)
 	}
+	if settled := p.restoredAt.Add(restoreSettleTime); settled.After(p.formAfter) {
+		p.formAfter = settled
+	}
 	p.Refresher.Refresh()
 }
 
