Refuse no stream as not run that was sent

A stream that was sent to an instance, and whose deadline passed before the response began, was answered 503 not_run with a Retry-After, although the instance may have run it: handleStreamError returned on the deadline before it recorded that the request was sent. Plain services were right. TestStreamWithoutAResponseAtItsDeadlineMayHaveRun failed before with 503 and passes with 504.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -201,6 +201,10 @@
 // endpoint closed the connection.
 func (p *Proxy) handleStreamError(ctx context.Context, j *job, dest destination, err error) outcome {
 	cause := context.Cause(ctx)
+	var failure *upstream.CallError
+	if !errors.As(err, &failure) || failure.Sent {
+		j.mayHaveRun = true
+	}
 	var callerLeft *callerLeftError
 	switch {
 	case errors.As(err, &callerLeft):
@@ -212,11 +216,9 @@
 	case cause != nil:
 		return p.callerLeftOr(ctx, outcomeFailed)
 	}
-	var failure *upstream.CallError
-	if errors.As(err, &failure) && !failure.Sent {
+	if failure != nil && !failure.Sent {
 		return p.handleSendError(ctx, j, dest, err)
 	}
-	j.mayHaveRun = true
 	j.cause = "broken"
 	if flamingodoor.CodeOf(err) == flamingodoor.CodeInternal && (failure == nil || !failure.Reused) {
 		// The endpoint closed the connection: it may have crashed. If a reused
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -213,3 +213,14 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, allEvents(3))
 }
+
+// Guards against a refusal that states falsely that a request has not run: a stream
+// whose deadline passes before its response begins may have run.
+func TestStreamWithoutAResponseAtItsDeadlineMayHaveRun(t *testing.T) {
+	s := newSetup(t)
+	e := newEndpoint(t, func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	s.register(e.instance("i-1", "llm"))
+	got := s.send("/stream/x", func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "300") })
+	assert.Equal(t, e.runs.Load(), int64(1))
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+}
