Serve a pipelined request that is half read when a stop begins

A caller that sent the first half of a request together with the one before got 400 when the host stopped in between. Cause: a connection that closes shortens the deadline of reads while it waits for a request, and it learned that a request had begun from its reads alone; the server had read this half with the request before, so that the wait went on and the read of the second half failed at once. The server sets one deadline for the wait and another for the request, also where it had read a part of it; the second ends the wait now.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -102,11 +102,23 @@
 	mu        sync.Mutex
 	waiting   bool      // for the first byte of a request
 	waitUntil time.Time // while waiting, once closing
+	idle      idleState
 	closing   bool
 	answered  bool      // since it began to close
 	deadline  time.Time // of reads, as the server set it
 }
 
+// idleState is how far the server is in its wait for the next request. It sets a
+// deadline for the wait, and another one once a request has begun, which it may have
+// read together with the one before.
+type idleState int
+
+const (
+	idleEnded   idleState = iota // or not begun
+	idleBegun                    // the deadline of the wait is set next
+	idleWaiting                  // the deadline of a request is set next
+)
+
 // Read reads from the caller.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
@@ -134,6 +146,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	switch c.idle {
+	case idleBegun:
+		c.idle = idleWaiting
+	case idleWaiting:
+		c.idle, c.waiting = idleEnded, false
+	case idleEnded:
+	}
 	return c.applyDeadline()
 }
 
@@ -167,6 +186,7 @@
 	defer c.mu.Unlock()
 	c.waiting = true
 	c.waitUntil = time.Now()
+	c.idle = idleBegun
 	c.answered = c.closing
 }
 
