Read from a report without a body that its instance leaves

A report that was refused without a body, or whose body was cut, was dropped together with its head, so that Server-Leaving in it was missed. The header Flamingodoor-Instance-Id names the instance; the process is the registered one.

--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -54,6 +54,9 @@
 // Retry-After none from this host until then, and one that stated a rate limit no
 // more than that from all hosts together.
 func (p *Proxy) Observe(notice flamingodoor.InstanceNotice) {
+	if entry, ok := p.roster.View().Entries[notice.InstanceID]; ok && notice.StartedAt.IsZero() {
+		notice.StartedAt = entry.StartedAt
+	}
 	if notice.Leaving {
 		p.markLeaving(notice)
 	}
--- a/internal/proxy/notices_test.go
+++ b/internal/proxy/notices_test.go
@@ -146,3 +146,14 @@
 	assert.Assert(t, got.err != nil)
 	assert.Equal(t, failing.runs.Load(), int64(1))
 }
+
+// Guards against missing that an instance is leaving because its statement names it
+// but not its process.
+func TestStatementWithoutAProcessIsThatOfTheRegisteredOne(t *testing.T) {
+	s := newSetup(t)
+	e := newEndpoint(t, signed("hello"))
+	s.register(e.instance("i-1", "plain"))
+	s.proxy.Observe(flamingodoor.InstanceNotice{InstanceID: "i-1", Leaving: true})
+	assert.Equal(t, s.send("/post/x").status, http.StatusServiceUnavailable)
+	assert.Equal(t, e.runs.Load(), int64(0))
+}
--- a/serving.go
+++ b/serving.go
@@ -213,7 +213,7 @@
 // response, whatever was requested.
 type InstanceNotice struct {
 	InstanceID string
-	StartedAt  time.Time // of the process that responded
+	StartedAt  time.Time // of the process that responded; zero for the one that is registered
 	Leaving    bool      // the instance leaves and takes no new requests
 	RetryAfter string    // Retry-After of a response with status 503
 	RateLimit  string    // requests a second that the instance accepts from all hosts; empty if it states no limit
