Let no late message block a part again that was cleared

A message between hosts gives the age of the crash of blocked parts. One that arrived 1.3 s late made the crash look later than the response that had cleared the part, which was blocked again at all hosts. A cleared part is now blocked again only if the receiver knows a later crash with it, or if the crash is later by more than 10 s.

--- a/internal/poison/parts_share.go
+++ b/internal/poison/parts_share.go
@@ -17,6 +17,9 @@
 	// as equal: ages grow by the delay of each message.
 	ageTolerance = time.Second
 
+	// maxMessageDelay is longer than a suspended host delays a message.
+	maxMessageDelay = 10 * time.Second
+
 	maxCrashesPerMessage = 16
 	maxBegunPerMessage   = 64
 	maxBlockedPerMessage = 32
@@ -108,13 +111,17 @@
 // mergeBlocked records blocked parts that another host found, without those that
 // have been cleared since, and reports whether this is new. Peers are told once
 // more of the parts that have been cleared.
+//
+// The age in a message that was delayed makes the crash look later than it was. What
+// was cleared is therefore blocked again only if this host knows a later crash itself,
+// or if the crash is later than a delay explains.
 func (l *PartLedger) mergeBlocked(parts []flamingodoor.PromptPart, crashedAt, now time.Time) bool {
 	if len(parts) > maxBlockedSize || now.Sub(crashedAt) >= strikeValidity {
 		return false
 	}
 	parts = slices.DeleteFunc(slices.Clone(parts), func(part flamingodoor.PromptPart) bool {
 		begun, ok := l.begun[part]
-		if !ok || crashedAt.After(begun.at) {
+		if !ok || crashedAt.Sub(begun.at) > maxMessageDelay || (crashedAt.After(begun.at) && l.crashedAfter(part, begun.at)) {
 			return false
 		}
 		begun.shareUntil = now.Add(partShareTime)
@@ -129,6 +136,16 @@
 	return true
 }
 
+// crashedAfter reports whether the part is a suspect of a crash after the given time.
+func (l *PartLedger) crashedAfter(part flamingodoor.PromptPart, at time.Time) bool {
+	for crash := range l.crashesOf[part] {
+		if crash.at.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // newest returns the given number of messages with the lowest ages.
 func newest[Message interface{ GetAgeMs() int64 }](messages []Message, limit int) []Message {
 	slices.SortFunc(messages, func(a, b Message) int { return cmp.Compare(a.GetAgeMs(), b.GetAgeMs()) })
