Count the crashes of blocked parts at all hosts before clearing them

A host that learned that a crash was none cleared the part at all hosts once fewer than three crashes were left of those that it knew. A host that had started later knew three of eight, so that seven remained and the part passed.

Blocked parts now carry the number of crashes that they explain, in messages and in the store. Each host subtracts the refuted ones, of which all hear, and clears the part when fewer than three are left.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -65,11 +65,20 @@
 	crashes   map[Process]*partCrash
 	crashesOf map[flamingodoor.PromptPart]map[*partCrash]struct{} // by suspect
 	begun     map[flamingodoor.PromptPart]begunPart
-	blocked   []flamingodoor.BlockedParts
+	blocked   []blockedParts
 	unsettled bool      // crashes were added since Settle last examined all
 	expiredAt time.Time // when Settle last dropped what had expired
 }
 
+// blockedParts are blocked, with the number of their crashes that this host knows to
+// be none. Each host hears of these itself, so that only the number of all crashes is
+// part of the messages.
+type blockedParts struct {
+	flamingodoor.BlockedParts
+
+	refuted int
+}
+
 // partCrash is the crash of one process.
 type partCrash struct {
 	process  Process
@@ -206,16 +215,56 @@
 		return cleared
 	}
 	crash.refuted, crash.refutedAt = true, at
+	l.uncountBlocked(crash, at, &cleared)
 	for part := range crash.suspects {
-		crashes := l.countCrashes(part)
 		l.removeSuspect(crash, part)
-		if crashes == partBlockThreshold && l.countCrashes(part) < partBlockThreshold {
-			l.clear(part, at, &cleared)
-		}
 	}
 	return cleared
 }
 
+// uncountBlocked takes a refuted crash from those that blocked parts explain, and
+// clears the parts for which too few remain.
+func (l *PartLedger) uncountBlocked(refuted *partCrash, at time.Time, cleared *Cleared) {
+	var ended []flamingodoor.PromptPart
+	for i := range l.blocked {
+		blocked := &l.blocked[i]
+		explains := slices.ContainsFunc(blocked.Parts, func(part flamingodoor.PromptPart) bool {
+			_, suspected := refuted.suspects[part]
+			return suspected
+		})
+		if !explains || blocked.Crashes == 0 || refuted.at.Sub(blocked.CrashedAt) > ageTolerance {
+			continue
+		}
+		blocked.refuted++
+		if blocked.Crashes-blocked.refuted < partBlockThreshold {
+			ended = append(ended, blocked.Parts...)
+		}
+	}
+	for _, part := range ended {
+		l.clear(part, at, cleared)
+	}
+}
+
+// countBlocked raises the number of crashes that blocked parts explain, of which some
+// may have been refuted since.
+func (l *PartLedger) countBlocked(parts []flamingodoor.PromptPart, crashes int) {
+	for i, blocked := range l.blocked {
+		if slices.Equal(blocked.Parts, parts) {
+			l.blocked[i].Crashes = max(blocked.Crashes, crashes)
+		}
+	}
+}
+
+// refutedOf returns how many crashes of blocked parts this host knows to be none.
+func (l *PartLedger) refutedOf(parts []flamingodoor.PromptPart) int {
+	for _, blocked := range l.blocked {
+		if slices.Equal(blocked.Parts, parts) {
+			return blocked.refuted
+		}
+	}
+	return 0
+}
+
 // Settle records as blocked what explains three crashes, the latest of which all
 // hosts have reported by now. It drops what has expired.
 func (l *PartLedger) Settle(now time.Time) Settled {
@@ -236,6 +285,7 @@
 		}
 		latest := latestCrash(crashes)
 		parts := l.alternatives(part)
+		l.countBlocked(parts, l.countCrashes(part)+l.refutedOf(parts))
 		if len(parts) > maxBlockedSize || l.covers(parts, latest.at) {
 			continue
 		}
@@ -247,7 +297,7 @@
 			l.unsettled = true
 			continue
 		}
-		blocked := flamingodoor.BlockedParts{Parts: parts, CrashedAt: latest.at}
+		blocked := flamingodoor.BlockedParts{Parts: parts, CrashedAt: latest.at, Crashes: l.countCrashes(part)}
 		settled.Blocked = append(settled.Blocked, blocked)
 		settled.Ended = append(settled.Ended, l.block(blocked)...)
 	}
@@ -354,21 +404,22 @@
 			found = true
 		}
 	}
-	var kept []flamingodoor.BlockedParts
+	var kept []blockedParts
 	for _, blocked := range l.blocked {
 		if !slices.Contains(blocked.Parts, part) || blocked.CrashedAt.After(at) {
 			kept = append(kept, blocked)
 			continue
 		}
 		found = true
-		cleared.Ended = append(cleared.Ended, blocked)
+		cleared.Ended = append(cleared.Ended, blocked.BlockedParts)
 		cleared.Remaining = slices.DeleteFunc(cleared.Remaining, func(each flamingodoor.BlockedParts) bool { return slices.Equal(each.Parts, blocked.Parts) })
 		rest := flamingodoor.BlockedParts{
 			Parts:     slices.DeleteFunc(slices.Clone(blocked.Parts), func(each flamingodoor.PromptPart) bool { return each == part }),
 			CrashedAt: blocked.CrashedAt,
+			Crashes:   blocked.Crashes,
 		}
 		if len(rest.Parts) > 0 {
-			kept = append(kept, rest)
+			kept = append(kept, blockedParts{BlockedParts: rest, refuted: blocked.refuted})
 			cleared.Remaining = append(cleared.Remaining, rest)
 		}
 	}
@@ -383,12 +434,13 @@
 // block adds blocked parts and returns those that they replace: the ones that
 // contain them.
 func (l *PartLedger) block(added flamingodoor.BlockedParts) (replaced []flamingodoor.BlockedParts) {
-	l.blocked = slices.DeleteFunc(l.blocked, func(blocked flamingodoor.BlockedParts) bool {
+	refuted := l.refutedOf(added.Parts)
+	l.blocked = slices.DeleteFunc(l.blocked, func(blocked blockedParts) bool {
 		if !containsAll(blocked.Parts, added.Parts) {
 			return false
 		}
 		if len(blocked.Parts) > len(added.Parts) {
-			replaced = append(replaced, blocked)
+			replaced = append(replaced, blocked.BlockedParts)
 		}
 		return true
 	})
@@ -401,14 +453,14 @@
 		}
 		l.blocked = slices.Delete(l.blocked, oldest, oldest+1)
 	}
-	l.blocked = append(l.blocked, added)
+	l.blocked = append(l.blocked, blockedParts{BlockedParts: added, refuted: refuted})
 	return replaced
 }
 
 // covers reports whether requests with the parts are blocked already, because of a
 // crash that is not clearly older.
 func (l *PartLedger) covers(parts []flamingodoor.PromptPart, crashedAt time.Time) bool {
-	return slices.ContainsFunc(l.blocked, func(blocked flamingodoor.BlockedParts) bool {
+	return slices.ContainsFunc(l.blocked, func(blocked blockedParts) bool {
 		return containsAll(parts, blocked.Parts) && crashedAt.Sub(blocked.CrashedAt) < ageTolerance
 	})
 }
@@ -467,7 +519,7 @@
 			delete(l.begun, part)
 		}
 	}
-	l.blocked = slices.DeleteFunc(l.blocked, func(blocked flamingodoor.BlockedParts) bool {
+	l.blocked = slices.DeleteFunc(l.blocked, func(blocked blockedParts) bool {
 		return !now.Before(blocked.CrashedAt.Add(strikeValidity))
 	})
 }
--- a/internal/poison/parts_share.go
+++ b/internal/poison/parts_share.go
@@ -51,7 +51,7 @@
 	}
 	request.PartsBegun = newest(request.GetPartsBegun(), maxBegunPerMessage)
 	for _, blocked := range l.blocked {
-		message := &exchangev1.BlockedParts{AgeMs: ageMS(blocked.CrashedAt, now)}
+		message := &exchangev1.BlockedParts{AgeMs: ageMS(blocked.CrashedAt, now), Crashes: int32(min(blocked.Crashes, maxPartCrashes))} //nolint:gosec // bounded
 		for _, part := range blocked.Parts {
 			message.Parts = append(message.Parts, uint64(part))
 		}
@@ -83,7 +83,9 @@
 		changed = l.addCrash(process, suspects, atAge(crash.GetAgeMs(), now), false) || changed
 	}
 	for _, blocked := range request.GetBlockedParts()[:min(len(request.GetBlockedParts()), maxBlockedPerMessage)] {
-		changed = l.mergeBlocked(toParts(blocked.GetParts()), atAge(blocked.GetAgeMs(), now), now) || changed
+		changed = l.mergeBlocked(flamingodoor.BlockedParts{
+			Parts: toParts(blocked.GetParts()), CrashedAt: atAge(blocked.GetAgeMs(), now), Crashes: int(blocked.GetCrashes()),
+		}, now) || changed
 	}
 	return changed
 }
@@ -97,7 +99,7 @@
 		if crashedAt.After(now) {
 			crashedAt = now // by the clock of another host
 		}
-		l.mergeBlocked(blocked.Parts, crashedAt, now)
+		l.mergeBlocked(flamingodoor.BlockedParts{Parts: blocked.Parts, CrashedAt: crashedAt, Crashes: blocked.Crashes}, now)
 	}
 }
 
@@ -105,7 +107,11 @@
 func (l *PartLedger) AllBlocked() []flamingodoor.BlockedParts {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return slices.Clone(l.blocked)
+	all := make([]flamingodoor.BlockedParts, 0, len(l.blocked))
+	for _, blocked := range l.blocked {
+		all = append(all, blocked.BlockedParts)
+	}
+	return all
 }
 
 // mergeBlocked records blocked parts that another host found, without those that
@@ -115,24 +121,25 @@
 // The age in a message that was delayed makes the crash look later than it was. What
 // was cleared is therefore blocked again only if this host knows a later crash itself,
 // or if the crash is later than a delay explains.
-func (l *PartLedger) mergeBlocked(parts []flamingodoor.PromptPart, crashedAt, now time.Time) bool {
-	if len(parts) > maxBlockedSize || now.Sub(crashedAt) >= strikeValidity {
+func (l *PartLedger) mergeBlocked(found flamingodoor.BlockedParts, now time.Time) bool {
+	if len(found.Parts) > maxBlockedSize || now.Sub(found.CrashedAt) >= strikeValidity {
 		return false
 	}
-	parts = slices.DeleteFunc(slices.Clone(parts), func(part flamingodoor.PromptPart) bool {
+	parts := slices.DeleteFunc(slices.Clone(found.Parts), func(part flamingodoor.PromptPart) bool {
 		begun, ok := l.begun[part]
-		if !ok || crashedAt.Sub(begun.at) > maxMessageDelay || (crashedAt.After(begun.at) && l.crashedAfter(part, begun.at)) {
+		if !ok || found.CrashedAt.Sub(begun.at) > maxMessageDelay || (found.CrashedAt.After(begun.at) && l.crashedAfter(part, begun.at)) {
 			return false
 		}
 		begun.shareUntil = now.Add(partShareTime)
 		l.begun[part] = begun
 		return true
 	})
-	if len(parts) == 0 || l.covers(parts, crashedAt) {
+	slices.Sort(parts)
+	l.countBlocked(parts, found.Crashes)
+	if len(parts) == 0 || l.covers(parts, found.CrashedAt) {
 		return false
 	}
-	slices.Sort(parts)
-	l.block(flamingodoor.BlockedParts{Parts: parts, CrashedAt: crashedAt})
+	l.block(flamingodoor.BlockedParts{Parts: parts, CrashedAt: found.CrashedAt, Crashes: found.Crashes})
 	return true
 }
 
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -365,6 +365,27 @@
 	assert.Assert(t, f.ledgers[0].Blocked(prompt(deadly), f.now), "seven crashes remain")
 }
 
+// Guards against a part that stays blocked because hosts tell each other the number of
+// its crashes from before some were refuted, and against one that is cleared because a
+// host that blocked it itself knows only some of its crashes.
+func TestRefutedCrashesAreCountedOnceAtEachHost(t *testing.T) {
+	f := newPartFleet(3)
+	processes := make([]poison.Process, 0, 6)
+	for range 6 {
+		f.crash(prompt(rare), prompt(rare))
+		processes = append(processes, f.process())
+	}
+	f.pass(5 * time.Second)
+	assert.Assert(t, f.blocked(t, rare))
+	for i, process := range processes {
+		for _, ledger := range f.ledgers {
+			ledger.Refute(process, f.now)
+			f.pass(100 * time.Millisecond) // the hosts hear of it one after the other
+		}
+		assert.Equal(t, f.blocked(t, rare), i < 3, "after %d of 6 crashes", i+1)
+	}
+}
+
 // Guards against a message that a suspended host sends or receives late and that
 // brings back a part which has been cleared.
 func TestLateMessageDoesNotBringAClearedPartBack(t *testing.T) {
--- a/serving.go
+++ b/serving.go
@@ -307,6 +307,7 @@
 type BlockedParts struct {
 	Parts     []PromptPart // in ascending order
 	CrashedAt time.Time    // the latest crash
+	Crashes   int          // that the parts explain; 0 if it is not known
 }
 
 // BlockedPartStore persists blocked parts, so that they outlive the entry hosts.
