Draw the suspects of a crash that has too many

A crash keeps at most 128 suspects, the first ones that were reported. With 130 harmless ones before it, the part that crashes instances was left out at each crash. Raising the bound to 512 was tried: messages exceed what TestPartsAreBounded allows, and that test took 48 s. The suspects that remain are now drawn by a hash of part and process, the same at all hosts and another draw at each crash. With n suspects a part is found after about 3 x n / 128 crashes.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -1,10 +1,13 @@
 package poison
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"flamingodoor.example/flamingodoor"
 )
 
@@ -380,7 +383,10 @@
 			crash.suspects[part] = known || own
 			continue
 		}
-		if begun, harmless := l.begun[part]; (harmless && !crash.at.After(begun.at)) || len(crash.suspects) >= maxSuspectsPerCrash {
+		if begun, harmless := l.begun[part]; harmless && !crash.at.After(begun.at) {
+			continue
+		}
+		if len(crash.suspects) >= maxSuspectsPerCrash && !l.replaceSuspect(crash, part) {
 			continue
 		}
 		crash.suspects[part] = own
@@ -393,6 +399,30 @@
 	return added
 }
 
+// replaceSuspect removes a suspect of a crash that has as many as it may have, to make
+// room for a part, and reports whether it did. Which of them remain is drawn by a hash
+// of the part and the process: all hosts keep the same ones, and a part that is left
+// out at one crash is kept at others.
+func (l *PartLedger) replaceSuspect(crash *partCrash, part flamingodoor.PromptPart) bool {
+	last, lastRank := part, crash.process.rank(part)
+	for suspect := range crash.suspects {
+		if rank := crash.process.rank(suspect); rank > lastRank {
+			last, lastRank = suspect, rank
+		}
+	}
+	if last == part {
+		return false
+	}
+	l.removeSuspect(crash, last)
+	return true
+}
+
+// rank returns a number by which the suspects of the process's crash are drawn.
+func (p Process) rank(part flamingodoor.PromptPart) uint64 {
+	key := binary.LittleEndian.AppendUint64([]byte(p.InstanceID), uint64(p.StartedMS)) //nolint:gosec // bits for a hash
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(key, uint64(part)))
+}
+
 // clear removes a part from all crashes and blocked parts up to the given time,
 // and reports whether it was in any. Parts that were blocked together with it stay
 // blocked: they caused the crashes.
