Block up to 64 parts that occur together

Nine parts that only ever occur together were refused by the hosts that knew their crashes, but not recorded as blocked, which was limited to eight: hosts that started later did not know them. The limit came from the key of the stored record. Messages carry at most 512 blocked parts.

--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -21,7 +21,7 @@
 	partSuspectThreshold = 2
 	// maxBlockedSize limits how many parts that only ever occurred together are
 	// blocked together.
-	maxBlockedSize = 8
+	maxBlockedSize = 64
 	// settleTime is how long after its latest crash a part becomes blocked. By then
 	// all hosts have reported their requests in flight at the crash. A host that
 	// had no request with the part in flight there waits for othersSettleTime, so
--- a/internal/poison/parts_share.go
+++ b/internal/poison/parts_share.go
@@ -23,6 +23,8 @@
 	maxCrashesPerMessage = 16
 	maxBegunPerMessage   = 64
 	maxBlockedPerMessage = 32
+	// maxBlockedPartsPerMessage bounds the parts of all of these to 4 KB.
+	maxBlockedPartsPerMessage = 512
 )
 
 // Describe adds the recent crashes, the parts that have been cleared since, and the
@@ -57,7 +59,7 @@
 		}
 		request.BlockedParts = append(request.BlockedParts, message)
 	}
-	request.BlockedParts = newest(request.GetBlockedParts(), maxBlockedPerMessage)
+	request.BlockedParts = limitBlocked(newest(request.GetBlockedParts(), maxBlockedPerMessage))
 }
 
 // Merge records what a peer sent, and reports whether any of it is new.
@@ -153,6 +155,16 @@
 	return false
 }
 
+// limitBlocked drops blocked parts, in the order of their ages, that no longer fit into
+// a message.
+func limitBlocked(messages []*exchangev1.BlockedParts) []*exchangev1.BlockedParts {
+	left := maxBlockedPartsPerMessage
+	return slices.DeleteFunc(messages, func(message *exchangev1.BlockedParts) bool {
+		left -= len(message.GetParts())
+		return left < 0
+	})
+}
+
 // newest returns the given number of messages with the lowest ages.
 func newest[Message interface{ GetAgeMs() int64 }](messages []Message, limit int) []Message {
 	slices.SortFunc(messages, func(a, b Message) int { return cmp.Compare(a.GetAgeMs(), b.GetAgeMs()) })
