--- a/internal/poison/parts_share.go
+++ b/internal/poison/parts_share.go
@@ -105,17 +105,6 @@
 	}
 }
 
-// AllBlocked returns the blocked parts.
-func (l *PartLedger) AllBlocked() []flamingodoor.BlockedParts {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	all := make([]flamingodoor.BlockedParts, 0, len(l.blocked))
-	for _, blocked := range l.blocked {
-		all = append(all, blocked.BlockedParts)
-	}
-	return all
-}
-
 // mergeBlocked records blocked parts that another host found, without those that
 // have been cleared since, and reports whether this is new. Peers are told once
 // more of the parts that have been cleared.
