Wake a waiting request for a limit only if it frees a request in time

Each wake of a waiting request started a timer for the next request of a limited instance, also where that is later than the end of the wait.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -89,7 +89,7 @@
 			return dest, err
 		}
 		var room <-chan time.Time
-		if !roomAt.IsZero() {
+		if !roomAt.IsZero() && roomAt.Before(until) {
 			room = time.After(roomAt.Sub(p.now()))
 		}
 		select {
