--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -39,10 +39,10 @@
 type Statement struct {
 	InstanceID string
 	StartedAt  time.Time // of the process
-	PerSecond  float64   // requests accepted from all hosts together; 0 for no limit any more
-	// At is when the response arrived. For one without a limit it is when the
-	// request was sent, because the response may have been begun before a limit was
-	// stated.
+	PerSecond  float64   // requests accepted from all hosts together; 0 if there is no limit any more
+	// At is when the response arrived. For a response without a limit it is when its
+	// request was sent: the instance may have begun the response before it stated the
+	// limit.
 	At time.Time
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,9 +111,11 @@
 }
 
 // Restores tells when the platform's store has come back from a copy that lacks its
-// latest records. Each time its era rises.
+// latest records. The store then raises its era.
 type Restores interface {
+	// OnRestore adds a function that is called each time.
 	OnRestore(restored func(era int64))
+	// Era returns the present era.
 	Era() int64
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -139,7 +139,7 @@
 	retiring       map[roster.GroupKey]time.Time             // when a group was retired
 	inheritedHeads map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host became leader
 	restoredAt     time.Time                                 // when the platform's store was last restored
-	storeMayLack   bool                                      // heads and loads that this host knows, because it was restored
+	storeMayLack   bool                                      // whether the restored store may lack heads and loads that this host knows
 	probedAt       map[string]time.Time                      // by instance ID
 	activeLoads    map[string]flamingodoor.WeightLoad        // by instance ID
 	endedLoads     []string                                  // instances whose ended loads are still in the load store
--- a/serving.go
+++ b/serving.go
@@ -152,8 +152,9 @@
 	HasPriority bool
 }
 
-// RecordBatch holds the changes between two offsets of a topic of the
-// platform's log. Records are in the platform's encoding.
+// RecordBatch holds the changes between two positions in a topic of the platform's
+// log. A position rises with each record, and when the platform restores the log from
+// an older copy. Records are in the platform's encoding.
 type RecordBatch struct {
 	From    int64
 	Next    int64
@@ -163,9 +164,9 @@
 // RegistrationFeed replicates registrations between entry hosts, so that only
 // some of them have to read the platform's list.
 type RegistrationFeed interface {
-	// NextOffset returns the offset of the next record that this host needs.
+	// NextOffset returns the position of the next record that this host needs.
 	NextOffset() int64
-	// ChangesSince returns the changes from an offset on, or false if this host
+	// ChangesSince returns the changes from a position on, or false if this host
 	// no longer has all of them.
 	ChangesSince(from int64) (RecordBatch, bool)
 	// AsOf returns the start time of the latest read whose result this host
@@ -176,7 +177,7 @@
 	// list itself before the time in until.
 	ApplyBatch(batch RecordBatch, asOf, until time.Time)
 	// CatchUpTo makes this host read the list at once if it lacks records
-	// before the offset.
+	// before the position.
 	CatchUpTo(next int64)
 }
 
@@ -184,7 +185,7 @@
 // configuration, so that the other hosts need not poll the platform for
 // changes.
 type ConfigurationFeed interface {
-	// Position returns the offset of the next record and the time by uptime.Now at
+	// Position returns that of the next record and the time by uptime.Now at
 	// which this host was last confirmed to have every record before it. It
 	// returns false before the first read.
 	Position() (next int64, confirmed time.Time, known bool)
@@ -192,7 +193,7 @@
 	// host. An equal position confirms that this host lacks no records; a later
 	// one makes it read.
 	ObservePosition(next int64, confirmed time.Time)
-	// IsBehind reports whether this host lacks records before the offset.
+	// IsBehind reports whether this host lacks records before the position.
 	IsBehind(next int64) bool
 	// DeferReadsUntil stops this host from reading until the deadline, because a
 	// snapshot of another host is on its way. A deadline in the past makes it
