Distinguish instances that this host does not reach from lost ones

What a host sees of an instance is a statement about the pair. The roster gets marks of this host alone; the interface PathState and the package internal/reach, which decides nothing yet, are where the parts of the change meet. No behaviour changes.

--- a/interfaces.go
+++ b/interfaces.go
@@ -236,3 +236,15 @@
 type PeerDirectory interface {
 	Peer(host EntryHost) peerv1connect.PeerServiceClient
 }
+
+// PathState tells which instances this host reaches.
+type PathState interface {
+	// Stranded reports whether no instance answers this host, although other
+	// hosts may reach them.
+	Stranded() bool
+	// Heard records that bytes of an instance arrived at this host.
+	Heard(instance Instance, at time.Time)
+	// Failed records that a connection to an instance could not be opened, broke
+	// or stayed silent. It shows that the path or the instance has failed.
+	Failed(instance Instance, at time.Time)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"flamingodoor.example/flamingodoor/internal/planner"
 	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
+	"flamingodoor.example/flamingodoor/internal/reach"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/telemetry"
@@ -160,6 +161,7 @@
 	monitor      *stall.Monitor
 	crashTracker *poison.Ledger
 	parts        *partTracker
+	paths        *reach.Paths
 	demand       *proxy.Demand
 	proxy        *proxy.Proxy
 	exchanger    *exchange.Exchanger
@@ -174,7 +176,7 @@
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
-		crashTracker: poison.New(), demand: proxy.NewDemand(),
+		crashTracker: poison.New(), demand: proxy.NewDemand(), paths: reach.New(),
 	}
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
@@ -182,7 +184,7 @@
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
-		PartTracker: g.parts, Demand: g.demand, Logger: logger,
+		PartTracker: g.parts, Paths: g.paths, Demand: g.demand, Logger: logger,
 	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -77,6 +77,7 @@
 	monitor         *stall.Monitor
 	crashTracker    flamingodoor.CrashTracker
 	partTracker     flamingodoor.PartTracker
+	paths           flamingodoor.PathState
 	unbegun         unbegunAttempts
 	demand          *Demand
 	observer        Observer
@@ -157,6 +158,7 @@
 	Monitor      *stall.Monitor
 	CrashTracker flamingodoor.CrashTracker
 	PartTracker  flamingodoor.PartTracker
+	Paths        flamingodoor.PathState
 	Demand       *Demand
 	Logger       log.Logger
 }
@@ -169,7 +171,7 @@
 	p := &Proxy{
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
-		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, demand: parts.Demand, logger: parts.Logger,
+		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -21,6 +21,7 @@
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
+	"flamingodoor.example/flamingodoor/internal/reach"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/upstream"
@@ -105,6 +106,7 @@
 	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
 	s.monitor = monitor
 	s.proxy = proxy.New(proxy.Parts{
+		Paths:   reach.New(),
 		Headers: headers, Limits: proxy.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
 		HostID: "host-1", DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
 		Monitor: monitor, CrashTracker: poison.New(), PartTracker: s.parts, Demand: proxy.NewDemand(), Logger: log.NewNopLogger(),
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -72,11 +72,13 @@
 	Groups        []*Group
 	ByService     map[string][]*Entry // listed instances, sorted by ID
 	lostInstances map[string]lossMark
+	unreachable   map[string]lossMark    // from this host
 	stalledGroups map[GroupKey]time.Time // when the mark expires
 	retiring      map[GroupKey]time.Time // when the mark expires
 }
 
-// lossMark marks one process of an instance as lost until the deadline.
+// lossMark marks one process of an instance as lost, or as unreachable from this
+// host, until the deadline.
 type lossMark struct {
 	startedAt time.Time
 	at        time.Time
@@ -137,6 +139,7 @@
 	mu            sync.Mutex
 	entries       map[string]*Entry      // by instance ID; entries are replaced, not changed
 	lostInstances map[string]lossMark    // by instance ID
+	unreachable   map[string]lossMark    // from this host, by instance ID
 	answers       map[string]lastAnswer  // by instance ID
 	stalledGroups map[GroupKey]time.Time // when the mark expires
 	retiring      map[GroupKey]time.Time // when the mark expires
@@ -152,7 +155,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	r := &Roster{
-		entries: make(map[string]*Entry), lostInstances: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
+		entries: make(map[string]*Entry), lostInstances: make(map[string]lossMark), unreachable: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
 		retiring: make(map[GroupKey]time.Time), leaving: make(map[string]leavingMark), openSince: make(map[GroupKey]time.Time),
 	}
 	r.view.Store(&View{})
@@ -338,6 +341,7 @@
 	}
 	next.At = now
 	next.lostInstances, next.stalledGroups, next.retiring = maps.Clone(r.lostInstances), maps.Clone(r.stalledGroups), maps.Clone(r.retiring)
+	next.unreachable = maps.Clone(r.unreachable)
 	r.dirty, r.marksDirty = false, false
 	r.view.Store(&next)
 }
@@ -348,6 +352,7 @@
 		r.expireUnlisted(now)
 	}
 	maps.DeleteFunc(r.lostInstances, func(_ string, lost lossMark) bool { return now.After(lost.deadline) })
+	r.expireUnreachable(now)
 	maps.DeleteFunc(r.answers, func(_ string, latest lastAnswer) bool { return now.Sub(latest.at) > markTimeout })
 	maps.DeleteFunc(r.stalledGroups, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
 	maps.DeleteFunc(r.retiring, func(_ GroupKey, deadline time.Time) bool { return now.After(deadline) })
--- /dev/null
+++ b/internal/roster/unreachable.go
@@ -0,0 +1,56 @@
+package roster
+
+import (
+	"maps"
+	"time"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+// unreachableTimeout is how long an instance counts as unreachable from this host
+// after the latest failure, unless it answers.
+const unreachableTimeout = 3 * time.Second
+
+// Unreachable reports whether this process of the instance did not answer this
+// host lately. Other hosts may still reach it: unlike a loss, this says nothing
+// about the instance.
+func (v *View) Unreachable(instance flamingodoor.Instance, now time.Time) bool {
+	mark, ok := v.unreachable[instance.ID]
+	return ok && mark.startedAt.Equal(instance.StartedAt) && now.Before(mark.deadline)
+}
+
+// MarkUnreachable records that a process of an instance did not answer this host
+// at a time, and reports whether that is new.
+func (r *Roster) MarkUnreachable(id string, startedAt, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.unreachable[id]
+	ok = ok && known.startedAt.Equal(startedAt)
+	mark := lossMark{startedAt: startedAt, at: at, deadline: at.Add(unreachableTimeout)}
+	if ok && mark.deadline.Sub(known.deadline) < markRenewal {
+		return false
+	}
+	r.unreachable[id] = mark
+	r.marksDirty = true
+	return true
+}
+
+// MarkReached records that a process of an instance answered this host at a time.
+// It removes an earlier mark as unreachable and reports whether there was one.
+func (r *Roster) MarkReached(id string, startedAt, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.unreachable[id]
+	if !ok || !known.startedAt.Equal(startedAt) || known.at.After(at) {
+		return false
+	}
+	delete(r.unreachable, id)
+	r.marksDirty = true
+	return true
+}
+
+func (r *Roster) expireUnreachable(now time.Time) {
+	before := len(r.unreachable)
+	maps.DeleteFunc(r.unreachable, func(_ string, mark lossMark) bool { return now.After(mark.deadline) })
+	r.marksDirty = r.marksDirty || len(r.unreachable) != before
+}
