Test hosts without a path to instances

The soak cut hosts from the store alone: its fault proxies could not tell which host a connection to an instance comes from, because all processes of a machine have the same source address. The proxies of the emulator now ask the kernel for the process that owns the socket, so that each pair of host and instance can be cut by itself, in both or one direction, with open connections reset, silent or alive.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -24,6 +24,8 @@
 type Rule struct {
 	// Refuse resets open connections at once and new ones when they are accepted.
 	Refuse bool
+	// RefuseNew resets new connections when they are accepted.
+	RefuseNew bool
 	// SilentRequests keeps connections open but forwards nothing to the target.
 	SilentRequests bool
 	// SilentResponses keeps connections open but forwards nothing to the source.
@@ -41,6 +43,7 @@
 // Proxy forwards connections to one target.
 type Proxy struct {
 	listener net.Listener
+	source   func(client net.Conn) netip.Addr
 
 	mutex       sync.Mutex
 	target      netip.AddrPort
@@ -50,9 +53,19 @@
 	silenced    map[net.Conn]bool
 }
 
+// Option changes a setting of a Proxy.
+type Option func(*Proxy)
+
+// WithSource sets the function that returns the source address of an accepted
+// connection, by default the address of its peer. Processes on one machine have the
+// same address unless they bind another.
+func WithSource(source func(client net.Conn) netip.Addr) Option {
+	return func(p *Proxy) { p.source = source }
+}
+
 // New starts a proxy on a free port of the given address. It opens no connections
 // to the target after the context has ended.
-func New(ctx context.Context, listen netip.Addr, target netip.AddrPort) (*Proxy, error) {
+func New(ctx context.Context, listen netip.Addr, target netip.AddrPort, options ...Option) (*Proxy, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", netip.AddrPortFrom(listen, 0).String())
 	if err != nil {
@@ -60,15 +73,23 @@
 	}
 	proxy := &Proxy{
 		listener:    listener,
+		source:      peerAddress,
 		target:      target,
 		sourceRules: make(map[netip.Addr]Rule),
 		connections: make(map[net.Conn]netip.Addr),
 		silenced:    make(map[net.Conn]bool),
 	}
+	for _, option := range options {
+		option(proxy)
+	}
 	go proxy.accept(ctx)
 	return proxy, nil
 }
 
+func peerAddress(client net.Conn) netip.Addr {
+	return client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
+}
+
 // Address returns the address of the proxy's listener.
 func (p *Proxy) Address() netip.AddrPort {
 	return p.listener.Addr().(*net.TCPAddr).AddrPort()
@@ -156,8 +177,8 @@
 }
 
 func (p *Proxy) serve(ctx context.Context, client net.Conn) {
-	source := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
-	if p.ruleFor(client, source).Refuse {
+	source := p.source(client)
+	if rule := p.ruleFor(client, source); rule.Refuse || rule.RefuseNew {
 		reset(client)
 		return
 	}
