State in messages between hosts that no instance answers the sender

A host without a path to instances must be left out as leader, as witness and as a way for requests. Share messages state it, summaries of relays list the hosts concerned, and a peer that becomes stranded makes the others renew the election, because it may have led. Ruled out: a message of its own, because a Share is sent at once already.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -118,6 +118,7 @@
 	now           func() time.Time
 	uptime        func() time.Time // of confirmations
 	wake          chan struct{}    // starts the next round at once
+	onStranded    func()           // called after a peer has become stranded
 	calls         sync.WaitGroup
 	copying       atomic.Bool // a configuration is being copied
 	announced     atomic.Bool // this host is in the platform's list of hosts
@@ -128,6 +129,7 @@
 	peersByHash     map[uint32]*peerState // by hostHash
 	sequence        uint64
 	leaving         bool
+	newlyStranded   bool // a peer became stranded and onStranded was not called yet
 	directoryLoaded bool // the list of hosts was read at least once
 	duty            relayDuty
 	localOffset     int // of the rotation over the peers of this data centre
@@ -146,6 +148,7 @@
 	added        time.Time                 // when this host first knew its address
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
+	stranded     bool                      // no instance answers it, as of its latest message
 	started      int64                     // process start in Unix milliseconds, as in its latest message
 	sequence     uint64                    // of its latest message
 	lastResponse *exchangev1.ShareResponse // to the latest message that was answered
@@ -187,6 +190,12 @@
 	return func(e *Exchanger) { e.client.Transport = transport }
 }
 
+// WithStrandedListener sets the function that is called after a peer has become
+// stranded.
+func WithStrandedListener(onStranded func()) Option {
+	return func(e *Exchanger) { e.onStranded = onStranded }
+}
+
 // New returns an exchanger for the host self, without peers. It exchanges state
 // once Run and RunDirectory are called.
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
@@ -195,7 +204,7 @@
 		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
-		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary),
+		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {},
 	}
 	for _, option := range options {
 		option(e)
@@ -219,6 +228,7 @@
 		e.sink.Apply(message, now)
 		e.applySummary(request.Msg, now)
 	}
+	e.notifyStranded()
 	e.applyFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock(),
@@ -305,6 +315,7 @@
 	known.LinkMbps = int(message.GetLinkMbps())
 	known.started, known.sequence, known.lastSeen = message.GetStartedMs(), message.GetSequence(), now
 	known.left = message.GetLeaving()
+	e.setStranded(known, message.GetStranded())
 	known.reported = reportedWork{uses: message.GetUses(), demands: message.GetDemands(), at: now}
 	if known.left {
 		known.lastSeen, known.summarisedUntil, known.reported = time.Time{}, time.Time{}, reportedWork{}
@@ -322,8 +333,8 @@
 		HostId: message.GetHostId(), StartedMs: message.GetStartedMs(), Sequence: message.GetSequence(), Uses: message.GetUses(),
 		Losses: message.GetLosses(), Demands: message.GetDemands(), Strikes: message.GetStrikes(), Leaving: message.GetLeaving(),
 		PartCrashes: message.GetPartCrashes(), PartsBegun: message.GetPartsBegun(), BlockedParts: message.GetBlockedParts(),
-		RateLimits: message.GetRateLimits(),
-		Address:    message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
+		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(),
+		Address: message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
 	}
 }
 
--- a/internal/exchange/hosts.go
+++ b/internal/exchange/hosts.go
@@ -65,3 +65,26 @@
 	}
 	return hosts
 }
+
+// setStranded records whether no instance answers a peer. The caller holds the
+// mutex.
+func (e *Exchanger) setStranded(peer *peerState, stranded bool) {
+	e.newlyStranded = e.newlyStranded || (stranded && !peer.stranded)
+	peer.stranded = stranded
+}
+
+// notifyStranded calls the listener if a peer has become stranded since the last
+// call. A relay tells the other hosts at once.
+func (e *Exchanger) notifyStranded() {
+	e.mu.Lock()
+	notify, isRelay := e.newlyStranded, e.isRelay(e.now())
+	e.newlyStranded = false
+	e.mu.Unlock()
+	if !notify {
+		return
+	}
+	if isRelay {
+		e.SendUrgent()
+	}
+	e.onStranded()
+}
--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -40,9 +40,10 @@
 
 // workTotal sums the work of several hosts.
 type workTotal struct {
-	uses    map[string]int32
-	demands map[demandKey]float64
-	hosts   []uint32 // hostHash of each host
+	uses     map[string]int32
+	demands  map[demandKey]float64
+	hosts    []uint32 // hostHash of each host
+	stranded []uint32 // of those that no instance answers
 }
 
 type demandKey struct {
@@ -122,6 +123,7 @@
 			forgotten = append(forgotten, known.ID)
 		}
 		known.lastSeen, known.summarisedUntil = now, now.Add(summaryTimeout)
+		e.setStranded(known, slices.Contains(summary.GetStrandedHosts(), hash))
 	}
 	return forgotten, true
 }
@@ -144,10 +146,16 @@
 func (e *Exchanger) buildSummaries(request *exchangev1.ShareRequest, peers []*peerState, now time.Time) map[string]*exchangev1.Summary {
 	total := &workTotal{uses: make(map[string]int32), demands: make(map[demandKey]float64), hosts: []uint32{hostHash(e.self.ID)}}
 	total.add(request.GetUses(), request.GetDemands(), 1)
+	if request.GetStranded() {
+		total.stranded = append(total.stranded, hostHash(e.self.ID))
+	}
 	for _, peer := range peers {
 		if e.includesWorkOf(peer, now) {
 			total.add(peer.reported.uses, peer.reported.demands, 1)
 			total.hosts = append(total.hosts, hostHash(peer.ID))
+			if peer.stranded {
+				total.stranded = append(total.stranded, hostHash(peer.ID))
+			}
 		}
 	}
 	summaries := make(map[string]*exchangev1.Summary)
@@ -160,6 +168,7 @@
 	for _, received := range e.summaries {
 		total.add(received.GetUses(), received.GetDemands(), 1)
 		total.hosts = append(total.hosts, received.GetHosts()...)
+		total.stranded = append(total.stranded, received.GetStrandedHosts()...)
 	}
 	for _, peer := range peers {
 		if !e.relaysTo(peer) {
@@ -196,7 +205,7 @@
 }
 
 func (t *workTotal) summary(all bool) *exchangev1.Summary {
-	summary := &exchangev1.Summary{All: all, Hosts: slices.Clone(t.hosts)}
+	summary := &exchangev1.Summary{All: all, Hosts: slices.Clone(t.hosts), StrandedHosts: slices.Clone(t.stranded)}
 	for id, requests := range t.uses {
 		if requests > 0 {
 			summary.Uses = append(summary.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: requests})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,7 +193,7 @@
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
-	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin))
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded))
 	g.planner = planner.New(planner.Parts{
 		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
@@ -217,6 +217,12 @@
 	g.platform.Followers.Refresh()
 }
 
+// onPeerStranded makes this host stand for election now, because a stranded peer that
+// led has resigned.
+func (g *Gateway) onPeerStranded() {
+	g.planner.Renew()
+}
+
 // SetLimits replaces the limits that all hosts share, after the settings
 // changed.
 func (g *Gateway) SetLimits(limits proxy.Limits) {
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -94,6 +94,7 @@
 // Describe adds this host's work, demand, strikes and losses to a message to
 // the peers.
 func (s *sharedState) Describe(request *exchangev1.ShareRequest, now time.Time) {
+	request.Stranded = s.gateway.paths.Stranded()
 	for id, requests := range s.gateway.tracker.OwnInFlight() {
 		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(requests)}) //nolint:gosec // a count of requests
 	}
