Suspect this host's own paths, and ask witnesses before an instance counts as lost

reach.Paths notes from whom bytes arrived and which connections failed. Failures in two areas with nothing heard since make the host probe four others; if none answers within 250 ms it is stranded and says so. A host that becomes stranded withdraws its losses of the last seconds. Instances that do not answer this host are probed again each second.

Ruled out: deciding by the number of losses alone, because a rack that crashes looks the same from one host.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,7 +19,6 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"golang.org/x/sync/errgroup"
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
@@ -55,9 +54,6 @@
 	directoryInterval = 30 * time.Second
 	// directoryRetryDelay is the wait after a failed read of the list.
 	directoryRetryDelay = time.Second
-	// reachPeersPerDataCentre is how many peers of each data centre get a
-	// request to probe an instance that this host cannot reach.
-	reachPeersPerDataCentre = 4
 	// feedShare is the share of the time within which an instance that leaves must
 	// get no more requests for which a read of the leader replaces those of other
 	// hosts, beside the time of the hops. It covers the interval of the leader's
@@ -98,9 +94,9 @@
 	// Forget discards the work that was applied under a host identifier, or
 	// under the name that stands for a relay's summary.
 	Forget(hostID string, now time.Time)
-	// Probe reports whether the instance answers. Another process at the same
-	// address does not count.
-	Probe(ctx context.Context, instance flamingodoor.Instance) bool
+	// Probe reports whether the instance answers, and whether this host's paths to
+	// other instances are sound. Another process at the same address does not count.
+	Probe(ctx context.Context, instance flamingodoor.Instance) (answers, sound bool)
 }
 
 // Exchanger exchanges state with the other entry hosts.
@@ -235,64 +231,6 @@
 	}), nil
 }
 
-// Reach probes an instance on behalf of a host that cannot reach it.
-func (e *Exchanger) Reach(ctx context.Context, request *connect.Request[exchangev1.ReachRequest]) (*connect.Response[exchangev1.ReachResponse], error) {
-	address, err := netip.ParseAddrPort(request.Msg.GetAddress())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	answers := e.sink.Probe(ctx, flamingodoor.Instance{
-		ID: request.Msg.GetInstanceId(), Address: address, StartedAt: time.UnixMilli(request.Msg.GetBornMs()),
-	})
-	return connect.NewResponse(&exchangev1.ReachResponse{Answers: answers}), nil
-}
-
-// ReachedElsewhere reports whether a peer gets an answer from an instance that
-// this host cannot reach.
-func (e *Exchanger) ReachedElsewhere(ctx context.Context, instance flamingodoor.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	request := &exchangev1.ReachRequest{
-		InstanceId: instance.ID, Address: instance.Address.String(), BornMs: instance.StartedAt.UnixMilli(),
-	}
-	var reached atomic.Bool
-	var calls errgroup.Group
-	for _, peer := range e.recentPeers() {
-		calls.Go(func() error {
-			response, err := peer.client.Reach(ctx, connect.NewRequest(request))
-			if err != nil {
-				_ = level.Debug(e.logger).Log("event", "reach_failed", "peer", peer.ID, "err", err)
-				return nil
-			}
-			if response.Msg.GetAnswers() {
-				reached.Store(true)
-				cancel()
-			}
-			return nil
-		})
-	}
-	_ = calls.Wait() // failed calls are logged and count as no answer
-	return reached.Load()
-}
-
-// recentPeers returns up to reachPeersPerDataCentre peers of each data centre
-// from which a message, or a summary with their work, arrived within
-// peerTimeout.
-func (e *Exchanger) recentPeers() []*peerState {
-	now := e.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	counts := make(map[string]int)
-	var recent []*peerState
-	for _, peer := range e.peers {
-		if now.Sub(peer.lastSeen) < peerTimeout && counts[peer.DataCentre] < reachPeersPerDataCentre {
-			counts[peer.DataCentre]++
-			recent = append(recent, peer)
-		}
-	}
-	return recent
-}
-
 // acceptMessage records the sender's state and reports whether the message is
 // newer than those received before. If relays include the sender's work in
 // their summaries, the returned message omits it, because it would count twice.
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -25,6 +25,8 @@
 type host struct {
 	*exchange.Exchanger
 	leads         bool
+	reaches       bool // instances answer it
+	sound         bool // its paths to other instances work
 	address       netip.AddrPort
 	registrations registrations
 
@@ -55,7 +57,9 @@
 	return h.leads
 }
 
-func (h *host) Probe(context.Context, flamingodoor.Instance) (alive bool) { return true }
+func (h *host) Probe(context.Context, flamingodoor.Instance) (answers, sound bool) {
+	return h.reaches, h.sound
+}
 
 func (h *host) Apply(request *exchangev1.ShareRequest, _ time.Time) {
 	h.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
+	"golang.org/x/sync/singleflight"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/balance"
@@ -168,7 +169,9 @@
 	planner      *planner.Planner
 	shared       *sharedState
 	front        *FrontServer
-	restored     atomic.Bool // the leader has yet to save the blocked parts again
+	testimonies  singleflight.Group
+	reprobeNow   chan struct{} // instances that this host did not reach may answer again
+	restored     atomic.Bool   // the leader has yet to save the blocked parts again
 }
 
 // New connects the parts of a gateway. Nothing runs or listens before Run.
@@ -176,14 +179,15 @@
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
-		crashTracker: poison.New(), demand: proxy.NewDemand(), paths: reach.New(),
+		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan struct{}, 1),
 	}
+	g.paths = g.newPaths()
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
 	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now)
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
-		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
+		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
 		PartTracker: g.parts, Paths: g.paths, Demand: g.demand, Logger: logger,
 	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
 	platform.Instances.Observe(g.proxy.Observe)
@@ -291,6 +295,8 @@
 		func() { g.platform.Followers.FollowConfiguration(background, g.configurationWaitTime) },
 		func() { g.platform.Followers.FollowRegistrations(background, g.registrationInterval) },
 		func() { g.monitor.Run(background) },
+		func() { g.paths.Run(background) },
+		func() { g.runReprobes(background) },
 		func() { g.exchanger.Run(background) },
 		func() { g.exchanger.RunDirectory(background) },
 		func() { g.planner.RunElection(planning, renewInterval) },
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -26,6 +26,8 @@
 		{"flamingodoor.instances", "Listed instances", g.listedInstances},
 		{"flamingodoor.groups.serving", "Groups that receive requests", g.servingGroups},
 		{"flamingodoor.instances.limited", "Instances that stated a limit of requests a second", func() int64 { return int64(g.proxy.Allowances().Count(time.Now())) }},
+		{"flamingodoor.stranded", "1 while no instance answers this host", func() int64 { return boolToInt(g.paths.Stranded()) }},
+		{"flamingodoor.instances.unreachable", "Instances that do not answer this host", func() int64 { return int64(len(g.roster.View().UnreachableInstances(time.Now()))) }},
 		{"flamingodoor.requests.in_flight", "Requests of this host at instances", g.inFlight},
 	} {
 		if err := g.metrics.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -101,18 +99,8 @@
 
 func (t *partTracker) recordBroken(ctx context.Context, instance flamingodoor.Instance, parts []flamingodoor.PromptPart) {
 	process, now := poison.ProcessOf(instance), time.Now()
-	if !t.ledger.Known(process) {
-		key := fmt.Sprint(process.InstanceID, " ", process.StartedMS)
-		_, _, _ = t.probes.Do(key, func() (any, error) {
-			if !t.gateway.proxy.MayProbe(instance) || !t.gateway.hasEnded(ctx, instance) {
-				_ = level.Info(t.gateway.logger).Log("event", "unbegun_without_crash", "instance", instance.ID)
-				return nil, nil //nolint:nilnil // the ledger holds the result
-			}
-			if t.ledger.ReportCrash(process, nil, now) {
-				_ = level.Info(t.gateway.logger).Log("event", "instance_crashed", "instance", instance.ID, "started_ms", process.StartedMS)
-			}
-			return nil, nil //nolint:nilnil // the ledger holds the result
-		})
+	if !t.ledger.Known(process) && t.hasEnded(ctx, instance) && t.ledger.ReportCrash(process, nil, now) {
+		_ = level.Info(t.gateway.logger).Log("event", "instance_crashed", "instance", instance.ID, "started_ms", process.StartedMS)
 	}
 	if !t.ledger.Known(process) || !t.ledger.ReportCrash(process, parts, now) {
 		return
@@ -122,23 +110,22 @@
 	t.endUnbegun(now)
 }
 
-// hasEnded reports whether the process of an instance has ended: its port is
-// closed, or another process answers there. Silence does not show that. The port
-// may take a moment to close.
-func (g *Gateway) hasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	for range probeAttempts {
-		report, err := g.platform.Instances.Report(ctx, instance.Address)
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return true
-		case err == nil:
-			return !report.StartedAt.IsZero() && !instance.StartedAt.IsZero() && !report.StartedAt.Equal(instance.StartedAt)
+// hasEnded reports whether the process of an instance has ended. All requests that
+// end there at the same time share the probes.
+func (t *partTracker) hasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
+	ended, _, _ := t.probes.Do(processKey(instance), func() (any, error) {
+		ended := t.gateway.proxy.MayProbe(instance) && t.gateway.hasEnded(ctx, instance)
+		if !ended {
+			_ = level.Info(t.gateway.logger).Log("event", "unbegun_without_crash", "instance", instance.ID)
 		}
-		pause(ctx, closingTime)
-	}
-	return false
+		return ended, nil
+	})
+	return ended == true
+}
+
+// processKey returns a name for one process of an instance.
+func processKey(instance flamingodoor.Instance) string {
+	return fmt.Sprint(instance.ID, " ", instance.StartedAt.UnixMilli())
 }
 
 func pause(ctx context.Context, duration time.Duration) {
--- /dev/null
+++ b/internal/gateway/paths.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/reach"
+)
+
+const (
+	// reprobeInterval is the time between two probes of the instances that this host
+	// does not reach.
+	reprobeInterval = time.Second
+	// maxReprobes bounds how many of them are probed at the same time.
+	maxReprobes = 16
+)
+
+func (g *Gateway) newPaths() *reach.Paths {
+	return reach.New(reach.WithProbe(func(ctx context.Context, instance flamingodoor.Instance) bool {
+		_, err := g.platform.Instances.Report(ctx, instance.Address)
+		return err == nil
+	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange))
+}
+
+// probeCandidates returns the listed instances that are not leaving and did not ask
+// for no requests.
+func (g *Gateway) probeCandidates() []flamingodoor.Instance {
+	var instances []flamingodoor.Instance
+	for _, entries := range g.roster.View().ByService {
+		for _, entry := range entries {
+			if !entry.Leaving && !g.proxy.Held(entry.Instance) {
+				instances = append(instances, entry.Instance)
+			}
+		}
+	}
+	return instances
+}
+
+// onPathChange tells the peers that this host became stranded or is no longer. What
+// it stated about instances just before is withdrawn.
+func (g *Gateway) onPathChange(change reach.Change) {
+	elapsed := change.At.Sub(change.Since).Milliseconds()
+	if change.Stranded {
+		_ = level.Warn(g.logger).Log("event", "stranded", "since", change.Since.UTC(), "found_ms", elapsed)
+		g.shared.withdrawLosses(change.At)
+	} else {
+		_ = level.Info(g.logger).Log("event", "paths_back", "since", change.Since.UTC(), "stranded_ms", elapsed)
+		select {
+		case g.reprobeNow <- struct{}{}:
+		default:
+		}
+	}
+	g.planner.Renew()
+	g.exchanger.SendUrgent()
+	g.tracker.Wake()
+}
+
+// runReprobes probes the instances that this host does not reach, until the context
+// ends: each second, and at once when the host has paths again.
+func (g *Gateway) runReprobes(ctx context.Context) {
+	ticker := time.NewTicker(reprobeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.reprobeNow:
+		}
+		if !g.paths.Stranded() {
+			g.reprobe(ctx)
+		}
+	}
+}
+
+// reprobe probes the instances that this host does not reach, and renews or removes
+// their marks before requests try them. Those that the time does not suffice for are
+// tried by requests once their marks expire.
+func (g *Gateway) reprobe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reprobeInterval)
+	defer cancel()
+	instances := make(chan flamingodoor.Instance)
+	var probes sync.WaitGroup
+	marked := g.roster.View().UnreachableInstances(time.Now())
+	for range min(maxReprobes, len(marked)) {
+		probes.Go(func() {
+			for instance := range instances {
+				g.reprobeInstance(ctx, instance)
+			}
+		})
+	}
+	defer probes.Wait()
+	defer close(instances)
+	for _, instance := range marked {
+		select {
+		case instances <- instance:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) reprobeInstance(ctx context.Context, instance flamingodoor.Instance) {
+	if !g.proxy.MayProbe(instance) {
+		return
+	}
+	_, answers := g.probe(ctx, instance)
+	if ctx.Err() != nil && !answers {
+		return
+	}
+	now := time.Now()
+	if !answers {
+		if g.roster.MarkUnreachable(instance.ID, instance.StartedAt, now) {
+			g.roster.Publish(now)
+		}
+		return
+	}
+	if g.roster.MarkReached(instance.ID, instance.StartedAt, now) {
+		g.roster.Publish(now)
+		g.tracker.Wake()
+	}
+}
+
+// testimony is what this host states about an instance that a peer does not reach.
+type testimony struct {
+	answers bool
+	sound   bool // this host's paths to other instances work
+}
+
+// testify answers a peer that does not reach an instance. Questions that arrive at
+// the same time share the probes, which go on if one of the peers has its answer from
+// elsewhere.
+func (g *Gateway) testify(ctx context.Context, instance flamingodoor.Instance) testimony {
+	deadline, ok := ctx.Deadline()
+	if limit := time.Now().Add(probeTimeout); !ok || limit.Before(deadline) {
+		deadline = limit
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	result, _, _ := g.testimonies.Do(processKey(instance), func() (any, error) {
+		return g.examinePath(ctx, instance), nil
+	})
+	found, _ := result.(testimony)
+	return found
+}
+
+// examinePath probes an instance and, if no other one is heard meanwhile, one of
+// another area.
+func (g *Gateway) examinePath(ctx context.Context, instance flamingodoor.Instance) testimony {
+	begun := time.Now()
+	reference := make(chan bool, 1)
+	go func() { reference <- g.referenceAnswers(ctx, instance) }()
+	if _, answers := g.probe(ctx, instance); answers {
+		return testimony{answers: true, sound: true}
+	}
+	sound := g.paths.HeardSince(begun, instance.ID) || <-reference
+	return testimony{sound: sound && !g.paths.Stranded()}
+}
+
+// referenceAnswers probes an instance of another area than that of the given one,
+// and reports whether it answers.
+func (g *Gateway) referenceAnswers(ctx context.Context, instance flamingodoor.Instance) bool {
+	if known, ok := g.roster.View().Entries[instance.ID]; ok {
+		instance = known.Instance
+	}
+	now := time.Now()
+	view := g.roster.View()
+	var local, remote []flamingodoor.Instance
+	for _, other := range g.probeCandidates() {
+		switch {
+		case other.ID == instance.ID || reach.SameArea(other, instance) || view.Unreachable(other, now):
+		case other.DataCentre == g.settings.DataCentre:
+			local = append(local, other)
+		default:
+			remote = append(remote, other)
+		}
+	}
+	for _, instances := range [][]flamingodoor.Instance{local, remote} {
+		if len(instances) > 0 {
+			_, answers := g.probe(ctx, instances[rand.IntN(len(instances))]) //nolint:gosec // need not be unpredictable
+			return answers
+		}
+	}
+	return false
+}
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-	"golang.org/x/sync/errgroup"
-
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/internal/poison"
@@ -30,6 +27,10 @@
 // rounds of the exchange.
 const lossShareTime = 3 * time.Second
 
+// withdrawalMargin is added to the time of a loss that is withdrawn, because the
+// delays of messages differ.
+const withdrawalMargin = 50 * time.Millisecond
+
 // Instances is the roster that the registrations are written to. Publishing a
 // change wakes the requests that wait for an instance.
 type Instances struct {
@@ -72,6 +73,8 @@
 	retiring   bool            // the group takes no new work
 	alive      bool            // the instance answers: earlier losses no longer hold
 	leaving    bool            // the instance stated that it is leaving
+	withdrawn  bool            // the path of the host that reported the loss had failed
+	received   bool            // another host found it, and this one passes it on
 	at         time.Time       // when it was found
 }
 
@@ -79,7 +82,12 @@
 // their times.
 func (l lossReport) sameEvent(other lossReport) bool {
 	return l.instanceID == other.instanceID && l.startedAt.Equal(other.startedAt) && l.group == other.group &&
-		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving
+		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving && l.withdrawn == other.withdrawn
+}
+
+// isLoss reports whether the report states that an instance did not answer.
+func (l lossReport) isLoss() bool {
+	return l.instanceID != "" && !l.alive && !l.leaving && !l.withdrawn
 }
 
 func newSharedState(gateway *Gateway) *sharedState {
@@ -118,7 +126,7 @@
 		recent = append(recent, loss)
 		message := &exchangev1.Loss{
 			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
-			Retiring: loss.retiring, Found: loss.alive, Leaving: loss.leaving,
+			Retiring: loss.retiring, Found: loss.alive, Leaving: loss.leaving, Withdrawn: loss.withdrawn,
 		}
 		if !loss.startedAt.IsZero() {
 			message.BornMs = loss.startedAt.UnixMilli()
@@ -157,10 +165,11 @@
 	delete(s.demands, hostID)
 }
 
-// Probe probes an instance on behalf of a peer that cannot reach it.
-func (s *sharedState) Probe(ctx context.Context, instance flamingodoor.Instance) bool {
-	_, alive := s.gateway.probe(ctx, instance)
-	return alive
+// Probe probes an instance on behalf of a peer that cannot reach it. This host's
+// paths are sound if another instance was heard since.
+func (s *sharedState) Probe(ctx context.Context, instance flamingodoor.Instance) (answers, sound bool) {
+	found := s.gateway.testify(ctx, instance)
+	return found.answers, found.sound
 }
 
 func (s *sharedState) applyDemand(request *exchangev1.ShareRequest, now time.Time) {
@@ -190,6 +199,8 @@
 			g.roster.MarkRetiring(loss.group, now)
 		case loss.leaving:
 			g.roster.MarkLeaving(loss.instanceID, loss.startedAt, now)
+		case loss.withdrawn:
+			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 		case loss.alive:
 			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 			g.parts.refute(poison.Process{InstanceID: loss.instanceID, StartedMS: loss.startedAt.UnixMilli()}, loss.at)
@@ -212,6 +223,7 @@
 func decodeLoss(message *exchangev1.Loss, now time.Time) lossReport {
 	loss := lossReport{
 		instanceID: message.GetInstanceId(), retiring: message.GetRetiring(), alive: message.GetFound(), leaving: message.GetLeaving(),
+		withdrawn: message.GetWithdrawn(), received: true,
 		group: roster.GroupKey{Name: message.GetGroup(), Epoch: message.GetEpoch()},
 		at:    now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
 	}
@@ -242,6 +254,27 @@
 	s.gateway.exchanger.SendUrgent()
 }
 
+// withdrawLosses tells the peers that the losses which this host reported lately do
+// not hold, because its own paths had failed.
+func (s *sharedState) withdrawLosses(now time.Time) {
+	var withdrawn []lossReport
+	s.mu.Lock()
+	s.losses = slices.DeleteFunc(s.losses, func(loss lossReport) bool {
+		if !loss.isLoss() || loss.received || now.Sub(loss.at) > lossShareTime {
+			return false
+		}
+		loss.withdrawn, loss.at = true, loss.at.Add(withdrawalMargin)
+		withdrawn = append(withdrawn, loss)
+		return true
+	})
+	s.mu.Unlock()
+	for _, loss := range withdrawn {
+		s.gateway.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
+	}
+	s.gateway.roster.Publish(now)
+	s.publishLosses(withdrawn...)
+}
+
 // endStreamsOfLostGroups ends the streams of groups that stalled or lost a
 // member.
 func (g *Gateway) endStreamsOfLostGroups(now time.Time) {
@@ -294,94 +327,6 @@
 	return true
 }
 
-// inspect probes the members of a silent group. It marks those that do not
-// answer as lost and reports them to the peers. A member that asked for no
-// requests and was probed since is left out.
-func (g *Gateway) inspect(ctx context.Context, group *roster.Group) stall.Inspection {
-	var mu sync.Mutex
-	inspection := stall.Inspection{Slowdown: noSlowdown}
-	var probes errgroup.Group
-	for rank, member := range group.Members {
-		if member.ID == "" {
-			continue
-		}
-		if !g.proxy.MayProbe(member.Instance) {
-			inspection.HeadUnknown = inspection.HeadUnknown || rank == 0
-			continue
-		}
-		probes.Go(func() error {
-			report, alive := g.probe(ctx, member.Instance)
-			mu.Lock()
-			defer mu.Unlock()
-			inspection.Slowdown = max(inspection.Slowdown, report.Slowdown)
-			if !alive {
-				inspection.Lost = append(inspection.Lost, member.ID)
-			}
-			if rank == 0 {
-				inspection.HeadLoad = stall.HeadLoad{Running: report.Running, KVTokensUsed: report.KVTokensUsed}
-			}
-			return nil
-		})
-	}
-	_ = probes.Wait() // probes write to the inspection and return no errors
-	if len(inspection.Lost) > 0 {
-		g.markMembersLost(group, inspection.Lost)
-	}
-	_ = level.Info(g.logger).Log("event", "group_inspected", "group", group.Name, "epoch", group.Epoch,
-		"lost", len(inspection.Lost), "pace", inspection.Slowdown, "running", inspection.HeadLoad.Running, "memory", inspection.HeadLoad.KVTokensUsed)
-	return inspection
-}
-
-// probe asks an instance for its report, and asks again on a new connection
-// while the first answer is still awaited, so that one lost packet does not
-// count as a loss. It reports whether the process that registered the instance
-// answered, rather than another process at its address.
-func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (report flamingodoor.InstanceReport, alive bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	type answer struct {
-		report flamingodoor.InstanceReport
-		err    error
-	}
-	answers := make(chan answer, probeAttempts)
-	requestReport := func() {
-		report, err := g.platform.Instances.Report(ctx, instance.Address)
-		answers <- answer{report, err}
-	}
-	go requestReport()
-	timer := time.NewTimer(secondProbeDelay)
-	defer timer.Stop()
-	for waiting := 1; waiting > 0; {
-		select {
-		case <-timer.C:
-			waiting++
-			go requestReport()
-		case received := <-answers:
-			waiting--
-			if received.err == nil {
-				sameProcess := received.report.StartedAt.IsZero() || instance.StartedAt.IsZero() || received.report.StartedAt.Equal(instance.StartedAt)
-				return received.report, sameProcess
-			}
-			_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", received.err)
-		}
-	}
-	return flamingodoor.InstanceReport{}, false
-}
-
-func (g *Gateway) markMembersLost(group *roster.Group, lost []string) {
-	now := time.Now()
-	var losses []lossReport
-	for _, member := range group.Members {
-		if slices.Contains(lost, member.ID) {
-			g.roster.MarkLost(member.ID, member.StartedAt, now)
-			losses = append(losses, lossReport{instanceID: member.ID, startedAt: member.StartedAt, at: now})
-		}
-	}
-	g.roster.Publish(now)
-	g.shared.publishLosses(losses...)
-	g.tracker.Wake()
-}
-
 // markAlive records that an instance answers although some host had marked it as
 // lost, and sends this to the peers.
 func (g *Gateway) markAlive(instance flamingodoor.Instance, at time.Time) {
@@ -405,12 +350,3 @@
 	g.roster.Publish(now)
 	g.shared.publishLosses(lossReport{group: key, retiring: true, at: now})
 }
-
-// markStalled records that a group makes no progress and sends this to the peers.
-func (g *Gateway) markStalled(key roster.GroupKey) {
-	now := time.Now()
-	_ = level.Info(g.logger).Log("event", "group_stalled", "group", key.Name, "epoch", key.Epoch)
-	g.roster.MarkStalled(key, now)
-	g.roster.Publish(now)
-	g.shared.publishLosses(lossReport{group: key, at: now})
-}
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -112,6 +112,12 @@
 	return p.holds.MayProbe(instance.ID, instance.StartedAt, p.now())
 }
 
+// Held reports whether the instance asked for no requests of this host.
+func (p *Proxy) Held(instance flamingodoor.Instance) bool {
+	_, held := p.holds.Until(instance.ID, instance.StartedAt, p.now())
+	return held
+}
+
 // heldError is returned if every instance that could take a job asked for no
 // requests, or for no more from this host.
 type heldError struct {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -3,23 +3,127 @@
 package reach
 
 import (
+	"context"
+	"hash/maphash"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
 )
 
+const (
+	// suspicionWindow is the longest time between failures in two areas after which
+	// a host suspects its own paths.
+	suspicionWindow = 500 * time.Millisecond
+	// probeTimeout is how long instances have to answer a host that suspects its own
+	// paths, several times the delay between data centres.
+	probeTimeout = 250 * time.Millisecond
+	// probeInterval is the time between the probes of a stranded host.
+	probeInterval = 250 * time.Millisecond
+	// probeCount is how many instances are probed at once.
+	probeCount = 4
+	// heardResolution is the resolution of the times at which instances were heard,
+	// which keeps hosts that forward many streams from writing at each event.
+	heardResolution = 5 * time.Millisecond
+	// heardSlots is the number of such times. Instances share them by a hash.
+	heardSlots = 256
+)
+
+// Probe reports whether any process answers at the address of an instance before
+// the context ends.
+type Probe func(ctx context.Context, instance flamingodoor.Instance) bool
+
+// Change is the begin or the end of the time in which a host is stranded.
+type Change struct {
+	Stranded bool
+	At       time.Time
+	Since    time.Time // when the paths were lost, as far as this host knows
+}
+
+// Option configures Paths.
+type Option func(*Paths)
+
+// WithProbe sets the function that probes instances. Without it, Run does nothing.
+func WithProbe(probe Probe) Option {
+	return func(p *Paths) { p.probe = probe }
+}
+
+// WithInstances sets the function that lists the instances to probe.
+func WithInstances(instances func() []flamingodoor.Instance) Option {
+	return func(p *Paths) { p.instances = instances }
+}
+
+// WithListener sets the function that is called after each change.
+func WithListener(changed func(change Change)) Option {
+	return func(p *Paths) { p.changed = changed }
+}
+
+// WithClock replaces time.Now.
+func WithClock(now func() time.Time) Option {
+	return func(p *Paths) { p.now = now }
+}
+
 // Paths holds what this host's connections show of its paths to instances. It is
 // safe for concurrent use.
 type Paths struct {
+	probe     Probe
+	instances func() []flamingodoor.Instance
+	changed   func(change Change)
+	now       func() time.Time
+	seed      maphash.Seed
+	suspected chan struct{}
+	answered  chan struct{} // an instance was heard while this host was stranded
+
+	heard    [heardSlots]atomic.Int64 // Unix nanoseconds, by hash of the instance
 	stranded atomic.Bool
+
+	mu       sync.Mutex
+	failures []failure // since an instance was heard last, one of each area
+	since    time.Time // when the first of the failures occurred, while stranded
+}
+
+// failure is the failure of the path to an instance.
+type failure struct {
+	area  area
+	first time.Time
+	last  time.Time
+}
+
+// area is a part of the deployment that may fail as a whole: a fabric domain or,
+// for instances without one, a service in a data centre.
+type area struct {
+	fabricDomain string
+	dataCentre   string
+	service      string
+}
+
+func areaOf(instance flamingodoor.Instance) area {
+	if instance.FabricDomain != "" {
+		return area{fabricDomain: instance.FabricDomain}
+	}
+	return area{dataCentre: instance.DataCentre, service: instance.Service}
+}
+
+// SameArea reports whether both instances are in the same fabric domain or, without
+// one, of the same service in the same data centre: they may fail together.
+func SameArea(a, b flamingodoor.Instance) bool {
+	return areaOf(a) == areaOf(b)
 }
 
 var _ flamingodoor.PathState = (*Paths)(nil)
 
 // New returns the paths of a host that has had no failure.
-func New() *Paths {
-	return &Paths{}
+func New(options ...Option) *Paths {
+	p := &Paths{
+		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, now: time.Now,
+		seed: maphash.MakeSeed(), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1),
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
 // Stranded reports whether no instance answers this host, although other hosts may
@@ -29,8 +133,171 @@
 }
 
 // Heard records that bytes of an instance arrived.
-func (p *Paths) Heard(flamingodoor.Instance, time.Time) {}
+func (p *Paths) Heard(instance flamingodoor.Instance, at time.Time) {
+	slot := &p.heard[p.slot(instance.ID)]
+	if nanoseconds := at.UnixNano(); nanoseconds-slot.Load() >= int64(heardResolution) {
+		slot.Store(nanoseconds)
+	}
+	if p.stranded.Load() {
+		signal(p.answered)
+	}
+}
+
+// HeardSince reports whether bytes of another instance than the given one arrived
+// at the time or later.
+func (p *Paths) HeardSince(at time.Time, exceptID string) bool {
+	except := p.slot(exceptID)
+	for i := range p.heard {
+		if uint64(i) != except && p.heard[i].Load() >= at.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Paths) slot(instanceID string) uint64 {
+	return maphash.String(p.seed, instanceID) % heardSlots
+}
+
+// latestHeard returns when bytes of any instance arrived last.
+func (p *Paths) latestHeard() time.Time {
+	latest := int64(0)
+	for i := range p.heard {
+		latest = max(latest, p.heard[i].Load())
+	}
+	return time.Unix(0, latest)
+}
 
 // Failed records that a connection to an instance could not be opened, broke or
 // stayed silent.
-func (p *Paths) Failed(flamingodoor.Instance, time.Time) {}
+func (p *Paths) Failed(instance flamingodoor.Instance, at time.Time) {
+	if p.stranded.Load() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := p.latestHeard()
+	p.failures = slices.DeleteFunc(p.failures, func(f failure) bool { return !f.last.After(heard) || at.Sub(f.last) > suspicionWindow })
+	failed := areaOf(instance)
+	if known := slices.IndexFunc(p.failures, func(f failure) bool { return f.area == failed }); known >= 0 {
+		p.failures[known].last = at
+	} else if at.After(heard) {
+		p.failures = append(p.failures, failure{area: failed, first: at, last: at})
+	}
+	if len(p.failures) > 1 {
+		signal(p.suspected)
+	}
+}
+
+// Run probes instances whenever this host suspects its own paths, and while it is
+// stranded, until the context ends.
+func (p *Paths) Run(ctx context.Context) {
+	if p.probe == nil {
+		return
+	}
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.suspected:
+			p.examine(ctx)
+		case <-p.answered:
+			p.end()
+		case <-ticker.C:
+			if p.stranded.Load() && p.anyAnswers(ctx, nil) {
+				p.end()
+			}
+		}
+	}
+}
+
+// examine decides whether this host is stranded: instances of several areas failed,
+// and none was heard since.
+func (p *Paths) examine(ctx context.Context) {
+	failed, since := p.suspicion()
+	if p.stranded.Load() || len(failed) < 2 {
+		return
+	}
+	select {
+	case <-p.answered: // left from an earlier time
+	default:
+	}
+	if p.anyAnswers(ctx, failed) || !p.latestHeard().Before(since) || len(p.instances()) == 0 || ctx.Err() != nil {
+		return
+	}
+	p.mu.Lock()
+	p.since = since
+	p.mu.Unlock()
+	p.stranded.Store(true)
+	p.changed(Change{Stranded: true, At: p.now(), Since: since})
+}
+
+// suspicion returns the areas with failures since an instance was heard last, and
+// the time of the first failure.
+func (p *Paths) suspicion() (failed []area, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := p.latestHeard()
+	for _, each := range p.failures {
+		if !each.last.After(heard) {
+			continue
+		}
+		failed = append(failed, each.area)
+		if since.IsZero() || each.first.Before(since) {
+			since = each.first
+		}
+	}
+	return failed, since
+}
+
+func (p *Paths) end() {
+	if !p.stranded.CompareAndSwap(true, false) {
+		return
+	}
+	p.mu.Lock()
+	since := p.since
+	p.failures = nil
+	p.mu.Unlock()
+	p.changed(Change{At: p.now(), Since: since})
+}
+
+// anyAnswers probes a few instances, those outside the failed areas first, and
+// reports whether one answers.
+func (p *Paths) anyAnswers(ctx context.Context, failed []area) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	chosen := choose(p.instances(), failed)
+	answers := make(chan bool, len(chosen))
+	for _, instance := range chosen {
+		go func() {
+			answered := p.probe(ctx, instance)
+			if answered {
+				p.Heard(instance, p.now())
+			}
+			answers <- answered
+		}()
+	}
+	for range chosen {
+		select {
+		case answered := <-answers:
+			if answered {
+				return true
+			}
+		case <-p.answered:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// signal sends to a channel that holds one signal, unless it does.
+func signal(to chan struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
+	}
+}
--- a/internal/roster/unreachable.go
+++ b/internal/roster/unreachable.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -19,6 +21,27 @@
 	return ok && mark.startedAt.Equal(instance.StartedAt) && now.Before(mark.deadline)
 }
 
+// UnreachableInstances returns the instances whose processes are marked as
+// unreachable from this host, those with the oldest marks first.
+func (v *View) UnreachableInstances(now time.Time) []flamingodoor.Instance {
+	var instances []flamingodoor.Instance
+	for id := range v.unreachable {
+		if entry, ok := v.Entries[id]; ok && v.Unreachable(entry.Instance, now) {
+			instances = append(instances, entry.Instance)
+		}
+	}
+	slices.SortFunc(instances, func(a, b flamingodoor.Instance) int {
+		return cmp.Or(v.unreachable[a.ID].deadline.Compare(v.unreachable[b.ID].deadline), compareStrings(a.ID, b.ID))
+	})
+	return instances
+}
+
+// ServesHere reports whether the group may receive requests of this host: it is
+// serving, and this host reaches its head.
+func (v *View) ServesHere(group *Group, size int, now time.Time) bool {
+	return v.Serving(group, size, now) && !v.Unreachable(group.Head().Instance, now)
+}
+
 // MarkUnreachable records that a process of an instance did not answer this host
 // at a time, and reports whether that is new.
 func (r *Roster) MarkUnreachable(id string, startedAt, at time.Time) bool {
