Forward requests through another host where this one reaches no instance

The proxy forwards a request whose instances are all unreachable from this host, or any request while the host is stranded, to a peer on the peer's address. The peer serves it as if the caller had come there, and declines at once, as not run, what it cannot serve for want of a path, while it stops, or beyond 512 requests or 32 MB of bodies. Demand, arrival rates and the budget's requests count once. A failed connection marks the instance as unreachable from this host only. A planned stop awaits the requests of peers.

--- a/interfaces.go
+++ b/interfaces.go
@@ -248,3 +248,15 @@
 	// or stayed silent. It shows that the path or the instance has failed.
 	Failed(instance Instance, at time.Time)
 }
+
+// PeerSelector selects the entry hosts that requests are forwarded to.
+type PeerSelector interface {
+	// NextPeer selects a peer that is not excluded and counts a request in flight
+	// there, until ReleasePeer is called. It returns false if there is no such peer.
+	NextPeer(excluded map[string]bool, now time.Time) (EntryPeer, bool)
+	// ReleasePeer ends a request that NextPeer counted.
+	ReleasePeer(peerID string)
+	// AvoidPeer excludes a peer from selection for a moment, because it declined a
+	// request or was not reached.
+	AvoidPeer(peerID string, now time.Time)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -146,12 +146,14 @@
 	added        time.Time                 // when this host first knew its address
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
+	stranded     bool                      // no instance answers it, as of its latest message
 	started      int64                     // process start in Unix milliseconds, as in its latest message
 	sequence     uint64                    // of its latest message
 	lastResponse *exchangev1.ShareResponse // to the latest message that was answered
 	inFlight     atomic.Bool               // a message is under way and not answered
 	urgent       bool                      // a change since its latest message must be sent at once
 	reported     reportedWork              // the work in its latest message
+	forwards     forwardState              // requests that this host forwards to it
 	// summarisedUntil is until when summaries of relays include its work.
 	summarisedUntil time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,9 +60,9 @@
 	// closeReserve is the part of the grace period that is left when the requests in
 	// flight are ended.
 	closeReserve = 550 * time.Millisecond
-	// maxPeerHeaderBytes bounds the head of a request of another host, of the load
-	// balancer or for metrics.
-	maxPeerHeaderBytes = 16 << 10
+	// maxInternalHeaderBytes bounds the head of a request of the load balancer or for
+	// metrics.
+	maxInternalHeaderBytes = 16 << 10
 	// lastAnswerTime is how long it may take to write the answers of these requests,
 	// and tasksEndTime how long the background tasks may take to end after that. Both
 	// are parts of closeReserve.
@@ -158,6 +158,7 @@
 	roster       *roster.Roster
 	tracker      *balance.Tracker
 	pool         *upstream.Pool
+	peerPool     *upstream.Pool
 	monitor      *stall.Monitor
 	crashTracker *poison.Ledger
 	parts        *partTracker
@@ -176,6 +177,7 @@
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
+		peerPool:     upstream.New(platform.Headers.RequestID, upstream.WithFailureDetection()),
 		crashTracker: poison.New(), demand: proxy.NewDemand(), paths: reach.New(),
 	}
 	g.parts = newPartTracker(g)
@@ -184,7 +186,7 @@
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
-		PartTracker: g.parts, Paths: g.paths, Demand: g.demand, Logger: logger,
+		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
 	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
@@ -194,6 +196,7 @@
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
 	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin))
+	g.proxy.UsePeers(g.exchanger)
 	g.planner = planner.New(planner.Parts{
 		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
@@ -294,13 +297,17 @@
 	} {
 		tasks.Go(run)
 	}
+	peers, err := g.listenForPeers(background)
+	if err != nil {
+		return err
+	}
 	servers, err := g.listen(background)
 	if err != nil {
 		return err
 	}
 	_ = level.Info(g.logger).Log("event", "started", "front", g.settings.Front, "ready", g.settings.Ready, "peer", g.settings.Peer)
 	<-ctx.Done()
-	g.stop(background, stopPlanning)
+	g.stop(background, stopPlanning, peers)
 	for _, server := range servers {
 		_ = server.Close() // no requests are in flight any more
 	}
@@ -327,8 +334,9 @@
 // stop marks this host as not ready, stops planning and announces the departure
 // of this host. It accepts connections for stopListenTime longer, so that the
 // load balancer notices, and then waits for the requests in flight. Those that are not
-// answered when the grace period ends get an error response.
-func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc) {
+// answered when the grace period ends get an error response. Requests of peers are
+// in flight like others.
+func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc, peers *http.Server) {
 	deadline := time.Now().Add(g.settings.StopGrace - closeReserve)
 	_ = level.Info(g.logger).Log("event", "stopping", "deadline", deadline.UTC())
 	g.proxy.Stop()
@@ -343,6 +351,10 @@
 	if err := g.front.Shutdown(shutdownCtx); err != nil {
 		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "err", err)
 	}
+	if err := peers.Shutdown(shutdownCtx); err != nil {
+		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "listener", "peer", "err", err)
+		_ = peers.Close() // after the grace period
+	}
 	_ = level.Info(g.logger).Log("event", "stopped")
 }
 
@@ -367,14 +379,13 @@
 		handler http.Handler
 	}{
 		{g.settings.Ready, g.readyHandler()},
-		{g.settings.Peer, g.exchanger.Handler()},
 		{g.settings.Metrics, g.metricsHandler()},
 	} {
 		listener, err := listenOnAddress(ctx, each.address)
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: each.handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxPeerHeaderBytes}
+		server := &http.Server{Handler: each.handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxInternalHeaderBytes}
 		servers = append(servers, server)
 		go g.serve(server, listener)
 	}
@@ -433,6 +444,7 @@
 			return
 		case <-ticker.C:
 			g.pool.Expire()
+			g.peerPool.Expire()
 			if g.exchanger.DirectoryLoaded() {
 				g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
 			}
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -51,10 +51,12 @@
 	return time.Duration(p.random() * (maxRetryAfterShare - minRetryAfterShare) * float64(left))
 }
 
-// destination is an instance that can take a job.
+// destination is an instance that can take a job, or a peer that it is forwarded
+// to.
 type destination struct {
 	instance flamingodoor.Instance
-	group    *roster.Group // nil for a service without an engine
+	group    *roster.Group           // nil for a service without an engine
+	peer     *flamingodoor.EntryPeer // nil for an instance
 }
 
 func (d destination) target() upstream.Target {
@@ -64,12 +66,13 @@
 // Reasons why no slot is available.
 var (
 	errNoInstance = flamingodoor.Errorf(flamingodoor.CodeNoEndpoint, "no instance is available for the service and model")
+	errNoPath     = flamingodoor.Errorf(flamingodoor.CodeNoEndpoint, "this host reaches no instance and no peer takes the request")
 	errFull       = flamingodoor.Errorf(flamingodoor.CodeOverloaded, "all instances are at capacity")
 )
 
 // acquire reserves a slot at an instance. If all instances are at capacity it
 // waits for one until the given time or the end of the context; if there is no
-// instance it fails at once.
+// instance it fails at once. If this host reaches none, it returns a peer.
 func (p *Proxy) acquire(ctx context.Context, j *job, until time.Time) (destination, error) {
 	timer := time.NewTimer(max(0, until.Sub(p.now())))
 	defer timer.Stop()
@@ -85,7 +88,7 @@
 		if err == nil && j.placedAt.IsZero() {
 			j.placedAt = p.now()
 		}
-		if err == nil || errors.Is(err, errNoInstance) || isHeldPast(err, until) {
+		if err == nil || errors.Is(err, errNoInstance) || errors.Is(err, errNoPath) || isHeldPast(err, until) {
 			return dest, err
 		}
 		var room <-chan time.Time
@@ -114,19 +117,25 @@
 // the first of the instances that asked for no requests, or no more, takes one again;
 // the time is zero if none asked for that.
 func (p *Proxy) tryAcquire(j *job) (destination, time.Time, error) {
+	now := p.now()
+	if p.paths.Stranded() {
+		dest, err := p.acquirePeer(j, now)
+		return dest, time.Time{}, err
+	}
 	if j.callerRetry && p.waiters.hasAny(j) {
 		// Jobs that are not callers' retries take precedence: they have more
 		// time left for a response.
+		p.countArrival(j)
 		return destination{}, time.Time{}, errFull
 	}
-	now := p.now()
 	set := p.findCandidates(j, p.roster.View(), now)
 	if len(set.candidates) == 0 {
-		return destination{}, set.heldUntil, set.emptyError()
+		return p.acquireElsewhere(j, &set, now)
 	}
+	p.countArrival(j)
 	id, ok := p.tracker.Pick(set.candidates, p.unreportedRequests(j, now), now)
 	if !ok {
-		return destination{}, set.heldUntil, errFull
+		return p.acquireBeyondFull(j, &set, now)
 	}
 	chosen := set.destinations[id]
 	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) || !p.allowances.Reserve(chosen.instance, now) {
@@ -181,7 +190,8 @@
 	coldLimited  bool                   // a cold instance was excluded by its request rate
 	// heldUntil is when the first of the instances that asked for no requests, or for
 	// no more from this host, takes one again. It is zero if there is none.
-	heldUntil time.Time
+	heldUntil   time.Time
+	unreachable int // instances that only the path from this host excludes
 }
 
 // emptyError returns why there is no candidate.
@@ -225,7 +235,7 @@
 	}
 	for _, group := range view.Groups {
 		if group.Service == j.service.Name && group.ModelID == j.model && view.Serving(group, size, now) {
-			p.addCandidate(set, j, destination{instance: group.Head().Instance, group: group}, now)
+			p.addCandidate(set, j, view, destination{instance: group.Head().Instance, group: group}, now)
 		}
 	}
 }
@@ -233,18 +243,25 @@
 func (p *Proxy) addInstances(set *candidateSet, j *job, view *roster.View, now time.Time) {
 	for _, entry := range view.ByService[j.service.Name] {
 		if !entry.Leaving && !view.Lost(entry.Instance, now) {
-			p.addCandidate(set, j, destination{instance: entry.Instance}, now)
+			p.addCandidate(set, j, view, destination{instance: entry.Instance}, now)
 		}
 	}
 }
 
 // addCandidate adds an instance unless it failed the job before, its data centre
-// is evacuated, it asked for no requests, or this host has used up its part of the
+// is evacuated, this host does not reach it, it asked for no requests, or this host has used up its part of the
 // request rate of the instance, which the instance stated or which holds while it is
 // cold.
-func (p *Proxy) addCandidate(set *candidateSet, j *job, dest destination, now time.Time) {
+func (p *Proxy) addCandidate(set *candidateSet, j *job, view *roster.View, dest destination, now time.Time) {
 	instance := dest.instance
-	if j.failedInstances[instance.ID] || p.catalogue.Evacuated(instance.DataCentre) {
+	if p.catalogue.Evacuated(instance.DataCentre) {
+		return
+	}
+	if view.Unreachable(instance, now) {
+		set.unreachable++
+		return
+	}
+	if j.failedInstances[instance.ID] {
 		return
 	}
 	if until, held := p.holds.Until(instance.ID, instance.StartedAt, now); held {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -93,12 +93,12 @@
 			return
 		}
 		response, result := p.attempt(ctx, j, dest)
-		p.tracker.Release(dest.instance.ID)
+		p.release(dest)
 		switch {
 		case result == outcomeCallerLeft:
 			p.recordFinished(j, "caller_left", 0, 0)
 			return
-		case result == outcomeDone && (response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
+		case result == outcomeDone && (dest.peer != nil || response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
 			p.deliver(ctx, writer, j, response)
 			return
 		case result == outcomeDone:
@@ -108,7 +108,7 @@
 			p.respondFailed(ctx, writer, j)
 			return
 		}
-		j.failedInstances[dest.instance.ID] = true
+		j.exclude(dest)
 		j.waitUntil = p.now().Add(j.route.LatencyObjective / waitDivisor)
 	}
 }
@@ -164,6 +164,10 @@
 		p.respondFailed(ctx, writer, j)
 	case errors.Is(err, errPartBlocked):
 		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
+	case errors.Is(err, errNoPath) && j.forwardedBy != "":
+		p.decline(writer, j)
+	case errors.Is(err, errNoPath):
+		p.refuse(writer, j, http.StatusServiceUnavailable, "no_path", delay)
 	case errors.Is(err, errNoInstance):
 		p.refuse(writer, j, http.StatusServiceUnavailable, "no_instance", delay)
 	default:
@@ -171,8 +175,11 @@
 	}
 }
 
-// attempt sends the job to an instance and buffers the response.
+// attempt sends the job to an instance, or to a peer, and buffers the response.
 func (p *Proxy) attempt(ctx context.Context, j *job, dest destination) (bufferedResponse, outcome) {
+	if dest.peer != nil {
+		return p.attemptAtPeer(ctx, j, *dest.peer)
+	}
 	sendsBefore := j.sends
 	response, err := p.send(ctx, j, dest, j.lastEventID)
 	if err != nil {
@@ -304,7 +311,7 @@
 }
 
 // handleSendError returns the outcome of an attempt that received no response. An
-// instance that could not be reached is marked as lost.
+// instance that could not be reached gets nothing more from this host for a while.
 func (p *Proxy) handleSendError(ctx context.Context, j *job, dest destination, err error) outcome {
 	var failure *upstream.CallError
 	if errors.As(err, &failure) && !failure.Sent {
@@ -326,6 +333,9 @@
 	j.cause = "broken"
 	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "instance", dest.instance.ID,
 		"cause", context.Cause(ctx), "err", err)
+	if context.Cause(ctx) == nil && isConnectionError(err) {
+		p.paths.Failed(dest.instance, p.now())
+	}
 	return p.callerLeftOr(ctx, outcomeFailed)
 }
 
@@ -338,13 +348,20 @@
 	return otherwise
 }
 
-// markUnreachable marks an instance as lost in the roster.
+// markUnreachable makes this host send nothing more to an instance for a while.
 func (p *Proxy) markUnreachable(dest destination) {
 	now := p.now()
-	p.roster.MarkLost(dest.instance.ID, dest.instance.StartedAt, now)
+	p.paths.Failed(dest.instance, now)
+	p.roster.MarkUnreachable(dest.instance.ID, dest.instance.StartedAt, now)
 	p.roster.Publish(now)
 }
 
+// isConnectionError reports whether a call failed because its connection broke.
+// Errors with a code of their own are about what the endpoint sent.
+func isConnectionError(err error) bool {
+	return flamingodoor.CodeOf(err) == flamingodoor.CodeInternal
+}
+
 // deliver sends a response to the caller. It streams what is not buffered, and
 // closes the caller's connection if that breaks off, so that the response does
 // not look complete.
@@ -396,6 +413,8 @@
 func copyResponseHeader(to, from http.Header) {
 	from = from.Clone()
 	removeHopHeaders(from)
+	from.Del(answerHeader)
+	from.Del(sendsHeader)
 	for name, values := range from {
 		to[name] = values
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -54,6 +54,8 @@
 	fingerprint     flamingodoor.Fingerprint
 	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
 	priority        int                       // 0 to 9, 0 is the most urgent
+	authorization   string                    // credentials of the caller
+	forwardedBy     string                    // host that the caller sent the request to; empty if it is this one
 
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
@@ -63,6 +65,9 @@
 	mayHaveRun      bool            // an endpoint may have run the request
 	suspected       bool            // an endpoint may have crashed because of the request
 	failedInstances map[string]bool // not tried again
+	failedPeers     map[string]bool // not tried again; nil if there is none
+	declines        int             // by peers in a row
+	counted         bool            // as a request, here or at another host
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
 	placedAt        time.Time       // first slot reserved
@@ -119,7 +124,7 @@
 
 // newJob returns the job of a request. It drops the credentials and the caller's
 // values of headers that only the proxy may set.
-func (p *Proxy) newJob(request *http.Request, index *catalogue.Index, route *flamingodoor.Route, workspace *flamingodoor.Workspace, body []byte, received time.Time) *job {
+func (p *Proxy) newJob(request *http.Request, from origin, index *catalogue.Index, route *flamingodoor.Route, workspace *flamingodoor.Workspace, body []byte, received time.Time) *job {
 	header := request.Header.Clone()
 	removeHopHeaders(header)
 	for _, name := range []string{
@@ -127,11 +132,15 @@
 	} {
 		header.Del(name)
 	}
+	for _, name := range forwardHeaders {
+		header.Del(name)
+	}
 	j := &job{
 		id: request.Header.Get(p.headers.RequestID), route: route, receivedAt: received,
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
-		priority: route.Priority, failedInstances: make(map[string]bool),
+		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
+		forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun,
 	}
 	if workspace != nil {
 		j.workspace = workspace.Name
@@ -144,7 +153,7 @@
 	j.promptTokens, j.maxOutputTokens = parseTokens(request.Header.Get(p.headers.Tokens))
 	j.deadline = received.Add(route.Timeout)
 	if allowed, ok := parseMilliseconds(request.Header.Get(p.headers.DeadlineMS)); ok {
-		j.callerRetry = p.isCallerRetry(route.Name, allowed)
+		j.callerRetry = from.callerRetry || (from.host == "" && p.isCallerRetry(route.Name, allowed))
 		if limit := received.Add(allowed); limit.Before(j.deadline) {
 			j.deadline = limit
 		}
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -25,6 +25,7 @@
 // about the instance that this request was meant for. Another instance responds
 // with status 421.
 func (p *Proxy) observeHead(instance flamingodoor.Instance, status int, header http.Header) {
+	p.paths.Heard(instance, p.now())
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,11 @@
 	crashTracker    flamingodoor.CrashTracker
 	partTracker     flamingodoor.PartTracker
 	paths           flamingodoor.PathState
+	peers           flamingodoor.PeerSelector
+	peerPool        *upstream.Pool
+	takeovers       takeovers
+	forwards        forwardCounts
+	hostID          string
 	unbegun         unbegunAttempts
 	demand          *Demand
 	observer        Observer
@@ -159,6 +164,7 @@
 	CrashTracker flamingodoor.CrashTracker
 	PartTracker  flamingodoor.PartTracker
 	Paths        flamingodoor.PathState
+	PeerPool     *upstream.Pool // to other entry hosts
 	Demand       *Demand
 	Logger       log.Logger
 }
@@ -171,7 +177,7 @@
 	p := &Proxy{
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
-		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, demand: parts.Demand, logger: parts.Logger,
+		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
@@ -276,8 +282,14 @@
 	return p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin - revokeMargin))
 }
 
-// ServeHTTP authorises a request and proxies it to an instance.
+// ServeHTTP authorises a request and proxies it to an instance, or to a peer if
+// this host reaches none.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	p.serve(writer, request, origin{})
+}
+
+// serve serves a request of a caller, which may have come through another host.
+func (p *Proxy) serve(writer http.ResponseWriter, request *http.Request, from origin) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Done()
 	received := p.now()
@@ -303,7 +315,7 @@
 		p.rejectBody(writer, request, err)
 		return
 	}
-	j := p.newJob(request, index, route, workspace, body, received)
+	j := p.newJob(request, from, index, route, workspace, body, received)
 	if p.crashTracker.Blocked(j.fingerprint, received) {
 		p.refuse(writer, j, http.StatusServiceUnavailable, "crashes_endpoints", 0)
 		return
@@ -312,19 +324,16 @@
 		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
 		return
 	}
-	p.retryBudget(j.service.Name).CountRequest(received)
-	p.arrivalRates.add(j.key(), received)
 	ctx, end := context.WithCancelCause(request.Context())
 	defer end(nil)
 	defer context.AfterFunc(p.ending, func() { end(errStopping) })() //nolint:contextcheck // ends requests of all callers
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	writer = closingWriter{ResponseWriter: writer, stopping: &p.stopping}
+	if j.forwardedBy != "" {
+		writer = takenOverWriter{ResponseWriter: writer, job: j}
+	}
 	if route.Kind == flamingodoor.RouteKindStreaming {
-		if !j.callerRetry {
-			// A caller's retry repeats demand that was counted before.
-			p.demand.Add(j.service, j.model, j.promptTokens, j.maxOutputTokens, received)
-		}
 		p.serveStream(ctx, writer, j)
 		return
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -55,7 +55,7 @@
 			return
 		}
 		result := p.streamAttempt(ctx, j, dest, client)
-		p.tracker.Release(dest.instance.ID)
+		p.release(dest)
 		switch {
 		case result == outcomeDone:
 			p.recordFinished(j, "answered", http.StatusOK, client.events)
@@ -69,7 +69,7 @@
 			p.endFailedStream(ctx, client, j)
 			return
 		}
-		j.failedInstances[dest.instance.ID] = true
+		j.exclude(dest)
 		j.responseStarted = client.started
 		until = p.now().Add(maxResumeWait)
 	}
@@ -110,8 +110,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// streamAttempt sends the job to an instance and forwards its events.
+// streamAttempt sends the job to an instance, or to a peer, and forwards its events.
 func (p *Proxy) streamAttempt(ctx context.Context, j *job, dest destination, client *delivery) outcome {
+	if dest.peer != nil {
+		return p.streamFromPeer(ctx, j, *dest.peer, client)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var watch *stall.Watch
@@ -146,6 +149,7 @@
 		if watch != nil {
 			watch.Progress()
 		}
+		p.paths.Heard(dest.instance, p.now())
 		if !begun {
 			begun = true
 			endUnbegun()
@@ -212,6 +216,9 @@
 	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent), errors.Is(cause, errPartBlocked):
 		j.mayHaveRun = true
 		j.cause = cause.Error()
+		if errors.Is(cause, stall.ErrLost) || errors.Is(cause, stall.ErrSilent) {
+			p.paths.Failed(dest.instance, p.now())
+		}
 		return outcomeFailed
 	case cause != nil:
 		return p.callerLeftOr(ctx, outcomeFailed)
@@ -220,10 +227,12 @@
 		return p.handleSendError(ctx, j, dest, err)
 	}
 	j.cause = "broken"
-	if flamingodoor.CodeOf(err) == flamingodoor.CodeInternal && (failure == nil || !failure.Reused) {
+	if isConnectionError(err) {
+		p.paths.Failed(dest.instance, p.now())
+	}
+	if isConnectionError(err) && (failure == nil || !failure.Reused) {
 		// The endpoint closed the connection: it may have crashed. If a reused
-		// connection gave no response, it may have been closed while idle. Errors
-		// with a code of their own are about what the endpoint sent.
+		// connection gave no response, it may have been closed while idle.
 		p.crashTracker.ReportCrash(ctx, j.fingerprint, dest.instance.ID)
 	}
 	return p.callerLeftOr(ctx, outcomeFailed)
--- /dev/null
+++ b/internal/proxy/takeover.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// maxTakeovers and maxTakeoverBytes bound the requests of peers that a host serves
+	// at a time, and their bodies. Each takes two connections.
+	maxTakeovers     = 512
+	maxTakeoverBytes = 32 << 20
+	// maxForwardedSends bounds the number of attempts that another host states.
+	maxForwardedSends = 100
+)
+
+// origin is what the host that forwarded a request states about it. It is zero for
+// a request that the caller sent to this host.
+type origin struct {
+	host        string
+	callerRetry bool
+	counted     bool // as a request, at another host
+	streamBegun bool // the caller has received a part of the response
+	sends       int  // attempts that may have reached an instance
+}
+
+// originOf returns what a peer states about a request that it forwards.
+func originOf(header http.Header) origin {
+	sends, err := strconv.Atoi(header.Get(sendsHeader))
+	if err != nil {
+		sends = 0
+	}
+	return origin{
+		host: header.Get(forwardedByHeader), callerRetry: header.Get(callerRetryHeader) != "", counted: header.Get(countedHeader) != "",
+		streamBegun: header.Get(streamBegunHeader) != "", sends: min(max(0, sends), maxForwardedSends),
+	}
+}
+
+// takeovers counts the requests of peers that are in flight. It is safe for
+// concurrent use.
+type takeovers struct {
+	mu       sync.Mutex
+	requests int
+	bytes    int64
+}
+
+// begin counts a request, or returns false if there are too many.
+func (t *takeovers) begin(bytes int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.requests >= maxTakeovers || t.bytes+bytes > maxTakeoverBytes {
+		return false
+	}
+	t.requests++
+	t.bytes += bytes
+	return true
+}
+
+func (t *takeovers) end(bytes int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests--
+	t.bytes -= bytes
+}
+
+// PeerHandler returns the handler of requests that peers forward. It passes all
+// others on.
+func (p *Proxy) PeerHandler(others http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get(forwardedByHeader) == "" {
+			others.ServeHTTP(writer, request)
+			return
+		}
+		p.serveForwarded(writer, request)
+	})
+}
+
+// serveForwarded serves the request of a peer as if the caller had sent it to this
+// host, or declines it.
+func (p *Proxy) serveForwarded(writer http.ResponseWriter, request *http.Request) {
+	from, id := originOf(request.Header), request.Header.Get(p.headers.RequestID)
+	bytes := max(0, request.ContentLength)
+	reason := p.declineReason(request, bytes)
+	if reason == "" && !p.takeovers.begin(bytes) {
+		reason = "taken_over_too_many"
+	}
+	if reason != "" {
+		_ = level.Info(p.logger).Log("event", "request_declined", "request", id, "via", from.host, "reason", reason)
+		p.writeDecline(writer, id)
+		return
+	}
+	defer p.takeovers.end(bytes)
+	p.forwards.takenOver.Add(1)
+	_ = level.Info(p.logger).Log("event", "request_taken_over", "request", id, "via", from.host, "sends", from.sends)
+	writer.Header().Set(answerHeader, answerTaken)
+	p.serve(writer, request, from)
+}
+
+// declineReason returns why this host serves no requests of peers now, or "" if it
+// does.
+func (p *Proxy) declineReason(request *http.Request, bytes int64) string {
+	index := p.catalogue.Index()
+	switch {
+	case request.Header.Get(forwardedToHeader) != p.hostID:
+		return "other_host"
+	case p.stopping.Load():
+		return "stopping"
+	case index == nil || !p.partTracker.Loaded() || !p.keysConfirmed():
+		return "not_ready"
+	case p.paths.Stranded():
+		return "stranded"
+	case request.ContentLength < 0 || bytes > bodyLimit(index):
+		return "body"
+	default:
+		return ""
+	}
+}
+
+// decline declines a job of a peer that this host cannot serve for want of a path.
+func (p *Proxy) decline(writer http.ResponseWriter, j *job) {
+	p.recordFinished(j, "no_path", http.StatusServiceUnavailable, 0)
+	p.writeDecline(writer, j.id)
+}
+
+// writeDecline tells a peer that this host does not serve a request, which has not
+// run here.
+func (p *Proxy) writeDecline(writer http.ResponseWriter, id string) {
+	p.forwards.turnedOff.Add(1)
+	if p.stopping.Load() {
+		announceClose(writer)
+	}
+	writer.Header().Set(answerHeader, answerDeclined)
+	p.writeRefusal(writer, id, http.StatusServiceUnavailable, answerDeclined, shortRetryAfter)
+}
+
+// takenOverWriter adds to the answer how often the request was sent.
+type takenOverWriter struct {
+	http.ResponseWriter
+
+	job *job
+}
+
+// WriteHeader begins the answer.
+func (w takenOverWriter) WriteHeader(status int) {
+	w.Header().Set(sendsHeader, strconv.Itoa(w.job.sends))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController the writer of the server.
+func (w takenOverWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,12 +30,19 @@
 	maxIdlePerTarget = 64
 	// userTimeout bounds how long sent bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
+	// probedUserTimeout replaces userTimeout where keep-alive probes are sent. The
+	// kernel checks it when it would send the second probe, which is after 2 s.
+	probedUserTimeout = 1500 * time.Millisecond
 	// tcpUserTimeout is the number of the option TCP_USER_TIMEOUT on Linux.
 	tcpUserTimeout = 0x12
 
 	readBufferBytes = 4 << 10
 )
 
+// probes are sent on connections that are silent for a second, which is the least
+// that the kernel supports.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1} //nolint:gochecknoglobals // a constant structure
+
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	idHeader   string
@@ -62,26 +69,49 @@
 	deadline time.Time // not reused after this time
 }
 
+// Option changes a setting of a Pool.
+type Option func(*Pool)
+
+// WithFailureDetection makes the kernel close connections to hosts that are gone
+// within 2 s, also while a response is awaited.
+func WithFailureDetection() Option {
+	return func(p *Pool) {
+		p.dialer.Control, p.dialer.KeepAliveConfig = setTimeout(probedUserTimeout), probes
+	}
+}
+
 // New returns an empty pool. Endpoints copy the request header `idHeader` to the
 // response, which links a response to its request.
-func New(idHeader string) *Pool {
-	return &Pool{
+func New(idHeader string, options ...Option) *Pool {
+	pool := &Pool{
 		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, idle: make(map[Target][]*connection),
-		dialer: net.Dialer{Timeout: dialTimeout, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, Control: setTimeout(userTimeout)},
+	}
+	for _, option := range options {
+		option(pool)
 	}
+	return pool
 }
 
-// setUserTimeout makes the kernel close a connection whose sent data stays
-// unacknowledged for userTimeout.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(descriptor uintptr) {
-		optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// ListenConfig returns the settings of a listener whose connections end within 2 s
+// after the other host is gone.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{Control: setTimeout(probedUserTimeout), KeepAliveConfig: probes}
+}
+
+// setTimeout returns a function that makes the kernel close a connection whose sent
+// data, or keep-alive probe, stays unacknowledged for the given time.
+func setTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(descriptor uintptr) {
+			optionErr = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
 	}
-	return optionErr
 }
 
 // acquire returns an idle connection that is still usable and has not carried a
