--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -151,6 +151,7 @@
 	inFlight     atomic.Bool               // a message is under way and not answered
 	urgent       bool                      // a change since its latest message must be sent at once
 	reported     reportedWork              // the work in its latest message
+	forwards     forwardState              // requests that this host forwards to it
 	// summarisedUntil is until when summaries of relays include its work.
 	summarisedUntil time.Time
 }
