Move probes and testimonies to internal/reach and test them

Measured in virtual time: a process that refuses connections is found lost at once, a silent one within 320 ms, as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/singleflight"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/balance"
@@ -71,13 +70,6 @@
 	tasksEndTime   = 150 * time.Millisecond
 	// departureTimeout bounds the last messages to the platform.
 	departureTimeout = 500 * time.Millisecond
-	// probeTimeout bounds both probes of a member of a silent group. It is
-	// several times the delay between data centres.
-	probeTimeout = 320 * time.Millisecond
-	// secondProbeDelay separates the two probes. It is short, so that the
-	// second has nearly as much time as the first.
-	secondProbeDelay = 100 * time.Millisecond
-	probeAttempts    = 2
 	// noSlowdown is the slowdown of a member at normal speed, and the least
 	// that an inspection reports.
 	noSlowdown = 1.0
@@ -169,7 +161,7 @@
 	planner      *planner.Planner
 	shared       *sharedState
 	front        *FrontServer
-	testimonies  singleflight.Group
+	prober       *reach.Prober
 	reprobeNow   chan struct{} // instances that this host did not reach may answer again
 	restored     atomic.Bool   // the leader has yet to save the blocked parts again
 }
@@ -182,6 +174,7 @@
 		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan struct{}, 1),
 	}
 	g.paths = g.newPaths()
+	g.prober = g.newProber()
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
 	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -16,6 +16,7 @@
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/internal/poison"
+	"flamingodoor.example/flamingodoor/internal/reach"
 )
 
 const (
@@ -23,8 +24,6 @@
 	// at which it ended has crashed. A process that ended refuses connections at
 	// once.
 	crashWait = 150 * time.Millisecond
-	// closingTime separates two attempts to find out whether a process has ended.
-	closingTime = 50 * time.Millisecond
 	// settleInterval is the time between two checks for parts to block. It is short,
 	// because hosts that are all killed at once forget what is not stored.
 	settleInterval = 50 * time.Millisecond
@@ -113,8 +112,8 @@
 // hasEnded reports whether the process of an instance has ended. All requests that
 // end there at the same time share the probes.
 func (t *partTracker) hasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
-	ended, _, _ := t.probes.Do(processKey(instance), func() (any, error) {
-		ended := t.gateway.proxy.MayProbe(instance) && t.gateway.hasEnded(ctx, instance)
+	ended, _, _ := t.probes.Do(reach.ProcessKey(instance), func() (any, error) {
+		ended := t.gateway.proxy.MayProbe(instance) && t.gateway.prober.HasEnded(ctx, instance)
 		if !ended {
 			_ = level.Info(t.gateway.logger).Log("event", "unbegun_without_crash", "instance", instance.ID)
 		}
@@ -123,20 +122,6 @@
 	return ended == true
 }
 
-// processKey returns a name for one process of an instance.
-func processKey(instance flamingodoor.Instance) string {
-	return fmt.Sprint(instance.ID, " ", instance.StartedAt.UnixMilli())
-}
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // merge records what a peer found. A relay passes it on at once.
 func (t *partTracker) merge(request *exchangev1.ShareRequest, now time.Time) {
 	if !t.ledger.Merge(request, now) {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +26,13 @@
 	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange))
 }
 
+func (g *Gateway) newProber() *reach.Prober {
+	confirm := func(ctx context.Context, instance flamingodoor.Instance) bool {
+		return g.exchanger.AskWitnesses(ctx, instance).Confirms()
+	}
+	return reach.NewProber(g.paths, g.platform.Instances.Report, confirm, g.settings.DataCentre, g.logger)
+}
+
 // probeCandidates returns the listed instances that are not leaving and did not ask
 // for no requests.
 func (g *Gateway) probeCandidates() []flamingodoor.Instance {
@@ -109,7 +115,7 @@
 	if !g.proxy.MayProbe(instance) {
 		return
 	}
-	_, answers := g.probe(ctx, instance)
+	_, answers := g.prober.Probe(ctx, instance)
 	if ctx.Err() != nil && !answers {
 		return
 	}
@@ -125,66 +131,3 @@
 		g.tracker.Wake()
 	}
 }
-
-// testimony is what this host states about an instance that a peer does not reach.
-type testimony struct {
-	answers bool
-	sound   bool // this host's paths to other instances work
-}
-
-// testify answers a peer that does not reach an instance. Questions that arrive at
-// the same time share the probes, which go on if one of the peers has its answer from
-// elsewhere.
-func (g *Gateway) testify(ctx context.Context, instance flamingodoor.Instance) testimony {
-	deadline, ok := ctx.Deadline()
-	if limit := time.Now().Add(probeTimeout); !ok || limit.Before(deadline) {
-		deadline = limit
-	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
-	defer cancel()
-	result, _, _ := g.testimonies.Do(processKey(instance), func() (any, error) {
-		return g.examinePath(ctx, instance), nil
-	})
-	found, _ := result.(testimony)
-	return found
-}
-
-// examinePath probes an instance and, if no other one is heard meanwhile, one of
-// another area.
-func (g *Gateway) examinePath(ctx context.Context, instance flamingodoor.Instance) testimony {
-	begun := time.Now()
-	reference := make(chan bool, 1)
-	go func() { reference <- g.referenceAnswers(ctx, instance) }()
-	if _, answers := g.probe(ctx, instance); answers {
-		return testimony{answers: true, sound: true}
-	}
-	sound := g.paths.HeardSince(begun, instance.ID) || <-reference
-	return testimony{sound: sound && !g.paths.Stranded()}
-}
-
-// referenceAnswers probes an instance of another area than that of the given one,
-// and reports whether it answers.
-func (g *Gateway) referenceAnswers(ctx context.Context, instance flamingodoor.Instance) bool {
-	if known, ok := g.roster.View().Entries[instance.ID]; ok {
-		instance = known.Instance
-	}
-	now := time.Now()
-	view := g.roster.View()
-	var local, remote []flamingodoor.Instance
-	for _, other := range g.probeCandidates() {
-		switch {
-		case other.ID == instance.ID || reach.SameArea(other, instance) || view.Unreachable(other, now):
-		case other.DataCentre == g.settings.DataCentre:
-			local = append(local, other)
-		default:
-			remote = append(remote, other)
-		}
-	}
-	for _, instances := range [][]flamingodoor.Instance{local, remote} {
-		if len(instances) > 0 {
-			_, answers := g.probe(ctx, instances[rand.IntN(len(instances))]) //nolint:gosec // need not be unpredictable
-			return answers
-		}
-	}
-	return false
-}
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -168,8 +168,8 @@
 // Probe probes an instance on behalf of a peer that cannot reach it. This host's
 // paths are sound if another instance was heard since.
 func (s *sharedState) Probe(ctx context.Context, instance flamingodoor.Instance) (answers, sound bool) {
-	found := s.gateway.testify(ctx, instance)
-	return found.answers, found.sound
+	testimony := s.gateway.prober.Testify(ctx, instance)
+	return testimony.Answers, testimony.Sound
 }
 
 func (s *sharedState) applyDemand(request *exchangev1.ShareRequest, now time.Time) {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -106,12 +106,6 @@
 	return area{dataCentre: instance.DataCentre, service: instance.Service}
 }
 
-// SameArea reports whether both instances are in the same fabric domain or, without
-// one, of the same service in the same data centre: they may fail together.
-func SameArea(a, b flamingodoor.Instance) bool {
-	return areaOf(a) == areaOf(b)
-}
-
 var _ flamingodoor.PathState = (*Paths)(nil)
 
 // New returns the paths of a host that has had no failure.
--- /dev/null
+++ b/internal/reach/prober_test.go
@@ -0,0 +1,138 @@
+package reach_test
+
+import (
+	"context"
+	"net/netip"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/reach"
+)
+
+// witnessTimeout is how long a witness has to answer.
+const witnessTimeout = 160 * time.Millisecond
+
+// behaviour is what a host sees of an instance.
+type behaviour int
+
+const (
+	answers behaviour = iota
+	silent
+	refuses
+)
+
+// fleet is three hosts and the instances of a deployment. The first host asks the
+// other two as witnesses.
+type fleet struct {
+	instances []flamingodoor.Instance
+	seen      func(host, instance int) behaviour
+	paths     []*reach.Paths
+	probers   []*reach.Prober
+}
+
+func newFleet(seen func(host, instance int) behaviour) *fleet {
+	f := &fleet{instances: deployment(), seen: seen}
+	for i := range f.instances {
+		f.instances[i].Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i)}), 1)
+	}
+	for host := range 3 {
+		paths := reach.New(reach.WithInstances(func() []flamingodoor.Instance { return f.instances }))
+		f.paths = append(f.paths, paths)
+		f.probers = append(f.probers, reach.NewProber(paths, f.report(host), f.confirm, "dc-0", log.NewNopLogger()))
+	}
+	return f
+}
+
+func (f *fleet) report(host int) reach.Report {
+	return func(ctx context.Context, address netip.AddrPort) (flamingodoor.InstanceReport, error) {
+		switch f.seen(host, int(address.Addr().As4()[3])) {
+		case answers:
+			return flamingodoor.InstanceReport{}, nil
+		case refuses:
+			return flamingodoor.InstanceReport{}, syscall.ECONNREFUSED
+		default:
+			<-ctx.Done()
+			return flamingodoor.InstanceReport{}, ctx.Err()
+		}
+	}
+}
+
+// confirm asks the witnesses as the exchange does.
+func (f *fleet) confirm(ctx context.Context, instance flamingodoor.Instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	testimonies := make(chan reach.Testimony, 2)
+	for _, witness := range f.probers[1:] {
+		go func() { testimonies <- witness.Testify(ctx, instance) }()
+	}
+	first, second := <-testimonies, <-testimonies
+	return !first.Answers && !second.Answers && (first.Sound || second.Sound)
+}
+
+// Guards against a host whose path to an instance has failed and that takes the
+// instance for lost or crashed for all hosts, and against real failures that are found
+// later than a host alone would.
+func TestLossNeedsASoundWitness(t *testing.T) {
+	const member = 0
+	atAll := func(what behaviour) func(host, instance int) behaviour {
+		return func(_, instance int) behaviour {
+			if instance == member {
+				return what
+			}
+			return answers
+		}
+	}
+	cutHosts := func(hosts int, what behaviour) func(host, instance int) behaviour {
+		return func(host, _ int) behaviour {
+			if host < hosts {
+				return what
+			}
+			return answers
+		}
+	}
+	for name, test := range map[string]struct {
+		seen   func(host, instance int) behaviour
+		lost   bool
+		ended  bool
+		within time.Duration
+	}{
+		"crashed process": {atAll(refuses), true, true, time.Millisecond},
+		"dead machine":    {atAll(silent), true, false, 320 * time.Millisecond},
+		"crashed rack": {func(_, instance int) behaviour {
+			if instance < 4 {
+				return refuses
+			}
+			return answers
+		}, true, true, time.Millisecond},
+		"silent cut of one host":    {cutHosts(1, silent), false, false, 320 * time.Millisecond},
+		"refusing cut of one host":  {cutHosts(1, refuses), false, false, time.Millisecond},
+		"refusing cut of two hosts": {cutHosts(2, refuses), false, false, time.Millisecond},
+		"silent cut of all hosts":   {cutHosts(3, silent), false, false, 320 * time.Millisecond},
+		"refusing cut of all hosts": {cutHosts(3, refuses), false, false, time.Millisecond},
+		"path to one instance has failed": {func(host, instance int) behaviour {
+			if host == 0 && instance == member {
+				return refuses
+			}
+			return answers
+		}, false, false, time.Millisecond},
+		"answering": {atAll(answers), false, false, time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(test.seen)
+				begun := time.Now()
+				finding := f.probers[0].Examine(t.Context(), f.instances[member])
+				assert.Assert(t, time.Since(begun) <= test.within, "took %s", time.Since(begun))
+				assert.Equal(t, finding.Lost, test.lost)
+				assert.Equal(t, finding.Answers, test.seen(0, member) == answers)
+				assert.Equal(t, f.probers[0].HasEnded(t.Context(), f.instances[member]), test.ended)
+			})
+		})
+	}
+}
