--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -297,7 +297,7 @@
 	} {
 		tasks.Go(run)
 	}
-	peers, err := g.listenForPeers(background)
+	peers, err := g.listenForPeers(background, g.settings.Peer)
 	if err != nil {
 		return err
 	}
@@ -336,7 +336,7 @@
 // load balancer notices, and then waits for the requests in flight. Those that are not
 // answered when the grace period ends get an error response. Requests of peers are
 // in flight like others.
-func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc, peers *http.Server) {
+func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc, peers *PeerServer) {
 	deadline := time.Now().Add(g.settings.StopGrace - closeReserve)
 	_ = level.Info(g.logger).Log("event", "stopping", "deadline", deadline.UTC())
 	g.proxy.Stop()
@@ -353,7 +353,6 @@
 	}
 	if err := peers.Shutdown(shutdownCtx); err != nil {
 		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "listener", "peer", "err", err)
-		_ = peers.Close() // after the grace period
 	}
 	_ = level.Info(g.logger).Log("event", "stopped")
 }
