--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -3,13 +3,15 @@
 import (
 	"time"
 
+	"flamingodoor.example/flamingodoor/internal/proxy"
 	"flamingodoor.example/flamingodoor/internal/uptime"
 )
 
 // unknownAge is reported as the age of data that this host has never read.
 const unknownAge = -1
 
-// registerGauges registers gauges that read this host's state at each scrape.
+// registerGauges registers gauges and counters that read this host's state at each
+// scrape.
 func (g *Gateway) registerGauges() error {
 	for _, gauge := range []struct {
 		name        string
@@ -32,6 +34,20 @@
 			return err
 		}
 	}
+	for _, counter := range []struct {
+		name        string
+		description string
+		read        func(counts proxy.ForwardCounts) int64
+	}{
+		{"flamingodoor.requests.forwarded", "Requests of callers that were sent to another entry host", func(counts proxy.ForwardCounts) int64 { return counts.Forwarded }},
+		{"flamingodoor.requests.forwards_declined", "Of them, those that the other host declined or that did not reach it", func(counts proxy.ForwardCounts) int64 { return counts.Declined }},
+		{"flamingodoor.requests.taken_over", "Requests that other entry hosts sent to this one", func(counts proxy.ForwardCounts) int64 { return counts.TakenOver }},
+		{"flamingodoor.requests.turned_off", "Requests of other entry hosts that this one declined", func(counts proxy.ForwardCounts) int64 { return counts.TurnedOff }},
+	} {
+		if err := g.metrics.Counter(counter.name, counter.description, func() int64 { return counter.read(g.proxy.ForwardCounts()) }); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -124,6 +124,16 @@
 	return instrumentError(err)
 }
 
+// Counter registers a counter whose value is read at each scrape.
+func (m *Metrics) Counter(name, description string, read func() int64) error {
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return instrumentError(err)
+}
+
 // CountTraffic registers a counter of the bytes on connections of a kind. It must
 // be called before WrapConn or WrapListener with that kind.
 func (m *Metrics) CountTraffic(kind string) error {
