End unanswered attempts of a stranded host, and test forwarding

Attempts that may be repeated and have no response yet waited until their deadline when a host lost its paths. EndUnreached ends them, so that they go through a peer. The list of them is made of parts of the jobs, and replaces a context for the end of all requests; candidates are kept in a slice rather than a map.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,7 +138,7 @@
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
 	}
-	chosen := set.destinations[id]
+	chosen := set.destination(id)
 	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) || !p.allowances.Reserve(chosen.instance, now) {
 		p.tracker.Release(id)
 		return destination{}, set.heldUntil, errFull
@@ -186,14 +187,20 @@
 // candidateSet holds the instances that can take a job.
 type candidateSet struct {
 	candidates   []balance.Candidate
-	destinations map[string]destination // by instance
-	coldLimited  bool                   // a cold instance was excluded by its request rate
+	destinations []destination // of the candidates
+	coldLimited  bool          // a cold instance was excluded by its request rate
 	// heldUntil is when the first of the instances that asked for no requests, or for
 	// no more from this host, takes one again. It is zero if there is none.
 	heldUntil   time.Time
 	unreachable int // instances that only the path from this host excludes
 }
 
+// destination returns the candidate with the identifier.
+func (c *candidateSet) destination(id string) destination {
+	index := slices.IndexFunc(c.candidates, func(candidate balance.Candidate) bool { return candidate.ID == id })
+	return c.destinations[index]
+}
+
 // emptyError returns why there is no candidate.
 func (c *candidateSet) emptyError() error {
 	switch {
@@ -217,7 +224,7 @@
 // serving groups for a service with an engine, else the instances of the service
 // that are neither leaving nor lost.
 func (p *Proxy) findCandidates(j *job, view *roster.View, now time.Time) candidateSet {
-	set := candidateSet{destinations: make(map[string]destination)}
+	var set candidateSet
 	if j.service.Engine != nil {
 		p.addGroups(&set, j, view, now)
 	} else {
@@ -280,7 +287,7 @@
 	if dest.group != nil {
 		capacity = j.capacity(instance.Slots)
 	}
-	set.destinations[instance.ID] = dest
+	set.destinations = append(set.destinations, dest)
 	set.candidates = append(set.candidates, balance.Candidate{
 		ID: instance.ID, Capacity: capacity, OwnLimit: p.ownLimit(dest, capacity, now), Speed: p.monitor.Speed(instance.ID), Local: instance.DataCentre == p.localDataCentre,
 	})
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -180,8 +180,14 @@
 	if dest.peer != nil {
 		return p.attemptAtPeer(ctx, j, *dest.peer)
 	}
+	if j.repeatable() {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		p.awaitResponse(j, cancel)
+	}
 	sendsBefore := j.sends
 	response, err := p.send(ctx, j, dest, j.lastEventID)
+	p.unanswered.remove(&j.unanswered)
 	if err != nil {
 		if j.sends > sendsBefore {
 			p.reportUnbegun(ctx, j, dest)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -230,7 +230,11 @@
 		NewConnection: !j.repeatable(),
 	})
 	if err != nil {
-		return nil, p.handlePeerError(ctx, j, peer, err)
+		result := p.handlePeerError(ctx, j, peer, err)
+		if result == outcomeFailed {
+			j.sends++
+		}
+		return nil, result
 	}
 	switch response.Header.Get(answerHeader) {
 	case answerTaken:
@@ -298,6 +302,5 @@
 	}
 	j.cause = "peer_broken"
 	j.mayHaveRun, j.retryGranted = true, false
-	j.sends++
 	return p.callerLeftOr(ctx, outcomeFailed)
 }
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -68,6 +68,8 @@
 	failedPeers     map[string]bool // not tried again; nil if there is none
 	declines        int             // by peers in a row
 	counted         bool            // as a request, here or at another host
+	request         runningEntry    // of Proxy.requests
+	unanswered      runningEntry    // of Proxy.unanswered
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
 	placedAt        time.Time       // first slot reserved
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,8 +96,8 @@
 	hostCount   atomic.Int64 // entry hosts that share the limits
 	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
 	stopping    atomic.Bool
-	ending      context.Context // ends when the requests in flight must be answered
-	end         context.CancelFunc
+	requests    running // in flight
+	unanswered  running // attempts at instances that may be repeated
 	inFlight    sync.WaitGroup
 
 	mu               sync.Mutex
@@ -183,7 +183,6 @@
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
-	p.ending, p.end = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(p)
 	}
@@ -267,7 +266,7 @@
 // EndRequests answers the requests in flight now: this host stops before the
 // endpoints have answered them. Streams that have begun break off.
 func (p *Proxy) EndRequests() {
-	p.end()
+	p.requests.end(errStopping)
 }
 
 // Ready reports whether this host has loaded the configuration, the blocked
@@ -326,7 +325,8 @@
 	}
 	ctx, end := context.WithCancelCause(request.Context())
 	defer end(nil)
-	defer context.AfterFunc(p.ending, func() { end(errStopping) })() //nolint:contextcheck // ends requests of all callers
+	p.requests.add(&j.request, end)
+	defer p.requests.remove(&j.request)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	writer = closingWriter{ResponseWriter: writer, stopping: &p.stopping}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -21,7 +21,6 @@
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
-	"flamingodoor.example/flamingodoor/internal/reach"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
 	"flamingodoor.example/flamingodoor/internal/upstream"
@@ -47,8 +46,8 @@
 	last   http.Header
 }
 
-func newEndpoint(t *testing.T, handler func(writer http.ResponseWriter, request *http.Request)) *endpoint {
-	t.Helper()
+func newEndpoint(tb testing.TB, handler func(writer http.ResponseWriter, request *http.Request)) *endpoint {
+	tb.Helper()
 	e := &endpoint{}
 	e.server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		e.runs.Add(1)
@@ -60,7 +59,7 @@
 		writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
 		handler(writer, request)
 	}))
-	t.Cleanup(e.server.Close)
+	tb.Cleanup(e.server.Close)
 	return e
 }
 
@@ -90,26 +89,33 @@
 
 // setup is a proxy with its configuration, its roster and an HTTP server.
 type setup struct {
-	t         *testing.T
+	t         testing.TB
+	paths     *pathState
 	proxy     *proxy.Proxy
 	catalogue *catalogue.Cache
 	roster    *roster.Roster
 	tracker   *balance.Tracker
 	monitor   *stall.Monitor
 	parts     *partTracker
+	demand    *proxy.Demand
 	front     *httptest.Server
 }
 
-func newSetup(t *testing.T, options ...proxy.Option) *setup {
-	t.Helper()
-	s := &setup{t: t, roster: roster.New(), tracker: balance.New(), parts: newPartTracker(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
+func newSetup(tb testing.TB, options ...proxy.Option) *setup {
+	tb.Helper()
+	return newHost(tb, "host-1", options...)
+}
+
+func newHost(tb testing.TB, id string, options ...proxy.Option) *setup {
+	tb.Helper()
+	s := &setup{t: tb, paths: &pathState{}, demand: proxy.NewDemand(), roster: roster.New(), tracker: balance.New(), parts: newPartTracker(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
 	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
 	s.monitor = monitor
 	s.proxy = proxy.New(proxy.Parts{
-		Paths:   reach.New(),
+		Paths: s.paths, PeerPool: upstream.New(headers.RequestID, upstream.WithFailureDetection()),
 		Headers: headers, Limits: proxy.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
-		HostID: "host-1", DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
-		Monitor: monitor, CrashTracker: poison.New(), PartTracker: s.parts, Demand: proxy.NewDemand(), Logger: log.NewNopLogger(),
+		HostID: id, DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
+		Monitor: monitor, CrashTracker: poison.New(), PartTracker: s.parts, Demand: s.demand, Logger: log.NewNopLogger(),
 	}, options...)
 	s.catalogue.Configure(&flamingodoor.Catalogue{
 		Version: 1,
@@ -131,7 +137,7 @@
 	})
 	s.catalogue.Confirm(time.Now())
 	s.front = httptest.NewServer(s.proxy)
-	t.Cleanup(s.front.Close)
+	tb.Cleanup(s.front.Close)
 	return s
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -124,8 +124,12 @@
 	}
 	endUnbegun := p.unbegun.add(j.parts, cancel)
 	defer endUnbegun()
+	if j.repeatable() {
+		p.awaitResponse(j, cancel)
+	}
 	sentAt, sendsBefore := p.now(), j.sends
 	response, err := p.send(ctx, j, dest, client.lastEventID)
+	p.unanswered.remove(&j.unanswered)
 	if err != nil {
 		if j.sends > sendsBefore {
 			p.exemptLostAttempt(j, dest)
@@ -220,6 +224,8 @@
 			p.paths.Failed(dest.instance, p.now())
 		}
 		return outcomeFailed
+	case errors.Is(cause, errUnreached):
+		return p.handleSendError(ctx, j, dest, err)
 	case cause != nil:
 		return p.callerLeftOr(ctx, outcomeFailed)
 	}
