Hand over when the leader has no paths to instances

Cause: the lease depended on the store alone. A leader whose paths had failed renewed it, judged all instances by its own silence and gave no order that arrived.

Change: a host without paths (PathState.Stranded) does not lead from that moment, also within a step: no part of a step and no order follows. It leaves the consumer group within 50 ms, also if it does not lead, so that the lease is not given to it, and stands again 0.5 s and up to one renewal after its paths are back. If all hosts are stranded nobody leads: no order would arrive, and each host reads registrations and configuration itself.

Ruled out: resigning in Step. A step waits up to 0.4 s for each call over a cut path.

--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -145,7 +145,6 @@
 		}
 	}
 	_ = orders.Wait() // results are stored in the dissolutions
-	p.releaseMembers(ctx, view, now)
 }
 
 // endHead orders the head of an ending group to leave, and records the result.
--- a/internal/planner/election.go
+++ b/internal/planner/election.go
@@ -7,35 +7,93 @@
 	"github.com/go-kit/log/level"
 )
 
-// Leads reports whether this host holds the leader lease.
+const (
+	// pathCheckInterval is the time between two looks at this host's paths while it
+	// waits for the next round of the election.
+	pathCheckInterval = 50 * time.Millisecond
+	// standDelay is how long the paths of a host must have been back before it stands
+	// for election again.
+	standDelay = 500 * time.Millisecond
+)
+
+// candidacy is this host's part in the election. Only the goroutine that calls
+// Campaign uses it.
+type candidacy struct {
+	stands     bool // whether this host should be a candidate
+	joined     bool // whether the store may count it as one
+	failed     bool // the latest renewal failed
+	stranded   bool // this host had no paths in the latest round
+	strandedAt time.Time
+}
+
+// Leads reports whether this host holds the leader lease. A host without paths to
+// instances does not lead.
 func (p *Planner) Leads() bool {
+	if p.Stranded() {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.uptime().Before(p.leadsUntil)
 }
 
-// RunElection renews the leader lease at every interval until the context ends.
+// RunElection calls Campaign at every interval until the context ends, and at once
+// if this host loses its paths to instances.
 func (p *Planner) RunElection(ctx context.Context, interval time.Duration) {
-	failed, stands := false, true
 	for ctx.Err() == nil {
-		stands = p.StandsForElection == nil || p.StandsForElection(stands)
-		p.yields.Store(!stands)
-		if !stands && !p.Leads() {
-			p.awaitRenewal(ctx, interval)
-			continue
-		}
-		leads, deadline, err := p.Election.Renew(ctx)
-		if err != nil && !failed {
-			_ = level.Warn(p.Logger).Log("event", "election_lost_store", "err", err)
-		}
-		failed = err != nil
-		if err == nil {
-			p.setLeadership(leads, deadline)
-		}
+		p.Campaign(ctx)
 		p.awaitRenewal(ctx, interval)
 	}
 }
 
+// Campaign runs one round of the election: it renews the leader lease, or gives it
+// up if this host has no paths to instances.
+func (p *Planner) Campaign(ctx context.Context) {
+	if p.withdraws(ctx) {
+		return
+	}
+	own := &p.candidacy
+	own.stands = p.StandsForElection == nil || p.StandsForElection(own.stands)
+	p.yields.Store(!own.stands)
+	if !own.stands && !p.Leads() {
+		return
+	}
+	own.joined = true // also if the answer is lost
+	leads, deadline, err := p.Election.Renew(ctx)
+	if err != nil && !own.failed {
+		_ = level.Warn(p.Logger).Log("event", "election_lost_store", "err", err)
+	}
+	own.failed = err != nil
+	if err == nil {
+		p.setLeadership(leads, deadline)
+	}
+}
+
+// withdraws reports whether this host has no paths to instances, or had none until
+// lately. It then ends its term and leaves the election, so that the lease is not
+// given to it.
+func (p *Planner) withdraws(ctx context.Context) bool {
+	own, now := &p.candidacy, p.now()
+	own.stranded = p.Stranded()
+	if own.stranded {
+		own.strandedAt = now
+	}
+	if !own.stranded && (own.strandedAt.IsZero() || now.Sub(own.strandedAt) >= standDelay) {
+		return false
+	}
+	p.setLeadership(false, time.Time{})
+	if !own.joined {
+		return true
+	}
+	if err := p.Election.Resign(ctx); err != nil {
+		_ = level.Warn(p.Logger).Log("event", "resign_failed", "err", err)
+		return true
+	}
+	own.joined = false
+	_ = level.Info(p.Logger).Log("event", "candidacy_withdrawn", "reason", "no paths to instances")
+	return true
+}
+
 // Renew makes RunElection renew the lease now, for instance because another
 // host stopped and may have resigned.
 func (p *Planner) Renew() {
@@ -54,13 +112,26 @@
 	p.Renew()
 }
 
+// awaitRenewal waits for the interval, or until Renew is called or the paths to
+// instances are lost.
 func (p *Planner) awaitRenewal(ctx context.Context, interval time.Duration) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-p.renewals:
+	paths := time.NewTicker(pathCheckInterval)
+	defer paths.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-p.renewals:
+			return
+		case <-paths.C:
+			if !p.candidacy.stranded && p.Stranded() {
+				return
+			}
+		}
 	}
 }
 
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -49,10 +49,10 @@
 		return
 	}
 	epoch, ok := p.claim(ctx, proposals)
-	if !ok {
+	if !ok || !p.Leads() {
 		return
 	}
-	if !p.saveHeads(ctx, proposals, epoch) {
+	if !p.saveHeads(ctx, proposals, epoch) || !p.Leads() {
 		return
 	}
 	p.orderJoins(ctx, proposals, epoch, now)
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -84,8 +84,24 @@
 // startLeader returns a new planner that is the leader.
 func (h *harness) startLeader() *planner.Planner {
 	h.t.Helper()
+	p := h.newPlanner(h.parts())
+	ctx, cancel := context.WithCancel(h.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.RunElection(ctx, time.Hour)
+	}()
+	for !p.Leads() {
+		time.Sleep(time.Millisecond)
+	}
+	h.t.Cleanup(func() { cancel(); <-done })
+	return p
+}
+
+// parts returns the dependencies of a planner that wins each election.
+func (h *harness) parts() planner.Parts {
 	election := alwaysLeads{until: func() time.Time { return h.fleet.Now().Add(time.Hour) }}
-	p := planner.New(planner.Parts{
+	return planner.Parts{
 		Catalogue: h.catalogue, Roster: h.roster, Instances: h.fleet, Epochs: h.fleet, Heads: h.fleet, Loads: h.loads, Election: election, Refresher: refresher{h},
 		InFlight:         func(string) int { return h.inFlight },
 		ReachedElsewhere: func(context.Context, flamingodoor.Instance) bool { return h.reachedElsewhere },
@@ -98,19 +114,14 @@
 		},
 		Demand:        func(_, modelID string) float64 { return h.demand[modelID] },
 		NoRequestsYet: func() bool { return h.noRequestsYet }, Logger: log.NewNopLogger(),
-	}, planner.WithClock(h.fleet.Now, func(_ context.Context, duration time.Duration) { h.fleet.Advance(duration) }),
-		planner.WithBackground(func(task func()) { task() }))
-	ctx, cancel := context.WithCancel(h.t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		p.RunElection(ctx, time.Hour)
-	}()
-	for !p.Leads() {
-		time.Sleep(time.Millisecond)
 	}
-	h.t.Cleanup(func() { cancel(); <-done })
-	return p
+}
+
+// newPlanner returns a planner on the fleet's clock that runs its background tasks at
+// once.
+func (h *harness) newPlanner(parts planner.Parts) *planner.Planner {
+	return planner.New(parts, planner.WithClock(h.fleet.Now, func(_ context.Context, duration time.Duration) { h.fleet.Advance(duration) }),
+		planner.WithBackground(func(task func()) { task() }))
 }
 
 // run advances the clock by the duration and calls each planner's Step at every
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -96,6 +96,9 @@
 	// ReachedElsewhere reports whether another host gets an answer from an
 	// instance that this host cannot reach.
 	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) bool
+	// Stranded reports whether this host has lost its paths to all instances; nil if
+	// it never has.
+	Stranded func() bool
 	// StandsForElection reports whether this host should be a candidate, given
 	// whether it is one; nil if it always is.
 	StandsForElection func(stands bool) bool
@@ -130,6 +133,8 @@
 	mu         sync.Mutex
 	leadsUntil time.Time
 
+	candidacy candidacy
+
 	// The fields below are used only by the goroutine that calls Step.
 	epoch          int64
 	states         map[string]*instanceState // by instance ID
@@ -199,6 +204,10 @@
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		impairedSince: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probedAt: make(map[string]time.Time), activeLoads: make(map[string]flamingodoor.WeightLoad),
 	}
+	p.candidacy.stands = true
+	if p.Stranded == nil {
+		p.Stranded = func() bool { return false }
+	}
 	for _, option := range options {
 		option(p)
 	}
@@ -243,22 +252,42 @@
 	}
 	p.restoreHeads(p.Roster.View(), now)
 	p.saveLostHeads(ctx, p.Roster.View())
-	view := p.Roster.View()
-	p.logSummary(index, view, now)
-	p.probeUnlisted(ctx, view, now)
-	p.recheckLost(ctx, view, now)
-	p.advancePending(ctx, view, now)
-	p.reviewGroups(index, view, now)
-	p.dissolve(ctx, view, now)
-	if p.mayForm(now) && p.registrationsSettled(view, now) {
-		p.rebalance(index, view, now)
-		p.formGroups(ctx, index, view, now)
-	}
+	p.plan(ctx, index, p.Roster.View(), now)
 	if len(p.pending) > 0 {
 		p.Refresher.Refresh()
 	}
 }
 
+// plan runs the parts of a step. It stops between two of them when the term of this
+// host ends: what one part did not find out must not lead the next one to act.
+func (p *Planner) plan(ctx context.Context, index *catalogue.Index, view *roster.View, now time.Time) {
+	for _, part := range []func(){
+		func() { p.logSummary(index, view, now) },
+		func() { p.probeUnlisted(ctx, view, now) },
+		func() { p.recheckLost(ctx, view, now) },
+		func() { p.advancePending(ctx, view, now) },
+		func() { p.reviewGroups(index, view, now) },
+		func() { p.dissolve(ctx, view, now) },
+		func() { p.releaseMembers(ctx, view, now) },
+		func() { p.planGroups(ctx, index, view, now) },
+	} {
+		if !p.Leads() {
+			return
+		}
+		part()
+	}
+}
+
+// planGroups retires and forms groups once the registrations show the orders of
+// earlier leaders.
+func (p *Planner) planGroups(ctx context.Context, index *catalogue.Index, view *roster.View, now time.Time) {
+	if !p.mayForm(now) || !p.registrationsSettled(view, now) {
+		return
+	}
+	p.rebalance(index, view, now)
+	p.formGroups(ctx, index, view, now)
+}
+
 // resetState discards the state of an earlier term as leader. At the start of a
 // new term, it reads the newest epoch, the heads and the weight loads. If the
 // platform's store was restored, loads that this host knows count on, because the
@@ -393,6 +422,9 @@
 	defer cancel()
 	state.mu.Lock()
 	defer state.mu.Unlock()
+	if !p.Leads() {
+		return flamingodoor.OrderResultUnknown
+	}
 	if state.sequence < 0 {
 		report, err := p.Instances.Report(ctx, instance.Address)
 		if err != nil {
@@ -407,6 +439,9 @@
 		state.sequence = -1
 		return flamingodoor.OrderResultConflict
 	}
+	if !p.Leads() {
+		return flamingodoor.OrderResultUnknown // the term ended during the report
+	}
 	order.Sequence = state.sequence
 	result, err := p.Instances.Order(ctx, instance, order)
 	state.record(order, result)
