Keep a host stranded while only old connections live on

Only an answer to a probe, which needs a new connection, ends it now.

Attempts without a response end when the host becomes stranded (EndUnreached).

--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -54,6 +54,7 @@
 	if change.Stranded {
 		_ = level.Warn(g.logger).Log("event", "stranded", "since", change.Since.UTC(), "found_ms", elapsed)
 		g.shared.withdrawLosses(change.At)
+		g.proxy.EndUnreached()
 	} else {
 		_ = level.Info(g.logger).Log("event", "paths_back", "since", change.Since.UTC(), "stranded_ms", elapsed)
 		select {
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -74,7 +74,6 @@
 	now       func() time.Time
 	seed      maphash.Seed
 	suspected chan struct{}
-	answered  chan struct{} // an instance was heard while this host was stranded
 
 	heard    [heardSlots]atomic.Int64 // Unix nanoseconds, by hash of the instance
 	stranded atomic.Bool
@@ -112,7 +111,7 @@
 func New(options ...Option) *Paths {
 	p := &Paths{
 		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, now: time.Now,
-		seed: maphash.MakeSeed(), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1),
+		seed: maphash.MakeSeed(), suspected: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(p)
@@ -126,15 +125,13 @@
 	return p.stranded.Load()
 }
 
-// Heard records that bytes of an instance arrived.
+// Heard records that bytes of an instance arrived. They do not end the time in which
+// a host is stranded: connections may live on while new ones fail.
 func (p *Paths) Heard(instance flamingodoor.Instance, at time.Time) {
 	slot := &p.heard[p.slot(instance.ID)]
 	if nanoseconds := at.UnixNano(); nanoseconds-slot.Load() >= int64(heardResolution) {
 		slot.Store(nanoseconds)
 	}
-	if p.stranded.Load() {
-		signal(p.answered)
-	}
 }
 
 // HeardSince reports whether bytes of another instance than the given one arrived
@@ -197,8 +194,6 @@
 			return
 		case <-p.suspected:
 			p.examine(ctx)
-		case <-p.answered:
-			p.end()
 		case <-ticker.C:
 			if p.stranded.Load() && p.anyAnswers(ctx, nil) {
 				p.end()
@@ -214,10 +209,6 @@
 	if p.stranded.Load() || len(failed) < 2 {
 		return
 	}
-	select {
-	case <-p.answered: // left from an earlier time
-	default:
-	}
 	if p.anyAnswers(ctx, failed) || !p.latestHeard().Before(since) || len(p.instances()) == 0 || ctx.Err() != nil {
 		return
 	}
@@ -279,8 +270,6 @@
 			if answered {
 				return true
 			}
-		case <-p.answered:
-			return true
 		case <-ctx.Done():
 			return false
 		}
