--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -25,12 +25,12 @@
 type host struct {
 	*exchange.Exchanger
 	leads         bool
-	reaches       bool // instances answer it
-	sound         bool // its paths to other instances work
 	address       netip.AddrPort
 	registrations registrations
+	strandedPeers atomic.Int32 // times that peers became stranded
 
 	mu            sync.Mutex
+	paths         paths
 	confirmed     time.Time // received from the leader, or set by the test
 	next          int64
 	received      int
@@ -45,7 +45,23 @@
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
 func (h *host) Withdraw(context.Context, string) error                 { return nil }
 
+// paths is what a host sees of instances.
+type paths struct {
+	answers  bool // the instance in question
+	sound    bool
+	stranded bool
+}
+
+func (h *host) setPaths(seen paths) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.paths = seen
+}
+
 func (h *host) Describe(request *exchangev1.ShareRequest, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	request.Stranded = h.paths.stranded
 	if h.uses > 0 {
 		request.Uses = []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: h.uses}}
 	}
@@ -58,7 +74,9 @@
 }
 
 func (h *host) Probe(context.Context, flamingodoor.Instance) (answers, sound bool) {
-	return h.reaches, h.sound
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.paths.answers, h.paths.sound
 }
 
 func (h *host) Apply(request *exchangev1.ShareRequest, _ time.Time) {
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -62,7 +62,8 @@
 	for i, self := range all {
 		host := &host{leads: i == 0, uses: 1, registrations: registrations{onCatchUp: func(int64) {}}}
 		host.Exchanger = exchange.New(self, directory{host, all}, exchange.Feeds{Registrations: host.registrations, Configuration: host}, host, host,
-			log.NewNopLogger(), exchange.WithClock(func() time.Time { return d.now }), exchange.WithTransport(d))
+			log.NewNopLogger(), exchange.WithClock(func() time.Time { return d.now }), exchange.WithTransport(d),
+			exchange.WithStrandedListener(func() { host.strandedPeers.Add(1) }))
 		d.handlers[self.Address.String()] = host.Handler()
 		d.hosts = append(d.hosts, host)
 		go host.RunDirectory(t.Context())
@@ -190,3 +191,15 @@
 		return true
 	})
 }
+
+// Guards against hosts of a large deployment that do not know which others are
+// stranded, because only a relay gets the messages of these.
+func TestRelaysPassOnWhoIsStranded(t *testing.T) {
+	d := newLargeDeployment(t)
+	const stranded = 40
+	d.hosts[stranded].setPaths(paths{stranded: true})
+	d.runRounds(5)
+	for i, host := range d.hosts {
+		assert.Equal(t, host.strandedPeers.Load() == 1, i != stranded, "host %d heard of %d", i, host.strandedPeers.Load())
+	}
+}
--- /dev/null
+++ b/internal/exchange/witness_test.go
@@ -0,0 +1,43 @@
+package exchange_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+// Guards against a host in a partition whose word makes an instance count as lost for
+// all, and against one that finds no loss because it has no peer that could confirm it.
+func TestPeersConfirmALoss(t *testing.T) {
+	reaches, denies := paths{answers: true, sound: true}, paths{sound: true}
+	unsound, stranded := paths{}, paths{stranded: true}
+	for name, test := range map[string]struct {
+		peers    []paths
+		confirms bool
+	}{
+		"no peer":                            {nil, true},
+		"both deny":                          {[]paths{denies, denies}, true},
+		"one denies, the other is not sound": {[]paths{denies, unsound}, true},
+		"one denies, the other is stranded":  {[]paths{denies, stranded}, true},
+		"one reaches it":                     {[]paths{denies, reaches}, false},
+		"none is sound":                      {[]paths{unsound, unsound}, false},
+		"all others are stranded":            {[]paths{stranded, stranded}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hosts := startDeployment(t, newMemory(), 1+len(test.peers), func(int) *registrations { return &registrations{onCatchUp: func(int64) {}} })
+				for i, peer := range test.peers {
+					hosts[1+i].setPaths(peer)
+				}
+				time.Sleep(time.Second)
+				verdict := hosts[0].AskWitnesses(t.Context(), flamingodoor.Instance{ID: "i", Address: netip.MustParseAddrPort("127.0.0.1:1"), StartedAt: time.Now()})
+				assert.Equal(t, verdict.Confirms(), test.confirms, "%+v", verdict)
+			})
+		})
+	}
+}
