Let a host alone check its own paths before it takes an instance for lost

Without a peer that is not stranded there is no witness. The host then probes instances of other areas itself; with none there, it decides alone as before.

--- a/internal/exchange/witness.go
+++ b/internal/exchange/witness.go
@@ -37,7 +37,7 @@
 // Confirms reports whether the instance has failed, rather than this host's path to
 // it.
 func (v Verdict) Confirms() bool {
-	return !v.Reached && (v.Alone || v.Denied)
+	return v.Denied && !v.Reached
 }
 
 // Reach probes an instance on behalf of a host that cannot reach it.
--- a/internal/exchange/witness_test.go
+++ b/internal/exchange/witness_test.go
@@ -12,21 +12,22 @@
 )
 
 // Guards against a host in a partition whose word makes an instance count as lost for
-// all, and against one that finds no loss because it has no peer that could confirm it.
+// all, and against one that waits for the word of peers that can have none.
 func TestPeersConfirmALoss(t *testing.T) {
 	reaches, denies := paths{answers: true, sound: true}, paths{sound: true}
 	unsound, stranded := paths{}, paths{stranded: true}
 	for name, test := range map[string]struct {
 		peers    []paths
 		confirms bool
+		alone    bool
 	}{
-		"no peer":                            {nil, true},
-		"both deny":                          {[]paths{denies, denies}, true},
-		"one denies, the other is not sound": {[]paths{denies, unsound}, true},
-		"one denies, the other is stranded":  {[]paths{denies, stranded}, true},
-		"one reaches it":                     {[]paths{denies, reaches}, false},
-		"none is sound":                      {[]paths{unsound, unsound}, false},
-		"all others are stranded":            {[]paths{stranded, stranded}, true},
+		"no peer":                            {nil, false, true},
+		"both deny":                          {[]paths{denies, denies}, true, false},
+		"one denies, the other is not sound": {[]paths{denies, unsound}, true, false},
+		"one denies, the other is stranded":  {[]paths{denies, stranded}, true, false},
+		"one reaches it":                     {[]paths{denies, reaches}, false, false},
+		"none is sound":                      {[]paths{unsound, unsound}, false, false},
+		"all others are stranded":            {[]paths{stranded, stranded}, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -37,6 +38,7 @@
 				time.Sleep(time.Second)
 				verdict := hosts[0].AskWitnesses(t.Context(), flamingodoor.Instance{ID: "i", Address: netip.MustParseAddrPort("127.0.0.1:1"), StartedAt: time.Now()})
 				assert.Equal(t, verdict.Confirms(), test.confirms, "%+v", verdict)
+				assert.Equal(t, verdict.Alone, test.alone)
 			})
 		})
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -28,7 +28,11 @@
 
 func (g *Gateway) newProber() *reach.Prober {
 	confirm := func(ctx context.Context, instance flamingodoor.Instance) bool {
-		return g.exchanger.AskWitnesses(ctx, instance).Confirms()
+		verdict := g.exchanger.AskWitnesses(ctx, instance)
+		if verdict.Alone {
+			return g.prober.Sound(ctx, instance)
+		}
+		return verdict.Confirms()
 	}
 	return reach.NewProber(g.paths, g.platform.Instances.Report, confirm, g.settings.DataCentre, g.logger)
 }
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -190,9 +190,21 @@
 	return fmt.Sprint(instance.ID, " ", instance.StartedAt.UnixMilli())
 }
 
-// examinePath probes an instance, and others at the same time. This host is sound if
-// any other instance was heard meanwhile.
+// examinePath probes an instance, and others at the same time, to know whether this
+// host's own paths are sound.
 func (p *Prober) examinePath(ctx context.Context, instance flamingodoor.Instance) Testimony {
+	sound := make(chan bool, 1)
+	go func() { sound <- p.Sound(ctx, instance) }()
+	if _, answers := p.Probe(ctx, instance); answers {
+		return Testimony{Answers: true, Sound: true}
+	}
+	return Testimony{Sound: <-sound}
+}
+
+// Sound reports whether an instance of another area than that of the given one
+// answers, or bytes of any other arrive before the context ends. It is true if there is
+// no other area.
+func (p *Prober) Sound(ctx context.Context, instance flamingodoor.Instance) bool {
 	begun := p.paths.now()
 	references := p.references(instance)
 	answered := make(chan bool, len(references))
@@ -202,14 +214,11 @@
 			answered <- answers
 		}()
 	}
-	if _, answers := p.Probe(ctx, instance); answers {
-		return Testimony{Answers: true, Sound: true}
-	}
-	sound := p.paths.HeardSince(begun, instance.ID)
+	sound := len(references) == 0
 	for range references {
 		sound = sound || <-answered
 	}
-	return Testimony{Sound: sound && !p.paths.Stranded()}
+	return (sound || p.paths.HeardSince(begun, instance.ID)) && !p.paths.Stranded()
 }
 
 // references returns instances of other areas than that of the given one, at random,
--- a/internal/reach/prober_test.go
+++ b/internal/reach/prober_test.go
@@ -75,6 +75,30 @@
 	return !first.Answers && !second.Answers && (first.Sound || second.Sound)
 }
 
+// Guards against a host alone that finds instances lost because its own paths have
+// failed, and against one that finds nothing lost because nothing else is there.
+func TestHostAloneChecksItsOwnPaths(t *testing.T) {
+	for name, test := range map[string]struct {
+		seen      behaviour // of all instances but the one in question
+		instances int
+		sound     bool
+	}{
+		"others answer":   {answers, 14, true},
+		"others silent":   {silent, 14, false},
+		"others refuse":   {refuses, 14, false},
+		"no others":       {silent, 1, true},
+		"no other domain": {silent, 4, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(func(int, int) behaviour { return test.seen })
+				f.instances = f.instances[:test.instances]
+				assert.Equal(t, f.probers[0].Sound(t.Context(), f.instances[0]), test.sound)
+			})
+		})
+	}
+}
+
 // Guards against a host whose path to an instance has failed and that takes the
 // instance for lost or crashed for all hosts, and against real failures that are found
 // later than a host alone would.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -103,6 +103,37 @@
 	assert.Assert(t, serving(t, r, start.Add(time.Minute)), "a mark as lost that is not renewed must expire")
 }
 
+// Guards against a partition of one host that takes groups from all: what this host
+// does not reach gets none of its requests, and is not lost.
+func TestUnreachableInstances(t *testing.T) {
+	next := start.Add(time.Second)
+	for name, test := range map[string]struct {
+		id          string
+		change      func(r *roster.Roster)
+		serves      bool
+		unreachable int
+	}{
+		"head":             {"i-0", func(*roster.Roster) {}, false, 1},
+		"other member":     {"i-1", func(*roster.Roster) {}, true, 1},
+		"reached again":    {"i-0", func(r *roster.Roster) { assert.Assert(t, r.MarkReached("i-0", start, next)) }, true, 0},
+		"reached before":   {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start, start.Add(-1))) }, false, 1},
+		"earlier process":  {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start.Add(-time.Hour), next)) }, false, 1},
+		"mark not renewed": {"i-0", func(*roster.Roster) { next = start.Add(time.Minute) }, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			next = start.Add(time.Second)
+			r := newFilledRoster()
+			assert.Assert(t, r.MarkUnreachable(test.id, start, start))
+			test.change(r)
+			r.Publish(next)
+			view, current := group(t, r)
+			assert.Assert(t, view.Serving(current, 3, next), "the group is not lost")
+			assert.Equal(t, view.ServesHere(current, 3, next), test.serves)
+			assert.Equal(t, len(view.UnreachableInstances(next)), test.unreachable)
+		})
+	}
+}
+
 // The loss of one process of an instance must not mark its successor as lost.
 func TestLossDoesNotMarkTheNextProcess(t *testing.T) {
 	r := newFilledRoster()
