Wait for bytes on old connections before a host counts as stranded

The verdict now takes the whole 250 ms, with further probes, and bytes of any instance prevent it. Such a host probes all instances instead, so that requests don't find out one by one which refuse it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,8 +162,8 @@
 	shared       *sharedState
 	front        *FrontServer
 	prober       *reach.Prober
-	reprobeNow   chan struct{} // instances that this host did not reach may answer again
-	restored     atomic.Bool   // the leader has yet to save the blocked parts again
+	reprobeNow   chan bool   // true to probe all instances, not only those marked unreachable
+	restored     atomic.Bool // the leader has yet to save the blocked parts again
 }
 
 // New connects the parts of a gateway. Nothing runs or listens before Run.
@@ -171,7 +171,7 @@
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
-		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan struct{}, 1),
+		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan bool, 1),
 	}
 	g.paths = g.newPaths()
 	g.prober = g.newProber()
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -23,7 +23,15 @@
 	return reach.New(reach.WithProbe(func(ctx context.Context, instance flamingodoor.Instance) bool {
 		_, err := g.platform.Instances.Report(ctx, instance.Address)
 		return err == nil
-	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange))
+	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange), reach.WithPartialListener(func() { g.requestReprobe(true) }))
+}
+
+// requestReprobe has the unreachable instances probed at once, or all instances.
+func (g *Gateway) requestReprobe(all bool) {
+	select {
+	case g.reprobeNow <- all:
+	default:
+	}
 }
 
 func (g *Gateway) newProber() *reach.Prober {
@@ -60,10 +68,7 @@
 		g.shared.withdrawLosses(change.At)
 	} else {
 		_ = level.Info(g.logger).Log("event", "paths_back", "since", change.Since.UTC(), "stranded_ms", elapsed)
-		select {
-		case g.reprobeNow <- struct{}{}:
-		default:
-		}
+		g.requestReprobe(false)
 	}
 	g.planner.Renew()
 	g.exchanger.SendUrgent()
@@ -80,24 +85,29 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-g.reprobeNow:
-		}
-		if !g.paths.Stranded() {
-			g.reprobe(ctx)
+			g.reprobe(ctx, g.roster.View().UnreachableInstances(time.Now()))
+		case all := <-g.reprobeNow:
+			if all {
+				g.reprobe(ctx, g.probeCandidates())
+			} else {
+				g.reprobe(ctx, g.roster.View().UnreachableInstances(time.Now()))
+			}
 		}
 	}
 }
 
-// reprobe probes the instances that this host does not reach, and renews or removes
-// their marks before requests try them. Those that the time does not suffice for are
-// tried by requests once their marks expire.
-func (g *Gateway) reprobe(ctx context.Context) {
+// reprobe probes instances, and renews or removes their marks as unreachable before
+// requests try them. Those that the time does not suffice for are tried by requests
+// once their marks expire. A stranded host probes on its own.
+func (g *Gateway) reprobe(ctx context.Context, targets []flamingodoor.Instance) {
+	if g.paths.Stranded() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, reprobeInterval)
 	defer cancel()
 	instances := make(chan flamingodoor.Instance)
 	var probes sync.WaitGroup
-	marked := g.roster.View().UnreachableInstances(time.Now())
-	for range min(maxReprobes, len(marked)) {
+	for range min(maxReprobes, len(targets)) {
 		probes.Go(func() {
 			for instance := range instances {
 				g.reprobeInstance(ctx, instance)
@@ -106,7 +116,7 @@
 	}
 	defer probes.Wait()
 	defer close(instances)
-	for _, instance := range marked {
+	for _, instance := range targets {
 		select {
 		case instances <- instance:
 		case <-ctx.Done():
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -22,6 +22,9 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between the probes of a stranded host.
 	probeInterval = 250 * time.Millisecond
+	// refusedInterval is the time between two rounds of probes while a host suspects
+	// its own paths, if the first ones fail at once.
+	refusedInterval = 50 * time.Millisecond
 	// probeCount is how many instances are probed at once.
 	probeCount = 4
 	// heardResolution is the resolution of the times at which instances were heard,
@@ -60,6 +63,12 @@
 	return func(p *Paths) { p.changed = changed }
 }
 
+// WithPartialListener sets the function that is called if no probe of several areas
+// is answered although bytes arrive on connections that were opened before.
+func WithPartialListener(partial func()) Option {
+	return func(p *Paths) { p.partial = partial }
+}
+
 // WithClock replaces time.Now.
 func WithClock(now func() time.Time) Option {
 	return func(p *Paths) { p.now = now }
@@ -71,6 +80,7 @@
 	probe     Probe
 	instances func() []flamingodoor.Instance
 	changed   func(change Change)
+	partial   func()
 	now       func() time.Time
 	seed      maphash.Seed
 	suspected chan struct{}
@@ -111,7 +121,7 @@
 // New returns the paths of a host that has had no failure.
 func New(options ...Option) *Paths {
 	p := &Paths{
-		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, now: time.Now,
+		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, partial: func() {}, now: time.Now,
 		seed: maphash.MakeSeed(), suspected: make(chan struct{}, 1), answered: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -208,17 +218,21 @@
 }
 
 // examine decides whether this host is stranded: instances of several areas failed,
-// and none was heard since.
+// and none was heard until the probes have ended.
 func (p *Paths) examine(ctx context.Context) {
 	failed, since := p.suspicion()
-	if p.stranded.Load() || len(failed) < 2 {
+	if p.stranded.Load() || len(failed) < 2 || len(p.instances()) == 0 {
 		return
 	}
 	select {
 	case <-p.answered: // left from an earlier time
 	default:
 	}
-	if p.anyAnswers(ctx, failed) || !p.latestHeard().Before(since) || len(p.instances()) == 0 || ctx.Err() != nil {
+	if p.anyAnswersWithin(ctx, failed) || ctx.Err() != nil {
+		return
+	}
+	if !p.latestHeard().Before(since) {
+		p.partial()
 		return
 	}
 	p.mu.Lock()
@@ -228,6 +242,20 @@
 	p.changed(Change{Stranded: true, At: p.now(), Since: since})
 }
 
+// anyAnswersWithin probes a few instances, and others if all of these fail at once. It
+// reports whether one answers within probeTimeout.
+func (p *Paths) anyAnswersWithin(ctx context.Context, failed []area) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if p.anyAnswers(ctx, failed) {
+			return true
+		}
+		pause(ctx, refusedInterval)
+	}
+	return false
+}
+
 // suspicion returns the areas with failures since an instance was heard last, and
 // the time of the first failure.
 func (p *Paths) suspicion() (failed []area, since time.Time) {
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -37,6 +37,8 @@
 	instances []flamingodoor.Instance
 	reaches   atomic.Pointer[func(instance flamingodoor.Instance) bool]
 	probes    atomic.Int32
+	refuse    atomic.Bool // probes of instances that it does not reach fail at once
+	partial   atomic.Int32
 	changes   []reach.Change
 }
 
@@ -49,7 +51,8 @@
 		p := &pathFixture{instances: deployment()}
 		p.setReaches(reachesNone)
 		p.Paths = reach.New(reach.WithInstances(func() []flamingodoor.Instance { return p.instances }), reach.WithProbe(p.probe),
-			reach.WithListener(func(change reach.Change) { p.changes = append(p.changes, change) }))
+			reach.WithListener(func(change reach.Change) { p.changes = append(p.changes, change) }),
+			reach.WithPartialListener(func() { p.partial.Add(1) }))
 		ctx, cancel := context.WithCancel(t.Context())
 		go p.Run(ctx)
 		defer synctest.Wait()
@@ -68,7 +71,9 @@
 	if (*p.reaches.Load())(instance) {
 		return true
 	}
-	<-ctx.Done()
+	if !p.refuse.Load() {
+		<-ctx.Done()
+	}
 	return false
 }
 
@@ -162,6 +167,25 @@
 	}
 }
 
+// Guards against a host that takes itself for stranded, and back, again and again
+// while new connections are refused and those that were opened before live on.
+func TestHostWithLivingConnectionsIsNotStranded(t *testing.T) {
+	play(t, func(p *pathFixture) {
+		p.refuse.Store(true)
+		for range 200 {
+			p.fail(0, 4)
+			wait(10 * time.Millisecond)
+			p.Heard(p.instances[9], time.Now())
+			wait(50 * time.Millisecond)
+		}
+		assert.Equal(t, len(p.changes), 0)
+		assert.Assert(t, p.partial.Load() > 0)
+		p.fail(0, 4)
+		wait(600 * time.Millisecond)
+		assert.Assert(t, p.Stranded(), "nothing is heard any more")
+	})
+}
+
 // Guards against allocations and locks at each event of a stream.
 func TestHearingAllocatesNothing(t *testing.T) {
 	paths, instance := reach.New(), deployment()[0]
