Probe plain services by their health check

They are now asked for their health, and only if there is no instance with an engine or the instance itself is in question, because a check waits for a slot.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,8 @@
 // state about themselves in their responses.
 type InstanceClient interface {
 	flamingodoor.InstanceClient
+	// Health requests the health check of a plain service.
+	Health(ctx context.Context, address netip.AddrPort, path string) error
 	// Observe sets the function that gets these statements. It is called before
 	// the first request.
 	Observe(observe func(notice flamingodoor.InstanceNotice))
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -21,7 +21,7 @@
 
 func (g *Gateway) newPaths() *reach.Paths {
 	return reach.New(reach.WithProbe(func(ctx context.Context, instance flamingodoor.Instance) bool {
-		_, err := g.platform.Instances.Report(ctx, instance.Address)
+		_, err := g.report(ctx, instance)
 		return err == nil
 	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange), reach.WithPartialListener(func() { g.requestReprobe(true) }))
 }
@@ -42,20 +42,49 @@
 		}
 		return verdict.Confirms()
 	}
-	return reach.NewProber(g.paths, g.platform.Instances.Report, confirm, g.settings.DataCentre, g.logger)
+	return reach.NewProber(g.paths, g.report, confirm, g.settings.DataCentre, g.logger)
+}
+
+// report asks an instance for its report. Plain services have none and are asked for
+// their health. An open connection alone proves no path: a proxy may accept it.
+func (g *Gateway) report(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
+	if path, ok := g.healthPath(instance.ID); ok {
+		return flamingodoor.InstanceReport{}, g.platform.Instances.Health(ctx, instance.Address, path)
+	}
+	return g.platform.Instances.Report(ctx, instance.Address)
+}
+
+// healthPath returns the path of the health check of an instance of a plain service.
+func (g *Gateway) healthPath(instanceID string) (string, bool) {
+	entry, known := g.roster.View().Entries[instanceID]
+	index := g.catalogue.Index()
+	if !known || index == nil {
+		return "", false
+	}
+	service, ok := index.Services[entry.Service]
+	return service.HealthPath, ok && service.Engine == nil && service.HealthPath != ""
 }
 
 // probeCandidates returns the listed instances that are not leaving and did not ask
-// for no requests.
+// for no requests: those with an engine if there are any, because a health check
+// waits for a slot.
 func (g *Gateway) probeCandidates() []flamingodoor.Instance {
-	var instances []flamingodoor.Instance
+	var instances, plain []flamingodoor.Instance
 	for _, entries := range g.roster.View().ByService {
 		for _, entry := range entries {
-			if !entry.Leaving && !g.proxy.Held(entry.Instance) {
+			if entry.Leaving || g.proxy.Held(entry.Instance) {
+				continue
+			}
+			if _, isPlain := g.healthPath(entry.ID); isPlain {
+				plain = append(plain, entry.Instance)
+			} else {
 				instances = append(instances, entry.Instance)
 			}
 		}
 	}
+	if len(instances) == 0 {
+		return plain
+	}
 	return instances
 }
 
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -32,8 +31,9 @@
 	referenceCount = 2
 )
 
-// Report requests the report of the instance at an address.
-type Report func(ctx context.Context, address netip.AddrPort) (flamingodoor.InstanceReport, error)
+// Report asks an instance for its report. That of an instance without one is empty if
+// a connection to it can be opened.
+type Report func(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error)
 
 // Confirm asks other hosts whether an instance that does not answer this one has
 // failed, rather than the path to it.
@@ -125,7 +125,7 @@
 // requestReport asks an instance for its report, and records whether this host has a
 // path to it.
 func (p *Prober) requestReport(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
-	report, err := p.report(ctx, instance.Address)
+	report, err := p.report(ctx, instance)
 	switch {
 	case err == nil:
 		p.paths.Heard(instance, p.paths.now())
--- a/internal/reach/prober_test.go
+++ b/internal/reach/prober_test.go
@@ -50,8 +50,8 @@
 }
 
 func (f *fleet) report(host int) reach.Report {
-	return func(ctx context.Context, address netip.AddrPort) (flamingodoor.InstanceReport, error) {
-		switch f.seen(host, int(address.Addr().As4()[3])) {
+	return func(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
+		switch f.seen(host, int(instance.Address.Addr().As4()[3])) {
 		case answers:
 			return flamingodoor.InstanceReport{}, nil
 		case refuses:
