Choose peers outside a data centre where one has declined

A decline now makes the peers of its data centre a later choice, and a pause after a decline only an order, so that no request is refused because all peers declined others a moment ago.

--- a/interfaces.go
+++ b/interfaces.go
@@ -256,7 +256,7 @@
 	NextPeer(excluded map[string]bool, now time.Time) (EntryPeer, bool)
 	// ReleasePeer ends a request that NextPeer counted.
 	ReleasePeer(peerID string)
-	// AvoidPeer excludes a peer from selection for a moment, because it declined a
-	// request or was not reached.
+	// AvoidPeer makes a peer a late choice for a moment, because it declined a request
+	// or was not reached.
 	AvoidPeer(peerID string, now time.Time)
 }
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -11,7 +12,8 @@
 	// silentPeerTime is how long a peer may be silent and still be the first choice
 	// for a request that is forwarded.
 	silentPeerTime = time.Second
-	// avoidTime is how long a peer that declined a request gets no other.
+	// avoidTime is how long a peer that declined a request gets another only if there
+	// is no better one.
 	avoidTime = 300 * time.Millisecond
 	// remoteCost is how many requests in flight at a peer of this data centre weigh as
 	// much as one at a peer of another.
@@ -28,43 +30,71 @@
 
 // NextPeer selects a peer for a request that this host cannot serve: one of this
 // data centre with few such requests in flight, or one of another if those have
-// many. Stranded and leaving peers are excluded, and silent ones are the last
-// resort.
+// many. Peers of a data centre in which one has declined the request, those that
+// declined another a moment ago, and silent ones come later in this order. Stranded
+// and leaving peers are excluded.
 func (e *Exchanger) NextPeer(excluded map[string]bool, now time.Time) (flamingodoor.EntryPeer, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, silence := range []time.Duration{silentPeerTime, peerTimeout} {
-		if peer := e.leastForwarded(excluded, now, silence); peer != nil {
-			peer.forwards.inFlight++
-			return peer.EntryPeer, true
-		}
-	}
-	return flamingodoor.EntryPeer{}, false
-}
-
-// leastForwarded returns one of the peers with the lowest cost among those heard
-// within the given time. The caller holds the mutex.
-func (e *Exchanger) leastForwarded(excluded map[string]bool, now time.Time, silence time.Duration) *peerState {
 	var best *peerState
-	bestCost, equal := 0, 0
+	var least forwardCost
+	equal := 0
 	for id, peer := range e.peers {
-		if excluded[id] || peer.left || peer.stranded || now.Sub(peer.lastSeen) >= silence || now.Before(peer.forwards.avoidUntil) {
+		if excluded[id] || peer.left || peer.stranded || now.Sub(peer.lastSeen) >= peerTimeout {
 			continue
 		}
-		cost := peer.forwards.inFlight + 1
-		if peer.DataCentre != e.self.DataCentre {
-			cost *= remoteCost
-		}
-		switch {
-		case best == nil || cost < bestCost:
-			best, bestCost, equal = peer, cost, 1
-		case cost == bestCost:
+		cost := e.forwardCost(peer, excluded, now)
+		switch order := cost.compare(least); {
+		case best == nil || order < 0:
+			best, least, equal = peer, cost, 1
+		case order == 0:
 			if equal++; rand.IntN(equal) == 0 { //nolint:gosec // spreads load, no secret
 				best = peer
 			}
 		}
 	}
-	return best
+	if best == nil {
+		return flamingodoor.EntryPeer{}, false
+	}
+	best.forwards.inFlight++
+	return best.EntryPeer, true
+}
+
+// forwardCost orders the peers that a request can be forwarded to.
+type forwardCost struct {
+	doubts int // that the peer can serve the request
+	load   int
+}
+
+// compare returns a negative number if c is lower, and 0 if both are equal.
+func (c forwardCost) compare(other forwardCost) int {
+	return cmp.Or(cmp.Compare(c.doubts, other.doubts), cmp.Compare(c.load, other.load))
+}
+
+// Doubts about a peer, in ascending order.
+const (
+	doubtDataCentre = 1 << iota
+	doubtDeclined
+	doubtSilent
+)
+
+func (e *Exchanger) forwardCost(peer *peerState, excluded map[string]bool, now time.Time) forwardCost {
+	cost := forwardCost{load: peer.forwards.inFlight + 1}
+	if peer.DataCentre != e.self.DataCentre {
+		cost.load *= remoteCost
+	}
+	for id := range excluded {
+		if declined, ok := e.peers[id]; ok && declined.DataCentre == peer.DataCentre {
+			cost.doubts |= doubtDataCentre
+		}
+	}
+	if now.Before(peer.forwards.avoidUntil) {
+		cost.doubts |= doubtDeclined
+	}
+	if now.Sub(peer.lastSeen) >= silentPeerTime {
+		cost.doubts |= doubtSilent
+	}
+	return cost
 }
 
 // ReleasePeer ends a request that NextPeer counted.
@@ -77,7 +107,7 @@
 	}
 }
 
-// AvoidPeer excludes a peer from selection for avoidTime.
+// AvoidPeer makes a peer a late choice for avoidTime.
 func (e *Exchanger) AvoidPeer(peerID string, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
