Dissolve a group only for instances that are gone

Cause: a mark as lost, which takes a group out of routing, was also the reason to dissolve it in the next step. The leader's own silence or refused connection made a member lost and a head given up. A member that did not answer an order to join, or a head that did not answer the order to open, cost the group that was forming.

Change: the planner probes a marked instance at once and then every 0.2 s. It counts as gone if its address refuses the connection of the leader and of all peers that were asked, if another process answers there, or if neither the leader nor a peer got an answer towards the end of 2 s. An answer, also one to a peer, ends the mark at all hosts. What the leader alone does not reach it marks as unreachable and gives no orders to. Groups that wait count as groups, so that none is formed or retired in their place. Orders to join or open without an answer are repeated; a deadline waits for silent members. A new leader starts its own count: marks that it inherits dissolve nothing.

Ruled out: asking peers after each probe (8 calls, 5 times a second); a shorter mark, which would send requests to a silent group.

Tests: 12 cases of silence (member, head, two, all; 0.3, 0.9, 1.8 s; five times in a row), 30 of silence while a group forms, six of instances that are gone or only seem so.

--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -205,6 +205,7 @@
 	if lost {
 		g.endStreamsOfLostGroups(now)
 		g.tracker.Wake()
+		g.planner.Wake()
 	}
 }
 
@@ -379,6 +380,7 @@
 	g.roster.Publish(now)
 	g.shared.publishLosses(losses...)
 	g.tracker.Wake()
+	g.planner.Wake()
 }
 
 // markAlive records that an instance answers although some host had marked it as
--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -210,7 +210,7 @@
 	headAnswers                    // it answers and may still serve
 	headLeft                       // it has left the group
 	headReplaced                   // another process answers at its address
-	headRefuses                    // its address refuses connections
+	headRefuses                    // its address refuses the connections of all hosts
 	headUnlisted                   // it is not listed and answers no host
 	headForgotten                  // it is not known
 )
@@ -264,8 +264,8 @@
 }
 
 // probeHead reports whether a head answers or another process does so at its
-// address. If neither does, it is given up on where its port is closed, or where
-// it is not listed and answers no other host. A head that lost its connections to
+// address. If neither does, and it answers no other host, it is given up on where its
+// port is closed or where it is not listed. A head that lost its connections to
 // the platform's store and to some hosts may still serve the other hosts.
 func (p *Planner) probeHead(ctx context.Context, head roster.Entry) headState {
 	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -276,8 +276,10 @@
 		return headReplaced
 	case err == nil:
 		return headAnswers
-	case connectionRefused(err):
+	case connectionRefused(err) && !p.ReachedElsewhere(ctx, head.Instance):
 		return headRefuses
+	case connectionRefused(err):
+		return headUnknown
 	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
 		return headUnlisted
 	default:
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -147,7 +147,7 @@
 		if group.Service != service || p.dissolving[group.Key()] != nil || p.pending[group.Key()] != nil || p.Catalogue.Evacuated(group.DataCentre) {
 			continue
 		}
-		if view.Serving(group, len(group.Members), now) {
+		if p.awaited[group.Key()] || view.Serving(group, len(group.Members), now) {
 			counts[group.ModelID]++
 		}
 	}
@@ -164,7 +164,7 @@
 	busy := p.busyMembers(view)
 	var free []flamingodoor.Instance
 	for _, entry := range view.ByService[service] {
-		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || view.Lost(entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
+		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || !p.reaches(view, entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
 			continue
 		}
 		free = append(free, entry.Instance)
@@ -172,6 +172,12 @@
 	return free
 }
 
+// reaches reports whether an instance is marked neither as lost nor as unreachable
+// from this host, so that orders are likely to arrive.
+func (p *Planner) reaches(view *roster.View, instance flamingodoor.Instance, now time.Time) bool {
+	return !view.Lost(instance, now) && !view.Unreachable(instance, now)
+}
+
 // busyMembers returns the members of groups that serve, are forming or are not
 // fully dissolved, by instance ID.
 func (p *Planner) busyMembers(view *roster.View) map[string]bool {
@@ -284,10 +290,11 @@
 	var orders errgroup.Group
 	for i, proposal := range proposals {
 		key := roster.GroupKey{Name: groupName(epoch, i), Epoch: epoch}
-		p.pending[key] = &pendingGroup{
-			service: proposal.service, modelID: proposal.model.ID, members: proposal.instances,
-			deadline: now.Add(proposal.delay + completionMargin),
+		pending := &pendingGroup{
+			service: proposal.service, modelID: proposal.model.ID, members: proposal.instances, delay: proposal.delay,
+			deadline: now.Add(proposal.delay + completionMargin), unordered: make(map[string]time.Time),
 		}
+		p.pending[key] = pending
 		ids := make([]string, 0, len(proposal.instances))
 		for _, instance := range proposal.instances {
 			ids = append(ids, instance.ID)
@@ -297,7 +304,9 @@
 		for _, instance := range proposal.instances {
 			state := p.stateOf(instance)
 			orders.Go(func() error {
-				p.orderJoin(ctx, instance, state, key, proposal.model.ID, ids)
+				if !p.orderJoin(ctx, instance, state, key, proposal.model.ID, ids) {
+					pending.recordUnordered(instance.ID, p.now())
+				}
 				return nil
 			})
 		}
@@ -306,8 +315,9 @@
 }
 
 // orderJoin orders one instance to join a group, and retries once if the order
-// sequence was outdated or the answer was lost.
-func (p *Planner) orderJoin(ctx context.Context, instance flamingodoor.Instance, state *instanceState, key roster.GroupKey, modelID string, ids []string) {
+// sequence was outdated or the answer was lost. It reports whether an order was
+// answered.
+func (p *Planner) orderJoin(ctx context.Context, instance flamingodoor.Instance, state *instanceState, key roster.GroupKey, modelID string, ids []string) bool {
 	order := flamingodoor.InstanceOrder{
 		Kind: flamingodoor.OrderKindJoin, Group: key.Name, Epoch: key.Epoch, ModelID: modelID, Members: ids,
 	}
@@ -320,11 +330,67 @@
 		p.pause(ctx, reportLag)
 		result = p.sendOrder(ctx, instance, state, order)
 	}
+	state.recordJoin(result, modelID)
+	return result != flamingodoor.OrderResultUnknown
+}
+
+// recordJoin updates the state after an order to join a group of the model.
+func (i *instanceState) recordJoin(result flamingodoor.OrderResult, modelID string) {
 	if result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds {
-		state.mu.Lock()
-		state.lastModel = modelID
-		state.mu.Unlock()
+		i.mu.Lock()
+		i.lastModel = modelID
+		i.mu.Unlock()
+	}
+}
+
+// repeatJoins orders the members again that have not answered an order to join.
+func (p *Planner) repeatJoins(ctx context.Context, key roster.GroupKey, group *pendingGroup, now time.Time) {
+	ids := make([]string, 0, len(group.members))
+	for _, member := range group.members {
+		ids = append(ids, member.ID)
+	}
+	for _, member := range group.members {
+		if !group.mayRepeat(member.ID, now) {
+			continue
+		}
+		state := p.stateOf(member)
+		p.background(func() {
+			result := p.sendOrder(ctx, member, state, flamingodoor.InstanceOrder{
+				Kind: flamingodoor.OrderKindJoin, Group: key.Name, Epoch: key.Epoch, ModelID: group.modelID, Members: ids,
+			})
+			state.recordJoin(result, group.modelID)
+			if result != flamingodoor.OrderResultUnknown {
+				group.recordOrdered(member.ID, p.now())
+			}
+		})
+	}
+}
+
+// recordUnordered records that a member did not answer an order to join.
+func (g *pendingGroup) recordUnordered(id string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unordered[id] = at
+}
+
+// recordOrdered records that a member answered a repeated order to join.
+func (g *pendingGroup) recordOrdered(id string, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.joinedAt = at
+	delete(g.unordered, id)
+}
+
+// mayRepeat reports whether a member may be ordered again now, and records that it is.
+func (g *pendingGroup) mayRepeat(id string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.unordered[id]
+	if !ok || now.Sub(at) < probeInterval {
+		return false
 	}
+	g.unordered[id] = now
+	return true
 }
 
 // loadTime returns how long loading the weights of a model under traffic takes,
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -17,55 +17,70 @@
 func (p *Planner) advancePending(ctx context.Context, view *roster.View, now time.Time) {
 	var orders errgroup.Group
 	for key, group := range p.pending {
-		ready, failure := p.progress(view, key, group, now)
+		ready, silent, failure := p.progress(view, key, group, now)
 		switch {
 		case group.opening && headIsOpen(view, key, group):
 			delete(p.pending, key)
 			_ = level.Info(p.Logger).Log("event", "group_open", "group", key.Name, "epoch", key.Epoch, "model", group.modelID)
-		case failure != "" || now.After(group.deadline):
+		case failure == "" && silent:
+			// The deadline waits until the member answers or is found to be gone.
+			group.deadline = group.deadline.Add(now.Sub(p.steppedAt))
+		case failure != "" || (group.late(now) && !p.headAwaitsPath(view, group, ready, now)):
 			delete(p.pending, key)
 			if failure == "" {
 				failure = "late"
 			}
 			p.startDissolution(key, failure)
-		case ready && !group.opening:
-			group.opening = true
-			group.deadline = now.Add(completionMargin)
+		case ready && !group.opening && !now.Before(group.retryAt):
+			if group.retryAt.IsZero() {
+				group.deadline = now.Add(completionMargin)
+			}
+			group.opening, group.retryAt = true, now.Add(probeInterval)
 			head := group.members[0]
 			state := p.stateOf(head)
 			orders.Go(func() error {
-				p.sendOrder(ctx, head, state, flamingodoor.InstanceOrder{
+				result := p.sendOrder(ctx, head, state, flamingodoor.InstanceOrder{
 					Kind: flamingodoor.OrderKindOpen, Group: key.Name, Epoch: key.Epoch,
 				})
+				group.opening = result != flamingodoor.OrderResultUnknown
 				return nil
 			})
+		case !ready:
+			p.repeatJoins(ctx, key, group, now)
 		}
 	}
 	_ = orders.Wait() // results appear in the members' registrations
 }
 
-// progress reports whether all members of a pending group are ready, or why the
-// group cannot be completed.
-func (p *Planner) progress(view *roster.View, key roster.GroupKey, group *pendingGroup, now time.Time) (ready bool, failure string) {
+// headAwaitsPath reports whether only the leader's lack of a path to the head keeps a
+// pending group from opening.
+func (p *Planner) headAwaitsPath(view *roster.View, group *pendingGroup, ready bool, now time.Time) bool {
+	return ready && !group.opening && view.Unreachable(group.members[0], now)
+}
+
+// progress reports whether all members of a pending group are ready and whether one is
+// silent, or why the group cannot be completed.
+func (p *Planner) progress(view *roster.View, key roster.GroupKey, group *pendingGroup, now time.Time) (ready, silent bool, failure string) {
 	ready = true
 	for rank, member := range group.members {
 		entry, ok := view.Entries[member.ID]
-		if !ok || !entry.StartedAt.Equal(member.StartedAt) || view.Lost(entry.Instance, now) {
-			return false, "member_lost"
+		if !ok || !entry.StartedAt.Equal(member.StartedAt) || p.isGone(view, entry.Instance, now) {
+			return false, false, "member_lost"
 		}
 		if entry.Leaving {
-			return false, "member_leaving"
+			return false, false, "member_leaving"
 		}
 		membership := entry.Membership
 		if membership.Epoch > key.Epoch {
-			return false, "member_taken"
+			return false, false, "member_taken"
 		}
+		silent = silent || view.Lost(entry.Instance, now)
 		joined := membership.Group == key.Name && membership.Epoch == key.Epoch && membership.Rank == rank
 		if !joined || (membership.State != flamingodoor.MembershipStateReady && membership.State != flamingodoor.MembershipStateOpen) {
 			ready = false
 		}
 	}
-	return ready, ""
+	return ready, silent, ""
 }
 
 // headIsOpen reports whether the head of a pending group serves it.
@@ -78,6 +93,7 @@
 // those that an earlier leader left half formed. Groups of unknown models or in
 // evacuated data centres are left as they are.
 func (p *Planner) reviewGroups(index *catalogue.Index, view *roster.View, now time.Time) {
+	clear(p.awaited)
 	for _, group := range view.Groups {
 		key := group.Key()
 		if _, forming := p.pending[key]; forming || p.dissolving[key] != nil {
@@ -94,57 +110,69 @@
 	p.discardAbsentGroups(view)
 }
 
-// endReason returns why the group has to be dissolved, or an empty string if it
-// may stay.
-func (p *Planner) endReason(view *roster.View, group *roster.Group, size int, now time.Time) string {
-	key := group.Key()
-	leaving := false
-	if len(group.Members) > size {
-		return "size"
-	}
+// memberSummary tells what the members of a group are like.
+type memberSummary struct {
+	complete bool // every rank is reported
+	ready    bool // and every member is ready or leaving
+	gone     bool // one is lost for good
+	silent   bool // one is marked as lost
+	leaving  bool // one is leaving
+}
+
+func (p *Planner) summarise(view *roster.View, group *roster.Group, size int, now time.Time) memberSummary {
 	complete := len(group.Members) == size
-	ready := complete
+	found := memberSummary{complete: complete, ready: complete}
 	for _, member := range group.Members {
 		switch {
 		case member.ID == "":
-			complete, ready = false, false
+			found.complete, found.ready = false, false
 		case view.Lost(member.Instance, now):
-			return "member_lost"
+			found.silent = true
+			found.gone = found.gone || p.isGone(view, member.Instance, now)
 		case member.Leaving:
-			leaving = true
+			found.leaving = true
 		case member.Membership.State != flamingodoor.MembershipStateReady:
-			ready = false
+			found.ready = false
 		}
 	}
-	head := group.Members[0]
-	if head.ID == "" {
+	return found
+}
+
+// endReason returns why the group has to be dissolved, or an empty string if it
+// may stay.
+func (p *Planner) endReason(view *roster.View, group *roster.Group, size int, now time.Time) string {
+	key, head := group.Key(), group.Head()
+	members := p.summarise(view, group, size, now)
+	open := head.Membership.State == flamingodoor.MembershipStateOpen
+	switch {
+	case len(group.Members) > size:
+		return "size"
+	case members.gone:
+		return "member_lost"
+	case head.ID == "":
 		return p.headlessReason(group, now)
-	}
-	if !head.Listed {
+	case !head.Listed:
 		return "head_unlisted"
-	}
-	open := head.Membership.State == flamingodoor.MembershipStateOpen
-	if view.Stalled(key, now) {
+	case members.silent:
+		p.awaited[key] = members.complete && open && !members.leaving
+		return ""
+	case view.Stalled(key, now):
 		return "stalled"
-	}
-	if leaving {
-		if p.drained(group, key, now) {
-			return "member_leaving"
-		}
+	case members.leaving && p.drained(group, key, now):
+		return "member_leaving"
+	case members.leaving:
 		return ""
-	}
-	if complete && open {
+	case members.complete && open:
 		delete(p.impairedSince, key)
 		return p.retirementReason(group, key, now)
-	}
-	if open {
+	case open:
 		// The group opened when all members were ready, so one has left since.
 		return "member_gone"
-	}
-	if head.Membership.State == flamingodoor.MembershipStateBroken {
+	case head.Membership.State == flamingodoor.MembershipStateBroken:
 		return "broken"
+	default:
+		return p.adopt(group, members.ready, size, now)
 	}
-	return p.adopt(group, ready, size, now)
 }
 
 // retirementReason returns the reason to dissolve a retiring group, and an empty
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// loseInstance ends an instance and marks it lost in the roster.
+// loseInstance ends the process of an instance and marks it lost in the roster.
 func (h *harness) loseInstance(id string) {
 	now := h.fleet.Now()
 	for _, instance := range h.fleet.Listed() {
@@ -172,7 +172,7 @@
 			h.roster.MarkLost(id, instance.StartedAt, now)
 		}
 	}
-	h.fleet.Kill(id)
+	h.fleet.Crash(id)
 	h.roster.Publish(now)
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -127,8 +127,9 @@
 	background func(task func())
 
 	renewals chan struct{}
-	yields   atomic.Bool // whether other hosts should lead
-	restored atomic.Bool // the platform's store was restored since the latest step
+	findings chan struct{} // Wake was called
+	yields   atomic.Bool   // whether other hosts should lead
+	restored atomic.Bool   // the platform's store was restored since the latest step
 
 	mu         sync.Mutex
 	leadsUntil time.Time
@@ -145,10 +146,13 @@
 	inheritedHeads map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host became leader
 	restoredAt     time.Time                                 // when the platform's store was last restored
 	storeMayLack   bool                                      // whether the restored store may lack heads and loads that this host knows
-	probedAt       map[string]time.Time                      // by instance ID
+	probedAt       map[string]time.Time                      // by instance ID, of unlisted members
+	silences       map[string]*silence                       // by instance ID, of instances that are marked as lost
+	awaited        map[roster.GroupKey]bool                  // groups that would serve but for silent members
 	activeLoads    map[string]flamingodoor.WeightLoad        // by instance ID
 	endedLoads     []string                                  // instances whose ended loads are still in the load store
 	wasLeading     bool
+	steppedAt      time.Time // of the latest step
 	summarisedAt   time.Time
 	rebalancedAt   time.Time
 	knownInstances int       // number of instances in the previous step
@@ -157,25 +161,27 @@
 	formAfter      time.Time // no groups are formed before this time
 }
 
-// instanceState is what the planner knows about an instance in addition to its
-// registration.
-type instanceState struct {
-	mu              sync.Mutex // held during an order, so that one is sent at a time
-	startedAt       time.Time
-	sequence        int64           // number of orders the instance has accepted; negative if unknown
-	group           roster.GroupKey // of which the instance is a member after these orders
-	lastModel       string
-	stagingModel    string
-	stagingDeadline time.Time // until then, the instance counts as loading stagingModel
-}
-
 // pendingGroup is a group whose members are joining.
 type pendingGroup struct {
 	service  string
 	modelID  string
 	members  []flamingodoor.Instance
+	delay    time.Duration // that the members take to join
 	deadline time.Time
-	opening  bool // the head has been ordered to open
+	opening  bool      // the head has been ordered to open
+	retryAt  time.Time // when the head is ordered again after an order without an answer
+
+	mu        sync.Mutex
+	unordered map[string]time.Time // latest order to join, by ID of members without an answer
+	joinedAt  time.Time            // when a member last answered a repeated order to join
+}
+
+// late reports whether the members should have been ready or the head open by now. A
+// member that was silent joins later.
+func (g *pendingGroup) late(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.After(g.deadline) && now.Sub(g.joinedAt) > g.delay+completionMargin
 }
 
 // Option changes a setting of a Planner.
@@ -202,7 +208,7 @@
 	p := &Planner{
 		Parts: parts, now: time.Now, uptime: uptime.Now, pause: sleep, background: func(task func()) { go task() }, renewals: make(chan struct{}, 1), states: make(map[string]*instanceState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
-		impairedSince: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probedAt: make(map[string]time.Time), activeLoads: make(map[string]flamingodoor.WeightLoad),
+		impairedSince: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probedAt: make(map[string]time.Time), silences: make(map[string]*silence), awaited: make(map[roster.GroupKey]bool), findings: make(chan struct{}, 1), activeLoads: make(map[string]flamingodoor.WeightLoad),
 	}
 	p.candidacy.stands = true
 	if p.Stranded == nil {
@@ -214,7 +220,7 @@
 	return p
 }
 
-// Run calls Step periodically until the context ends.
+// Run calls Step periodically, and after Wake, until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
@@ -223,8 +229,18 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.Step(ctx)
+		case <-p.findings:
 		}
+		p.Step(ctx)
+	}
+}
+
+// Wake makes Run take a step now, because an instance was marked as lost or found to be
+// gone.
+func (p *Planner) Wake() {
+	select {
+	case p.findings <- struct{}{}:
+	default:
 	}
 }
 
@@ -250,6 +266,7 @@
 		p.Refresher.Refresh()
 		return
 	}
+	defer func() { p.steppedAt = now }()
 	p.restoreHeads(p.Roster.View(), now)
 	p.saveLostHeads(ctx, p.Roster.View())
 	p.plan(ctx, index, p.Roster.View(), now)
@@ -264,7 +281,7 @@
 	for _, part := range []func(){
 		func() { p.logSummary(index, view, now) },
 		func() { p.probeUnlisted(ctx, view, now) },
-		func() { p.recheckLost(ctx, view, now) },
+		func() { p.probeLost(ctx, view, now) },
 		func() { p.advancePending(ctx, view, now) },
 		func() { p.reviewGroups(index, view, now) },
 		func() { p.dissolve(ctx, view, now) },
@@ -298,6 +315,8 @@
 	clear(p.states)
 	clear(p.impairedSince)
 	clear(p.retiring)
+	clear(p.silences)
+	p.steppedAt = p.now()
 	known := maps.Clone(p.activeLoads)
 	clear(p.activeLoads)
 	p.endedLoads = nil
@@ -403,87 +422,6 @@
 	return !p.NoRequestsYet() || now.Sub(p.countChangedAt) > registrationIdleTime
 }
 
-// stateOf returns the state kept for an instance. It starts a new one if the
-// instance is unknown or has restarted.
-func (p *Planner) stateOf(instance flamingodoor.Instance) *instanceState {
-	state, ok := p.states[instance.ID]
-	if !ok || !state.startedAt.Equal(instance.StartedAt) {
-		state = &instanceState{startedAt: instance.StartedAt, sequence: -1}
-		p.states[instance.ID] = state
-	}
-	return state
-}
-
-// sendOrder sends an order with the number of orders that the instance has
-// accepted so far. The instance rejects an order that arrives late, because its
-// number no longer matches.
-func (p *Planner) sendOrder(ctx context.Context, instance flamingodoor.Instance, state *instanceState, order flamingodoor.InstanceOrder) flamingodoor.OrderResult {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	if !p.Leads() {
-		return flamingodoor.OrderResultUnknown
-	}
-	if state.sequence < 0 {
-		report, err := p.Instances.Report(ctx, instance.Address)
-		if err != nil {
-			_ = level.Info(p.Logger).Log("event", "report_failed", "instance", instance.ID, "err", err)
-			return flamingodoor.OrderResultUnknown
-		}
-		state.sequence, state.group = report.OrderSequence, groupKey(report.Membership)
-	}
-	if order.Kind == flamingodoor.OrderKindJoin && isMemberElsewhere(state.group, groupKey(instance.Membership), orderKey(order)) {
-		_ = level.Warn(p.Logger).Log("event", "join_withheld", "instance", instance.ID, "group", order.Group, "epoch", order.Epoch,
-			"member_of", state.group.Name, "member_epoch", state.group.Epoch)
-		state.sequence = -1
-		return flamingodoor.OrderResultConflict
-	}
-	if !p.Leads() {
-		return flamingodoor.OrderResultUnknown // the term ended during the report
-	}
-	order.Sequence = state.sequence
-	result, err := p.Instances.Order(ctx, instance, order)
-	state.record(order, result)
-	_ = level.Info(p.Logger).Log("event", "order", "kind", order.Kind, "instance", instance.ID, "group", order.Group,
-		"epoch", order.Epoch, "model", order.ModelID, "sequence", order.Sequence, "result", result, "err", err)
-	return result
-}
-
-// record updates the state after an order with the result.
-func (i *instanceState) record(order flamingodoor.InstanceOrder, result flamingodoor.OrderResult) {
-	accepted := result == flamingodoor.OrderResultBegun || result == flamingodoor.OrderResultHolds
-	switch {
-	case !accepted:
-		i.sequence = -1
-		return
-	case result == flamingodoor.OrderResultBegun, order.Kind == flamingodoor.OrderKindLeave:
-		// A leave takes effect immediately and counts as accepted.
-		i.sequence++
-	}
-	switch {
-	case order.Kind == flamingodoor.OrderKindJoin:
-		i.group = orderKey(order)
-	case order.Kind == flamingodoor.OrderKindLeave && i.group == orderKey(order):
-		i.group = roster.GroupKey{}
-	}
-}
-
-func groupKey(membership flamingodoor.Membership) roster.GroupKey {
-	return roster.GroupKey{Name: membership.Group, Epoch: membership.Epoch}
-}
-
-func orderKey(order flamingodoor.InstanceOrder) roster.GroupKey {
-	return roster.GroupKey{Name: order.Group, Epoch: order.Epoch}
-}
-
-// isMemberElsewhere reports whether an instance that is ordered to join a group
-// is a member of another one, other than the one that the order is based on: it
-// joined that group after its registration was written.
-func isMemberElsewhere(current, registered, ordered roster.GroupKey) bool {
-	return current.Name != "" && current != registered && current != ordered
-}
-
 // modelSpec returns the specification of a service's model, and whether it
 // exists.
 func modelSpec(index *catalogue.Index, service, modelID string) (flamingodoor.ModelSpec, bool) {
--- /dev/null
+++ b/internal/planner/silence_test.go
@@ -0,0 +1,181 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/planner"
+	"flamingodoor.example/flamingodoor/internal/standin/fleet"
+)
+
+// openGroup starts five instances, of which four form a group, and returns the leader
+// and the members.
+func (h *harness) openGroup() (leader *planner.Planner, members []string) {
+	h.t.Helper()
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 5, large)
+	leader = h.startLeader()
+	h.run(5*time.Second, leader)
+	return leader, h.fleet.GroupMembers(h.openHead())
+}
+
+// markLost marks instances as lost, as the inspection of a silent group does.
+func (h *harness) markLost(ids ...string) {
+	for _, instance := range h.fleet.Listed() {
+		for _, id := range ids {
+			if instance.ID == id {
+				h.roster.MarkLost(id, instance.StartedAt, h.fleet.Now())
+			}
+		}
+	}
+	h.roster.Publish(h.fleet.Now())
+}
+
+// anyLost reports whether an instance is marked as lost.
+func (h *harness) anyLost() bool {
+	view := h.roster.View()
+	for _, entry := range view.Entries {
+		if view.Lost(entry.Instance, h.fleet.Now()) {
+			return true
+		}
+	}
+	return false
+}
+
+// countLeaves returns a counter of the orders to leave from now on.
+func (h *harness) countLeaves() *int {
+	count := new(int)
+	h.fleet.SetHooks(fleet.Hooks{LoseAnswer: func(_ string, order flamingodoor.InstanceOrder) bool {
+		if order.Kind == flamingodoor.OrderKindLeave {
+			*count++
+		}
+		return false
+	}})
+	return count
+}
+
+// Guards against groups that are dissolved because a sound instance stood still for up
+// to 1.8 s: each mark as lost ended the group.
+func TestGroupOutlastsTheSilenceOfSoundInstances(t *testing.T) {
+	for name, ranks := range map[string][]int{"member": {2}, "head": {0}, "two members": {1, 3}, "all": {0, 1, 2, 3}} {
+		for _, silence := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 1800 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", silence), func(t *testing.T) {
+				h := newHarness(t)
+				p, members := h.openGroup()
+				leaves := h.countLeaves()
+				for range 5 {
+					silent := make([]string, 0, len(ranks))
+					for _, rank := range ranks {
+						silent = append(silent, members[rank])
+						h.fleet.SetUnreachable(members[rank], true)
+					}
+					h.run(silence/3, p)
+					h.markLost(silent...)
+					h.run(silence-silence/3-stepTime, p)
+					h.markLost(silent...)
+					h.run(stepTime, p)
+					for _, id := range silent {
+						h.fleet.SetUnreachable(id, false)
+					}
+					h.run(400*time.Millisecond, p)
+					assert.Assert(t, !h.anyLost(), "an instance that answers is still marked as lost")
+				}
+				assert.Equal(t, *leaves, 0)
+				assert.Equal(t, len(h.retired), 0)
+				assert.Equal(t, h.fleet.OpenGroups(large), 1)
+				assert.Equal(t, h.openHead(), members[0])
+			})
+		}
+	}
+}
+
+// Guards against a lost member that is found later than its mark if its process ended,
+// or later than after two seconds if its machine is dark, and against groups that are
+// dissolved because the leader alone does not reach a member.
+func TestGroupEndsOnlyForInstancesThatAreGone(t *testing.T) {
+	never := time.Hour
+	for name, test := range map[string]struct {
+		fail      func(h *harness, id string)
+		elsewhere bool          // other hosts reach the instance
+		after     time.Duration // from the mark to the first order to leave
+	}{
+		"its process ended":           {fail: func(h *harness, id string) { h.fleet.Crash(id) }, after: stepTime},
+		"its machine is dark":         {fail: func(h *harness, id string) { h.fleet.Kill(id) }, after: 2*time.Second + 2*stepTime},
+		"a cut to the leader":         {fail: func(h *harness, id string) { h.fleet.SetUnreachable(id, true) }, elsewhere: true, after: never},
+		"a cut that refuses":          {fail: func(h *harness, id string) { h.fleet.SetRefusing(id, true) }, elsewhere: true, after: never},
+		"a cut, and no store":         {fail: func(h *harness, id string) { h.fleet.SetUnreachable(id, true); h.fleet.SetUnlisted(id, true) }, elsewhere: true, after: never},
+		"its machine and entry ended": {fail: func(h *harness, id string) { h.fleet.Kill(id); h.fleet.SetUnlisted(id, true) }, after: 2*time.Second + 2*stepTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			p, members := h.openGroup()
+			h.reachedElsewhere = test.elsewhere
+			leaves := h.countLeaves()
+			h.markLost(members[2])
+			test.fail(h, members[2])
+			marked := h.fleet.Now()
+			for *leaves == 0 && h.fleet.Now().Sub(marked) < 8*time.Second {
+				h.run(stepTime, p)
+			}
+			if test.after == never {
+				assert.Equal(t, *leaves, 0)
+				assert.Equal(t, h.fleet.OpenGroups(large), 1)
+				return
+			}
+			assert.Assert(t, h.fleet.Now().Sub(marked) <= test.after, "%v", h.fleet.Now().Sub(marked))
+			h.run(3*time.Second, p)
+			assert.Equal(t, h.fleet.OpenGroups(large), 1, "the spare did not replace the lost member")
+		})
+	}
+}
+
+// Guards against a head that is given up on because a cut to the leader refuses its
+// connections: its members were ordered to leave while it served the other hosts.
+func TestHeadThatRefusesOnlyTheLeaderIsNotGivenUp(t *testing.T) {
+	h := newHarness(t)
+	p, members := h.openGroup()
+	h.fleet.SetRefusing(members[0], true)
+	h.reachedElsewhere = true
+	h.roster.MarkStalled(h.roster.View().Groups[0].Key(), h.fleet.Now())
+	leaves := h.countLeaves()
+	h.run(4*time.Second, p)
+	assert.Equal(t, *leaves, 0, "the members of a serving head were ordered to leave")
+	assert.Equal(t, len(h.retired), 0)
+	h.fleet.SetRefusing(members[0], false)
+	h.run(4*time.Second, p)
+	assert.Equal(t, h.fleet.OpenGroups(large), 1)
+}
+
+// Guards against a group that is given up because a member stood still while it joined
+// or when it was ordered to open.
+func TestPendingGroupOutlastsSilence(t *testing.T) {
+	for begin := time.Duration(0); begin < 3*time.Second; begin += 200 * time.Millisecond {
+		for _, marked := range []bool{false, true} {
+			t.Run(fmt.Sprint(begin, marked), func(t *testing.T) {
+				h := newHarness(t)
+				h.demand = map[string]float64{large: 2}
+				h.add("d0", 4, large)
+				p := h.startLeader()
+				h.run(begin, p)
+				leaves := h.countLeaves()
+				for _, instance := range h.fleet.Listed()[:2] {
+					h.fleet.SetUnreachable(instance.ID, true)
+					if marked {
+						h.markLost(instance.ID)
+					}
+				}
+				h.run(1800*time.Millisecond, p)
+				for _, instance := range h.fleet.Listed()[:2] {
+					h.fleet.SetUnreachable(instance.ID, false)
+				}
+				h.run(5*time.Second, p)
+				assert.Equal(t, *leaves, 0)
+				assert.Equal(t, h.fleet.OpenGroups(large), 1)
+			})
+		}
+	}
+}
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -228,7 +228,7 @@
 		if free && !p.staysIdle(service.Engine, entry.Instance, chosen, needed, now) {
 			continue
 		}
-		if (!free && entry.Membership.Group == "") || entry.Leaving || view.Lost(entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
+		if (!free && entry.Membership.Group == "") || entry.Leaving || !p.reaches(view, entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
 			continue
 		}
 		modelID, lacks := p.missingModel(service.Engine, entry.Instance, needed, now)
--- a/internal/planner/stranded_test.go
+++ b/internal/planner/stranded_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -40,12 +41,13 @@
 	fleet    *fleet.Fleet
 	roster   *roster.Roster
 	peer     *entryHost
-	joins    map[int64]string // host whose orders have the epoch
+	joins    *sync.Map // host whose orders have the epoch
 	resigned int
 	cutAt    time.Time
 	cut      bool
 	refuses  bool          // the cut refuses connections
 	suspects time.Duration // until the host knows that it is stranded
+	mu       sync.Mutex    // of random
 	random   *rand.Rand
 	renewAt  time.Time
 }
@@ -76,6 +78,8 @@
 	if e.refuses {
 		return syscall.ECONNREFUSED
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.fleet.Advance(time.Duration(e.random.IntN(300)) * time.Millisecond)
 	return context.DeadlineExceeded
 }
@@ -92,10 +96,10 @@
 		return flamingodoor.OrderResultUnknown, e.fail()
 	}
 	if order.Kind == flamingodoor.OrderKindJoin {
-		if e.joins[order.Epoch] == "" {
-			e.joins[order.Epoch] = e.name
+		owner, _ := e.joins.LoadOrStore(order.Epoch, e.name)
+		if owner != e.name {
+			e.t.Errorf("epoch %d has two owners", order.Epoch)
 		}
-		assert.Equal(e.t, e.joins[order.Epoch], e.name, "epoch %d has two owners", order.Epoch)
 	}
 	return e.fleet.Order(ctx, instance, order)
 }
@@ -109,7 +113,7 @@
 // entryHosts returns two hosts before one fleet.
 func (h *harness) entryHosts(random *rand.Rand) []*entryHost {
 	shared := &leases{now: h.fleet.Now}
-	joins := make(map[int64]string)
+	joins := new(sync.Map)
 	hosts := make([]*entryHost, 0, 2)
 	for _, name := range []string{"first", "second"} {
 		host := &entryHost{t: h.t, name: name, leases: shared, fleet: h.fleet, roster: roster.New(), joins: joins, random: random}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -194,6 +194,12 @@
 	i.Membership = flamingodoor.Membership{}
 }
 
+// Crash ends an instance whose machine runs on, so that its port refuses connections.
+func (f *Fleet) Crash(id string) {
+	f.Kill(id)
+	f.SetRefusing(id, true)
+}
+
 // SetUnreachable sets whether a running instance is unreachable.
 func (f *Fleet) SetUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
