Form no group of instances that do not answer the leader

Cause: an instance that the leader alone does not reach has no requests and so no mark. The planner chose it again and again; the other members waited until the group was late (4 s), left, and joined the next one with it. In the test no group opened within 10 s.

Change: an instance that did not answer its latest order gets no other and is a candidate for no group until it answers a probe (each 0.5 s).

Ruled out: a mark as unreachable for it. It ends after 3 s, and also steers this host's requests.

--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -172,10 +172,10 @@
 	return free
 }
 
-// reaches reports whether an instance is marked neither as lost nor as unreachable
-// from this host, so that orders are likely to arrive.
+// reaches reports whether orders to an instance are likely to arrive: it is marked
+// neither as lost nor as unreachable from this host, and has answered its latest order.
 func (p *Planner) reaches(view *roster.View, instance flamingodoor.Instance, now time.Time) bool {
-	return !view.Lost(instance, now) && !view.Unreachable(instance, now)
+	return !view.Lost(instance, now) && !view.Unreachable(instance, now) && !p.stateOf(instance).unanswered.Load()
 }
 
 // busyMembers returns the members of groups that serve, are forming or are not
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -20,7 +21,8 @@
 	group           roster.GroupKey // of which the instance is a member after these orders
 	lastModel       string
 	stagingModel    string
-	stagingDeadline time.Time // until then, the instance counts as loading stagingModel
+	unanswered      atomic.Bool // it did not answer this host's latest call
+	stagingDeadline time.Time   // until then, the instance counts as loading stagingModel
 }
 
 // stateOf returns the state kept for an instance. It starts a new one if the
@@ -47,6 +49,7 @@
 	}
 	if state.sequence < 0 {
 		report, err := p.Instances.Report(ctx, instance.Address)
+		state.unanswered.Store(err != nil)
 		if err != nil {
 			_ = level.Info(p.Logger).Log("event", "report_failed", "instance", instance.ID, "err", err)
 			return flamingodoor.OrderResultUnknown
@@ -64,6 +67,7 @@
 	}
 	order.Sequence = state.sequence
 	result, err := p.Instances.Order(ctx, instance, order)
+	state.unanswered.Store(err != nil)
 	state.record(order, result)
 	_ = level.Info(p.Logger).Log("event", "order", "kind", order.Kind, "instance", instance.ID, "group", order.Group,
 		"epoch", order.Epoch, "model", order.ModelID, "sequence", order.Sequence, "result", result, "err", err)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -146,7 +146,7 @@
 	inheritedHeads map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host became leader
 	restoredAt     time.Time                                 // when the platform's store was last restored
 	storeMayLack   bool                                      // whether the restored store may lack heads and loads that this host knows
-	probedAt       map[string]time.Time                      // by instance ID, of unlisted members
+	probedAt       map[string]time.Time                      // by instance ID, of those that are not marked as lost
 	silences       map[string]*silence                       // by instance ID, of instances that are marked as lost
 	awaited        map[roster.GroupKey]bool                  // groups that would serve but for silent members
 	activeLoads    map[string]flamingodoor.WeightLoad        // by instance ID
@@ -282,6 +282,7 @@
 		func() { p.logSummary(index, view, now) },
 		func() { p.probeUnlisted(ctx, view, now) },
 		func() { p.probeLost(ctx, view, now) },
+		func() { p.probeUnanswered(ctx, view, now) },
 		func() { p.advancePending(ctx, view, now) },
 		func() { p.reviewGroups(index, view, now) },
 		func() { p.dissolve(ctx, view, now) },
--- a/internal/planner/probe.go
+++ b/internal/planner/probe.go
@@ -28,6 +28,25 @@
 	}
 }
 
+// probeUnanswered probes the instances that did not answer their latest order, unless
+// their group repeats its orders: until they answer, they are given no others.
+func (p *Planner) probeUnanswered(ctx context.Context, view *roster.View, now time.Time) {
+	for id, state := range p.states {
+		entry, ok := view.Entries[id]
+		if !state.unanswered.Load() || !ok || !entry.StartedAt.Equal(state.startedAt) || view.Lost(entry.Instance, now) ||
+			p.pending[groupKey(entry.Membership)] != nil || p.dissolving[groupKey(entry.Membership)] != nil || now.Sub(p.probedAt[id]) < probeInterval {
+			continue
+		}
+		p.probedAt[id] = now
+		p.background(func() {
+			probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			_, err := p.Instances.Report(probeCtx, entry.Address)
+			state.unanswered.Store(err != nil)
+		})
+	}
+}
+
 // probeMember marks an instance as lost in the roster unless it answers this host or a
 // peer.
 func (p *Planner) probeMember(ctx context.Context, instance flamingodoor.Instance) {
--- a/internal/planner/silence_test.go
+++ b/internal/planner/silence_test.go
@@ -179,3 +179,22 @@
 		}
 	}
 }
+
+// Guards against groups that are formed again and again of an instance that the leader
+// alone does not reach: the others waited for it each time.
+func TestNoGroupIsFormedOfAnInstanceThatDoesNotAnswerTheLeader(t *testing.T) {
+	h := newHarness(t)
+	h.demand = map[string]float64{large: 2}
+	h.add("d0", 5, large)
+	cut := h.fleet.Listed()[0].ID
+	h.fleet.SetUnreachable(cut, true)
+	h.reachedElsewhere = true
+	p := h.startLeader()
+	h.run(10*time.Second, p)
+	assert.Equal(t, h.fleet.OpenGroups(large), 1)
+	h.fleet.SetUnreachable(cut, false)
+	h.demand = map[string]float64{large: 4}
+	h.add("d0", 3, large)
+	h.run(5*time.Second, p)
+	assert.Equal(t, h.fleet.OpenGroups(large), 2, "the instance that answers again joins no group")
+}
