--- a/internal/planner/restored_test.go
+++ b/internal/planner/restored_test.go
@@ -60,6 +60,28 @@
 	assert.Equal(t, h.fleet.OpenGroups(large), 1)
 }
 
+// Guards against a leader that dissolves a serving group right after a restore of the
+// store, because the copy lacks the registration of the head and its record. Found by
+// the soak, seed 3002.
+func TestGroupOutlastsARestoreThatLostItsHead(t *testing.T) {
+	h := newHarness(t)
+	_, members := h.openGroup()
+	h.fleet.ForgetHead(members[0])
+	h.fleet.SetUnlisted(members[0], true)
+	h.roster = roster.New()
+	p := h.startLeader()
+	p.StoreRestored()
+	for !p.Leads() {
+		time.Sleep(time.Millisecond)
+	}
+	leaves := h.countLeaves()
+	h.run(2*time.Second, p)
+	h.fleet.SetUnlisted(members[0], false)
+	h.run(4*time.Second, p)
+	assert.Equal(t, *leaves, 0)
+	assert.Equal(t, h.openHead(), members[0])
+}
+
 // Guards against weight loads that are ordered again because the store has lost that
 // they are under way, and against groups that are formed before instances have written
 // their registrations again.
