--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -84,6 +84,7 @@
 	}
 	if unreachable > 0 {
 		g.tracker.Wake()
+		g.planner.Wake()
 	}
 	return unreachable
 }
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -217,6 +217,7 @@
 	if lost {
 		g.endStreamsOfLostGroups(now)
 		g.tracker.Wake()
+		g.planner.Wake()
 	}
 }
 
