Let the budget of a peer grant the repeats of a stranded host

A repeat that the host's own budget does not grant is now forwarded as such, and the peer takes it from its own budget or declines it. All sends stay within the budgets of all hosts.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -68,6 +68,7 @@
 var (
 	errNoInstance = flamingodoor.Errorf(flamingodoor.CodeNoEndpoint, "no instance is available for the service and model")
 	errNoPath     = flamingodoor.Errorf(flamingodoor.CodeNoEndpoint, "this host reaches no instance and no peer takes the request")
+	errNoRetry    = flamingodoor.Errorf(flamingodoor.CodeOverloaded, "the retry budget is used up")
 	errFull       = flamingodoor.Errorf(flamingodoor.CodeOverloaded, "all instances are at capacity")
 )
 
@@ -89,7 +90,7 @@
 		if err == nil && j.placedAt.IsZero() {
 			j.placedAt = p.now()
 		}
-		if err == nil || errors.Is(err, errNoInstance) || errors.Is(err, errNoPath) || isHeldPast(err, until) {
+		if err == nil || mustNotWait(err, until) {
 			return dest, err
 		}
 		var room <-chan time.Time
@@ -107,6 +108,11 @@
 	}
 }
 
+// mustNotWait reports whether a job that was not placed would wait in vain.
+func mustNotWait(err error, until time.Time) bool {
+	return errors.Is(err, errNoInstance) || errors.Is(err, errNoPath) || errors.Is(err, errNoRetry) || isHeldPast(err, until)
+}
+
 // isHeldPast reports whether no instance takes requests of this host before the
 // given time, because all of them asked for none or no more.
 func isHeldPast(err error, until time.Time) bool {
@@ -138,6 +144,10 @@
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
 	}
+	if !p.grantRetry(j, now) {
+		p.tracker.Release(id)
+		return destination{}, time.Time{}, errNoRetry
+	}
 	chosen := set.destination(id)
 	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) || !p.allowances.Reserve(chosen.instance, now) {
 		p.tracker.Release(id)
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -115,7 +115,7 @@
 
 // mayRepeat reports whether another attempt is allowed, and takes it from the
 // retry budget if the job was sent before. The grant is kept until the job is
-// sent.
+// sent. If this host can only forward the job, the peer's budget may grant it too.
 func (p *Proxy) mayRepeat(ctx context.Context, j *job) bool {
 	now := p.now()
 	if ctx.Err() != nil || j.deadline.Sub(now) < minAttemptTime {
@@ -133,7 +133,13 @@
 	if j.sends-j.exemptSends >= j.route.MaxAttempts {
 		return false
 	}
-	j.retryGranted = j.retryGranted || p.retryBudget(j.service.Name).TryRetry(now)
+	return p.grantRetry(j, now) || (p.paths.Stranded() && j.forwardedBy == "")
+}
+
+// grantRetry reports whether the retry budget has granted the next send, if the job
+// was sent before.
+func (p *Proxy) grantRetry(j *job, now time.Time) bool {
+	j.retryGranted = j.retryGranted || j.sends == 0 || p.retryBudget(j.service.Name).TryRetry(now)
 	return j.retryGranted
 }
 
@@ -162,10 +168,14 @@
 	switch {
 	case ctx.Err() != nil || j.mayHaveRun:
 		p.respondFailed(ctx, writer, j)
+	case errors.Is(err, errNoRetry) && j.forwardedBy != "":
+		p.decline(writer, j, "no_retry")
+	case errors.Is(err, errNoRetry):
+		p.respondFailed(ctx, writer, j)
 	case errors.Is(err, errPartBlocked):
 		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
 	case errors.Is(err, errNoPath) && j.forwardedBy != "":
-		p.decline(writer, j)
+		p.decline(writer, j, "no_path")
 	case errors.Is(err, errNoPath):
 		p.refuse(writer, j, http.StatusServiceUnavailable, "no_path", delay)
 	case errors.Is(err, errNoInstance):
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -22,6 +22,7 @@
 	countedHeader     = "Entry-Counted"      // set if the demand was counted elsewhere
 	streamBegunHeader = "Entry-Stream-Begun" // set if the caller has a part of the stream
 	sendsHeader       = "Entry-Sends"        // attempts that may have reached an instance
+	ungrantedHeader   = "Entry-Ungranted"    // set if no retry budget has granted the next attempt
 	answerHeader      = "Entry-Answer"       // of a response: answerTaken or answerDeclined
 )
 
@@ -32,7 +33,7 @@
 
 // forwardHeaders are the headers of requests between entry hosts.
 var forwardHeaders = []string{ //nolint:gochecknoglobals // a constant list
-	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader,
+	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader,
 }
 
 // maxDeclines is how many peers may decline a request in a row until it is refused.
@@ -267,7 +268,9 @@
 	header.Set(forwardedByHeader, p.hostID)
 	header.Set(forwardedToHeader, peer.ID)
 	header.Set(sendsHeader, strconv.Itoa(j.sends))
-	for name, set := range map[string]bool{callerRetryHeader: j.callerRetry, countedHeader: j.counted, streamBegunHeader: j.responseStarted} {
+	for name, set := range map[string]bool{
+		callerRetryHeader: j.callerRetry, countedHeader: j.counted, streamBegunHeader: j.responseStarted, ungrantedHeader: j.sends > 0 && !j.retryGranted,
+	} {
 		if set {
 			header.Set(name, "1")
 		}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -19,6 +19,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/balance"
+	"flamingodoor.example/flamingodoor/internal/proxy"
 )
 
 // pathState is what a test says of a host's paths, and what its proxy reports.
@@ -123,6 +124,8 @@
 		}},
 		{name: "stream", path: "/stream/x", handlers: handlers(events(6, 0)), status: 200, body: allEvents(6), runs: "1"},
 		{name: "stream that resumes at the next peer", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1"},
+		{name: "stream that resumes by the budget of the peer", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1", prepare: withoutRetries(0)},
+		{name: "stream without a budget", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(3), broken: true, runs: "1 0", prepare: withoutRetries(0, 2)},
 		{name: "stream whose peers all break off", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 4), events(6, 0)), status: 200, body: allEvents(4), broken: true, runs: "1 1 0"},
 		{name: "refusal for want of slots", path: "/read/x", handlers: handlers(signed("done"), signed("other")), status: 503, runs: "0 0", prepare: func(f *fleet) { f.peers[0].fill("i-1") }},
 		{name: "refusal of the endpoint", path: "/post/x", handlers: handlers(refusing("0.2"), signed("other")), status: 503, runs: "1 0"},
@@ -223,6 +226,15 @@
 	s.catalogue.Confirm(time.Now())
 }
 
+// withoutRetries takes the retry budgets of hosts away, of which 0 is the stranded one.
+func withoutRetries(hosts ...int) func(*fleet) {
+	return func(f *fleet) {
+		for _, n := range hosts {
+			append([]*setup{f.setup}, f.peers...)[n].proxy.SetLimits(proxy.Limits{RevokeWithin: 5 * time.Second})
+		}
+	}
+}
+
 // cutAnswers makes the first peer serve requests and lose its answers.
 func cutAnswers(f *fleet) {
 	served := f.servers[0].Config.Handler
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -142,7 +142,7 @@
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
 		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
-		forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun,
+		forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
 	if workspace != nil {
 		j.workspace = workspace.Name
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -25,6 +25,7 @@
 	counted     bool // as a request, at another host
 	streamBegun bool // the caller has received a part of the response
 	sends       int  // attempts that may have reached an instance
+	ungranted   bool // no retry budget has granted the next attempt
 }
 
 // originOf returns what a peer states about a request that it forwards.
@@ -35,7 +36,7 @@
 	}
 	return origin{
 		host: header.Get(forwardedByHeader), callerRetry: header.Get(callerRetryHeader) != "", counted: header.Get(countedHeader) != "",
-		streamBegun: header.Get(streamBegunHeader) != "", sends: min(max(0, sends), maxForwardedSends),
+		streamBegun: header.Get(streamBegunHeader) != "", sends: min(max(0, sends), maxForwardedSends), ungranted: header.Get(ungrantedHeader) != "",
 	}
 }
 
@@ -119,9 +120,9 @@
 	}
 }
 
-// decline declines a job of a peer that this host cannot serve for want of a path.
-func (p *Proxy) decline(writer http.ResponseWriter, j *job) {
-	p.recordFinished(j, "no_path", http.StatusServiceUnavailable, 0)
+// decline declines a job of a peer that another host may be able to serve.
+func (p *Proxy) decline(writer http.ResponseWriter, j *job, reason string) {
+	p.recordFinished(j, reason, http.StatusServiceUnavailable, 0)
 	p.writeDecline(writer, j.id)
 }
 
