Resume a stream at another peer if the peer falls silent

A host that stands still keeps its connections, so that neither keep-alive probes nor the exchange end a stream through it before the caller gives up after 2 s. A test states what ends connections of hosts that are gone.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -36,8 +36,17 @@
 	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader,
 }
 
-// maxDeclines is how many peers may decline a request in a row until it is refused.
-const maxDeclines = 3
+const (
+	// maxDeclines is how many peers may decline a request in a row until it is
+	// refused.
+	maxDeclines = 3
+	// maxPeerSilence is the longest gap between two events of a peer. The peer itself
+	// resumes a stream whose instance is silent, and callers give up after 2 s.
+	maxPeerSilence = 1500 * time.Millisecond
+)
+
+// errPeerSilent is the cause of streams that end because the peer sends no events.
+var errPeerSilent = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "the peer sends no events")
 
 // forwardCounts count the requests that went from host to host since the start.
 type forwardCounts struct {
@@ -175,6 +184,8 @@
 
 // streamFromPeer sends the job to a peer and forwards its events.
 func (p *Proxy) streamFromPeer(ctx context.Context, j *job, peer flamingodoor.EntryPeer, client *delivery) outcome {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	ranBefore := j.mayHaveRun
 	response, result := p.sendToPeer(ctx, j, peer, client.lastEventID)
 	if result != outcomeDone {
@@ -185,7 +196,10 @@
 		return p.deliverRefusal(ctx, j, peer, response, client, ranBefore)
 	}
 	j.target = peer.ID
+	silence := time.AfterFunc(maxPeerSilence, func() { cancel(errPeerSilent) })
+	defer silence.Stop()
 	err := p.copyEvents(response, client, func() {
+		silence.Reset(maxPeerSilence)
 		if client.events == 1 {
 			j.firstEventAt = p.now()
 			p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
@@ -294,7 +308,7 @@
 	var failure *upstream.CallError
 	unsent := errors.As(err, &failure) && !failure.Sent
 	_ = level.Info(p.logger).Log("event", "forward_broken", "request", j.id, "peer", peer.ID, "unsent", unsent, "cause", context.Cause(ctx), "err", err)
-	if context.Cause(ctx) == nil {
+	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errPeerSilent) {
 		p.peers.AvoidPeer(peer.ID, p.now())
 	}
 	if unsent {
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -125,6 +125,9 @@
 		{name: "stream", path: "/stream/x", handlers: handlers(events(6, 0)), status: 200, body: allEvents(6), runs: "1"},
 		{name: "stream that resumes at the next peer", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1"},
 		{name: "stream that resumes by the budget of the peer", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1", prepare: withoutRetries(0)},
+		{name: "stream of a peer that falls silent", path: "/stream/x", handlers: handlers(silentAfter(3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1", change: func(request *http.Request) {
+			request.Header.Set(headers.DeadlineMS, "2000")
+		}},
 		{name: "stream without a budget", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(3), broken: true, runs: "1 0", prepare: withoutRetries(0, 2)},
 		{name: "stream whose peers all break off", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 4), events(6, 0)), status: 200, body: allEvents(4), broken: true, runs: "1 1 0"},
 		{name: "refusal for want of slots", path: "/read/x", handlers: handlers(signed("done"), signed("other")), status: 503, runs: "0 0", prepare: func(f *fleet) { f.peers[0].fill("i-1") }},
@@ -199,6 +202,14 @@
 	}
 }
 
+// silentAfter sends events and then nothing until the connection ends.
+func silentAfter(last int) func(http.ResponseWriter, *http.Request) {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		events(last, 0)(writer, request)
+		<-request.Context().Done()
+	}
+}
+
 func handlers(each ...func(http.ResponseWriter, *http.Request)) []func(http.ResponseWriter, *http.Request) {
 	return each
 }
