Check that a group which stands still is not reported as stalled

Silences of 0.3 to 1.8 s, four in a row: an inspection finds a silent member lost, or answers, and events follow. No fault was found; the monitor is unchanged.

--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -25,6 +25,7 @@
 	mu         sync.Mutex
 	now        time.Time
 	inspection stall.Inspection
+	examine    func(now time.Time) stall.Inspection // replaces inspection unless nil
 	inspected  int
 	inspecting chan struct{} // one value for each inspection
 	stalled    []roster.GroupKey
@@ -51,6 +52,9 @@
 	defer s.mu.Unlock()
 	s.inspected++
 	s.inspecting <- struct{}{}
+	if s.examine != nil {
+		return s.examine(s.now)
+	}
 	return s.inspection
 }
 
@@ -98,6 +102,34 @@
 	assert.DeepEqual(t, s.stalled, []roster.GroupKey{{Name: "g", Epoch: 1}})
 }
 
+// Guards against a group that is reported as stalled, and therefore dissolved, because
+// its members stood still for 0.3 to 1.8 s again and again. One that does not answer
+// within the 0.32 s of a probe is lost; one that does is inspected again.
+func TestGroupThatStandsStillIsNotStalled(t *testing.T) {
+	for silence := 300 * time.Millisecond; silence <= 1800*time.Millisecond; silence += 300 * time.Millisecond {
+		s := newFixture(t)
+		var goesOnAt time.Time
+		s.examine = func(now time.Time) (inspection stall.Inspection) {
+			inspection.Slowdown = 1
+			if now.Add(320 * time.Millisecond).Before(goesOnAt) {
+				inspection.Lost = []string{"i-2"}
+			}
+			return inspection
+		}
+		for range 4 {
+			watch, _ := s.begin()
+			s.mu.Lock()
+			goesOnAt = s.now.Add(100*time.Millisecond + silence)
+			s.mu.Unlock()
+			s.advance(100*time.Millisecond, watch)
+			s.advance(silence)
+			s.advance(100*time.Millisecond, watch)
+			watch.End()
+		}
+		assert.Equal(t, len(s.stalled), 0, "%v", silence)
+	}
+}
+
 // Guards against cancelling streams that wait in the queue of a working group. A
 // group opened while many requests waited, and its queue filled. A host whose
 // requests were queued saw no event for 1.2 s and reported the group as stalled,
