Drop packets on open connections in tests

A fault proxy that forwards nothing still acknowledges what it gets, because the kernel does; so no test could show which timer of the kernel finds a silent path. A socket filter on the proxy's side now drops all segments that arrive.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -119,7 +121,8 @@
 	p.resetRefused()
 }
 
-// Heal removes all rules. Connections that SilenceOpen silenced stay silent.
+// Heal removes all rules. Connections that SilenceOpen or DropOpen silenced stay
+// silent.
 func (p *Proxy) Heal() {
 	p.mutex.Lock()
 	p.defaultRule = Rule{}
@@ -137,6 +140,38 @@
 	}
 }
 
+// DropOpen permanently drops what arrives on the connections that are open now, as a
+// path that has gone silent does: their clients get no acknowledgement either. New
+// connections are not affected.
+func (p *Proxy) DropOpen() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.connections {
+		p.silenced[connection] = true
+		if err := Drop(connection); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Drop makes the kernel drop all segments that arrive on a TCP connection.
+func Drop(connection net.Conn) error {
+	raw, err := connection.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	filter := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0} // K is the number of bytes to accept
+	var optionErr error
+	err = raw.Control(func(descriptor uintptr) {
+		optionErr = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter})
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // Reset closes the open connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mutex.Lock()
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -1,11 +1,14 @@
 package faultproxy_test
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,3 +105,50 @@
 	_, err := io.ReadFull(connection, make([]byte, 1))
 	return err == nil
 }
+
+// Guards against dropped connections whose clients get acknowledgements, so that no
+// timer of the kernel finds them dead, and against a wrong order of the two timers: a
+// TCP_USER_TIMEOUT ends keep-alive probes before their count does.
+func TestClientsFindDroppedConnectionsDead(t *testing.T) {
+	const tcpUserTimeout = 0x12
+	withUserTimeout := func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, 1500)
+		})
+	}
+	tenProbes := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 10}
+	for _, test := range []struct {
+		name    string
+		dialer  net.Dialer
+		writes  bool
+		atMost  time.Duration
+		atLeast time.Duration
+	}{
+		{"sent bytes, user time-out of 1.5 s", net.Dialer{Control: withUserTimeout}, true, 3 * time.Second, time.Second},
+		{"idle, ten probes", net.Dialer{KeepAliveConfig: tenProbes}, false, 13 * time.Second, 10 * time.Second},
+		{"idle, ten probes, user time-out of 1.5 s", net.Dialer{Control: withUserTimeout, KeepAliveConfig: tenProbes}, false, 3 * time.Second, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			proxy, err := faultproxy.New(context.WithoutCancel(t.Context()), netip.MustParseAddr("127.0.0.1"), startEcho(t))
+			assert.NilError(t, err)
+			t.Cleanup(proxy.Close)
+			connection, err := test.dialer.Dial("tcp", proxy.Address().String())
+			assert.NilError(t, err)
+			defer func() { _ = connection.Close() }()
+			assert.Assert(t, echoes(connection))
+			assert.NilError(t, proxy.DropOpen())
+			began := time.Now()
+			if test.writes {
+				_, err = connection.Write([]byte{1})
+				assert.NilError(t, err)
+			}
+			assert.NilError(t, connection.SetReadDeadline(began.Add(20*time.Second)))
+			_, err = connection.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, syscall.ETIMEDOUT), "%v", err)
+			took := time.Since(began)
+			t.Logf("found dead after %s", took)
+			assert.Assert(t, took > test.atLeast && took < test.atMost, "%s", took)
+		})
+	}
+}
