--- /dev/null
+++ b/internal/proxy/review_test.go
@@ -0,0 +1,141 @@
+package proxy_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/upstream"
+)
+
+var _ = upstream.New
+
+// configure replaces the configuration by a changed one.
+func (s *setup) configure(change func(configuration *flamingodoor.Catalogue)) {
+	configuration := *s.catalogue.Index().Catalogue
+	configuration.Version++
+	configuration.Routes = append([]flamingodoor.Route(nil), configuration.Routes...)
+	change(&configuration)
+	s.catalogue.Configure(&configuration)
+	s.catalogue.Confirm(time.Now())
+}
+
+// Guards against a stream that runs more often than its route allows, because the peer
+// resumed it after it had stated how often the request was sent (BUDGET).
+func TestRunsAtPeersCountForTheRoute(t *testing.T) {
+	f := newFleet(t, 2)
+	var runs atomic.Int64
+	for n, peer := range f.peers {
+		var instances []flamingodoor.Instance
+		for k, last := range []int{2, 4} {
+			count := func(last int) func(http.ResponseWriter, *http.Request) {
+				return func(writer http.ResponseWriter, request *http.Request) {
+					runs.Add(1)
+					events(20, last+4*n)(writer, request)
+				}
+			}
+			instances = append(instances, newEndpoint(t, count(last)).instance("i-"+string(rune('1'+2*n+k)), "llm"))
+		}
+		peer.register(instances...)
+	}
+	got := f.send("/stream/x")
+	t.Log(got.status, got.err)
+	assert.Assert(t, runs.Load() <= 2, "max_attempts is 2, runs %d", runs.Load())
+}
+
+// Guards against 404 and 401 for a request whose route and key this host's newer
+// configuration has: the peer has not read it yet.
+func TestPeerWithAnOlderConfiguration(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, peer := range f.peers {
+		peer.register(newEndpoint(t, signed("done")).instance("i-1", "plain"))
+	}
+	newer := func(configuration *flamingodoor.Catalogue) {
+		configuration.Routes = append(configuration.Routes, route("/new/", flamingodoor.RouteKindIdempotent, "plain", 2))
+		configuration.Workspaces = []flamingodoor.Workspace{{Name: "billing", Keys: []string{key, "newer"}}}
+	}
+	f.configure(newer)
+	f.peers[1].configure(newer)
+	assert.Equal(t, f.send("/new/x").status, http.StatusOK)
+	assert.Equal(t, f.send("/read/x", func(request *http.Request) { request.Header.Set("Authorization", "Bearer newer") }).status, http.StatusOK)
+}
+
+// Guards against a stream that goes on at another service of a split route.
+func TestForwardedStreamKeepsItsService(t *testing.T) {
+	other := 0
+	for range 10 {
+		f := newFleet(t, 2)
+		var first, second atomic.Value
+		for n, seen := range []*atomic.Value{&first, &second} {
+			var instances []flamingodoor.Instance
+			for _, service := range []string{"llm", "llm2"} {
+				e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+					seen.Store(service)
+					events(6, 3-3*n)(writer, request)
+				})
+				instance := e.instance("i-"+service, "llm")
+				instance.Service = service
+				instances = append(instances, instance)
+			}
+			f.peers[n].register(instances...)
+		}
+		for _, each := range append([]*setup{f.setup}, f.peers...) {
+			each.configure(func(configuration *flamingodoor.Catalogue) {
+				spec := configuration.Services["llm"]
+				spec.Name = "llm2"
+				configuration.Services = map[string]flamingodoor.ServiceSpec{"plain": configuration.Services["plain"], "llm": configuration.Services["llm"], "llm2": spec}
+				configuration.Routes[3].Split = []flamingodoor.SplitShare{{Service: "llm", Weight: 1}, {Service: "llm2", Weight: 1}}
+				configuration.Routes[3].MaxAttempts = 2
+			})
+		}
+		f.send("/stream/x")
+		if first.Load() != second.Load() {
+			other++
+		}
+	}
+	assert.Equal(t, other, 0, "streams that went on at another service, of 10")
+}
+
+// Guards against a peer that counts as silent because the caller reads slowly.
+func TestSlowCallerOfAForwardedStream(t *testing.T) {
+	f := newFleet(t, 2)
+	var runs atomic.Int64
+	stream := func(writer http.ResponseWriter, request *http.Request) {
+		runs.Add(1)
+		writer.Header().Set(headers.Signature, "sig")
+		pad := strings.Repeat("x", 100<<10)
+		for n := 1; n <= 150; n++ {
+			if _, err := io.WriteString(writer, strings.Replace(event(n), "\n\n", "\ndata: "+pad+"\n\n", 1)); err != nil {
+				return
+			}
+			writer.(http.Flusher).Flush() //nolint:forcetypeassert // the test server flushes
+		}
+	}
+	for _, peer := range f.peers {
+		peer.register(newEndpoint(t, stream).instance("i-1", "llm"))
+	}
+	for _, each := range append([]*setup{f.setup}, f.peers...) {
+		each.configure(func(configuration *flamingodoor.Catalogue) { configuration.Routes[3].Timeout = 20 * time.Second })
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.front.URL+"/stream/x", strings.NewReader("body"))
+	assert.NilError(t, err)
+	request.Host = host
+	request.Header.Set(headers.RequestID, "r1")
+	request.Header.Set(headers.DeadlineMS, "20000")
+	request.Header.Set(headers.Model, model)
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	time.Sleep(1900 * time.Millisecond)
+	body, err := io.ReadAll(response.Body)
+	t.Log(len(body), err, f.list.avoided)
+	assert.NilError(t, err)
+	assert.Equal(t, runs.Load(), int64(1))
+}
