--- a/internal/exchange/candidates.go
+++ b/internal/exchange/candidates.go
@@ -17,7 +17,7 @@
 // leader's duties, given whether it is one. In smaller deployments all hosts are.
 // In larger ones those with the widest links of each data centre are, as for
 // relays: the leader has the most to send and to compute. The next ones replace
-// them as soon as they are silent.
+// them as soon as they are silent or have no paths to instances.
 func (e *Exchanger) StandsForElection(stands bool) bool {
 	now := e.now()
 	e.mu.Lock()
@@ -28,7 +28,7 @@
 			continue
 		}
 		live++
-		if peer.DataCentre == e.self.DataCentre && precedes(peer.EntryPeer, e.self) {
+		if peer.DataCentre == e.self.DataCentre && !peer.stranded && precedes(peer.EntryPeer, e.self) {
 			preceding++
 		}
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -23,6 +24,8 @@
 	streamBegunHeader = "Entry-Stream-Begun" // set if the caller has a part of the stream
 	sendsHeader       = "Entry-Sends"        // attempts that may have reached an instance
 	ungrantedHeader   = "Entry-Ungranted"    // set if no retry budget has granted the next attempt
+	versionHeader     = "Entry-Version"      // of the configuration of the host that forwards
+	serviceHeader     = "Entry-Service"      // chosen from the split of the route
 	answerHeader      = "Entry-Answer"       // of a response: answerTaken or answerDeclined
 )
 
@@ -33,7 +36,7 @@
 
 // forwardHeaders are the headers of requests between entry hosts.
 var forwardHeaders = []string{ //nolint:gochecknoglobals // a constant list
-	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader,
+	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader, versionHeader, serviceHeader,
 }
 
 const (
@@ -196,10 +199,10 @@
 		return p.deliverRefusal(ctx, j, peer, response, client, ranBefore)
 	}
 	j.target = peer.ID
-	silence := time.AfterFunc(maxPeerSilence, func() { cancel(errPeerSilent) })
-	defer silence.Stop()
+	watched := &watchedBody{ReadCloser: response.Body, silence: time.AfterFunc(maxPeerSilence, func() { cancel(errPeerSilent) })}
+	defer watched.silence.Stop()
+	response.Body = watched
 	err := p.copyEvents(response, client, func() {
-		silence.Reset(maxPeerSilence)
 		if client.events == 1 {
 			j.firstEventAt = p.now()
 			p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
@@ -215,6 +218,21 @@
 	return p.handlePeerError(ctx, j, peer, err)
 }
 
+// watchedBody is the body of a peer's answer. Its timer runs only while the peer is
+// read: a caller that reads slowly is not the peer's silence.
+type watchedBody struct {
+	io.ReadCloser
+
+	silence *time.Timer
+}
+
+// Read reads from the peer.
+func (w *watchedBody) Read(data []byte) (int, error) {
+	w.silence.Reset(maxPeerSilence)
+	defer w.silence.Stop()
+	return w.ReadCloser.Read(data)
+}
+
 // deliverRefusal forwards a peer's response that is no stream, unless events were
 // sent before or it states only for the peer that the request has not run.
 func (p *Proxy) deliverRefusal(ctx context.Context, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
@@ -282,6 +300,8 @@
 	header.Set(forwardedByHeader, p.hostID)
 	header.Set(forwardedToHeader, peer.ID)
 	header.Set(sendsHeader, strconv.Itoa(j.sends))
+	header.Set(versionHeader, strconv.FormatInt(j.version, 10))
+	header.Set(serviceHeader, j.service.Name)
 	for name, set := range map[string]bool{
 		callerRetryHeader: j.callerRetry, countedHeader: j.counted, streamBegunHeader: j.responseStarted, ungrantedHeader: j.sends > 0 && !j.retryGranted,
 	} {
@@ -308,7 +328,7 @@
 	var failure *upstream.CallError
 	unsent := errors.As(err, &failure) && !failure.Sent
 	_ = level.Info(p.logger).Log("event", "forward_broken", "request", j.id, "peer", peer.ID, "unsent", unsent, "cause", context.Cause(ctx), "err", err)
-	if cause := context.Cause(ctx); cause == nil || errors.Is(cause, errPeerSilent) {
+	if unsent || errors.Is(context.Cause(ctx), errPeerSilent) {
 		p.peers.AvoidPeer(peer.ID, p.now())
 	}
 	if unsent {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,6 +56,7 @@
 	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
 	priority        int                       // 0 to 9, 0 is the most urgent
 	authorization   string                    // credentials of the caller
+	version         int64                     // of the configuration that the route is from
 	forwardedBy     string                    // host that the caller sent the request to; empty if it is this one
 
 	// State of the attempts.
@@ -142,7 +144,7 @@
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
 		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
-		forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
+		version: index.Version, forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
 	if workspace != nil {
 		j.workspace = workspace.Name
@@ -151,7 +153,7 @@
 			j.priority = workspace.Priority
 		}
 	}
-	j.service = index.Services[pickService(route, p.random())]
+	j.service = index.Services[chosenService(route, from.service, p.random())]
 	j.promptTokens, j.maxOutputTokens = parseTokens(request.Header.Get(p.headers.Tokens))
 	j.deadline = received.Add(route.Timeout)
 	if allowed, ok := parseMilliseconds(request.Header.Get(p.headers.DeadlineMS)); ok {
@@ -178,6 +180,15 @@
 	return flamingodoor.Fingerprint(hash.Sum(nil))
 }
 
+// chosenService returns the service that the host which forwards the request has
+// chosen, if the route still leads there, or else selects one.
+func chosenService(route *flamingodoor.Route, forwarded string, random float64) string {
+	if slices.ContainsFunc(route.Split, func(share flamingodoor.SplitShare) bool { return share.Service == forwarded }) {
+		return forwarded
+	}
+	return pickService(route, random)
+}
+
 // pickService selects a service by the weights of the route. `random` is a number
 // from 0 to 1.
 func pickService(route *flamingodoor.Route, random float64) string {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -331,6 +331,7 @@
 	defer cancel()
 	writer = closingWriter{ResponseWriter: writer, stopping: &p.stopping}
 	if j.forwardedBy != "" {
+		defer limitWrites(writer, j.deadline)()
 		writer = takenOverWriter{ResponseWriter: writer, job: j}
 	}
 	if route.Kind == flamingodoor.RouteKindStreaming {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -78,7 +78,9 @@
 // mayResume reports whether the stream may continue with another attempt, and
 // takes that attempt from the retry budget.
 func (p *Proxy) mayResume(ctx context.Context, j *job, client *delivery) bool {
-	if client.started && (!j.route.Resumable || client.unnumbered) {
+	if client.started && (!j.route.Resumable || client.unnumbered || j.forwardedBy != "") {
+		// A stream that was forwarded is resumed by the first host, which counts the
+		// attempts of all.
 		return false
 	}
 	return p.mayRepeat(ctx, j)
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log/level"
 )
@@ -15,6 +16,9 @@
 	maxTakeoverBytes = 32 << 20
 	// maxForwardedSends bounds the number of attempts that another host states.
 	maxForwardedSends = 100
+	// lastWriteTime is how long after the deadline of a request its answer may still be
+	// written to the host that forwarded it.
+	lastWriteTime = 500 * time.Millisecond
 )
 
 // origin is what the host that forwarded a request states about it. It is zero for
@@ -22,10 +26,12 @@
 type origin struct {
 	host        string
 	callerRetry bool
-	counted     bool // as a request, at another host
-	streamBegun bool // the caller has received a part of the response
-	sends       int  // attempts that may have reached an instance
-	ungranted   bool // no retry budget has granted the next attempt
+	counted     bool   // as a request, at another host
+	streamBegun bool   // the caller has received a part of the response
+	sends       int    // attempts that may have reached an instance
+	ungranted   bool   // no retry budget has granted the next attempt
+	version     int64  // of its configuration
+	service     string // that it has chosen
 }
 
 // originOf returns what a peer states about a request that it forwards.
@@ -34,7 +40,12 @@
 	if err != nil {
 		sends = 0
 	}
+	version, err := strconv.ParseInt(header.Get(versionHeader), 10, 64)
+	if err != nil {
+		version = 0
+	}
 	return origin{
+		version: version, service: header.Get(serviceHeader),
 		host: header.Get(forwardedByHeader), callerRetry: header.Get(callerRetryHeader) != "", counted: header.Get(countedHeader) != "",
 		streamBegun: header.Get(streamBegunHeader) != "", sends: min(max(0, sends), maxForwardedSends), ungranted: header.Get(ungrantedHeader) != "",
 	}
@@ -84,7 +95,7 @@
 func (p *Proxy) serveForwarded(writer http.ResponseWriter, request *http.Request) {
 	from, id := originOf(request.Header), request.Header.Get(p.headers.RequestID)
 	bytes := max(0, request.ContentLength)
-	reason := p.declineReason(request, bytes)
+	reason := p.declineReason(request, from, bytes)
 	if reason == "" && !p.takeovers.begin(bytes) {
 		reason = "taken_over_too_many"
 	}
@@ -102,7 +113,7 @@
 
 // declineReason returns why this host serves no requests of peers now, or "" if it
 // does.
-func (p *Proxy) declineReason(request *http.Request, bytes int64) string {
+func (p *Proxy) declineReason(request *http.Request, from origin, bytes int64) string {
 	index := p.catalogue.Index()
 	switch {
 	case request.Header.Get(forwardedToHeader) != p.hostID:
@@ -113,6 +124,9 @@
 		return "not_ready"
 	case p.paths.Stranded():
 		return "stranded"
+	case index.Version < from.version:
+		// It may lack the route or key that the other host has accepted.
+		return "configuration_older"
 	case request.ContentLength < 0 || bytes > bodyLimit(index):
 		return "body"
 	default:
@@ -137,6 +151,14 @@
 	p.writeRefusal(writer, id, http.StatusServiceUnavailable, answerDeclined, shortRetryAfter)
 }
 
+// limitWrites ends writes to a host that is gone once the request is of no use any
+// more. The returned function removes the limit from the connection.
+func limitWrites(writer http.ResponseWriter, deadline time.Time) (remove func()) {
+	control := http.NewResponseController(writer)
+	_ = control.SetWriteDeadline(deadline.Add(lastWriteTime)) // fails only where there is no connection
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // takenOverWriter adds to the answer how often the request was sent.
 type takenOverWriter struct {
 	http.ResponseWriter
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,8 +31,8 @@
 	// userTimeout bounds how long sent bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	// probedUserTimeout replaces userTimeout where keep-alive probes are sent. The
-	// kernel checks it when it would send the second probe, which is after 2 s.
-	probedUserTimeout = 1500 * time.Millisecond
+	// kernel checks it when it would send the third probe, which is after 3 s.
+	probedUserTimeout = 2500 * time.Millisecond
 	// tcpUserTimeout is the number of the option TCP_USER_TIMEOUT on Linux.
 	tcpUserTimeout = 0x12
 
@@ -41,7 +41,7 @@
 
 // probes are sent on connections that are silent for a second, which is the least
 // that the kernel supports.
-var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1} //nolint:gochecknoglobals // a constant structure
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2} //nolint:gochecknoglobals // a constant structure
 
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
@@ -73,7 +73,7 @@
 type Option func(*Pool)
 
 // WithFailureDetection makes the kernel close connections to hosts that are gone
-// within 2 s, also while a response is awaited.
+// within 3 s, also while a response is awaited.
 func WithFailureDetection() Option {
 	return func(p *Pool) {
 		p.dialer.Control, p.dialer.KeepAliveConfig = setTimeout(probedUserTimeout), probes
@@ -93,10 +93,16 @@
 	return pool
 }
 
-// ListenConfig returns the settings of a listener whose connections end within 2 s
-// after the other host is gone.
+// Dialer returns the settings of the connections that a pool with the options opens.
+func Dialer(options ...Option) *net.Dialer {
+	return &New("", options...).dialer
+}
+
+// ListenConfig returns the settings of a listener whose silent connections end 3 s
+// after the other host is gone. Sent data has no time limit: the kernel would apply
+// it to a host that does not read either, because its caller is slow.
 func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{Control: setTimeout(probedUserTimeout), KeepAliveConfig: probes}
+	return &net.ListenConfig{KeepAliveConfig: probes}
 }
 
 // setTimeout returns a function that makes the kernel close a connection whose sent
