Let the budget of a peer grant the resumption of any begun stream

A host whose connections to instances are reset loses all its streams at one moment, up to half a second before it knows that it is stranded. A begun stream that the host's own budget does not let resume goes through a peer, which takes the attempt from its budget or declines it.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -129,6 +129,9 @@
 		dest, err := p.acquirePeer(j, now)
 		return dest, time.Time{}, err
 	}
+	if !p.grantRetry(j, now) {
+		return p.acquireGrant(j, now)
+	}
 	if j.callerRetry && p.waiters.hasAny(j) {
 		// Jobs that are not callers' retries take precedence: they have more
 		// time left for a response.
@@ -144,10 +147,6 @@
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
 	}
-	if !p.grantRetry(j, now) {
-		p.tracker.Release(id)
-		return destination{}, time.Time{}, errNoRetry
-	}
 	chosen := set.destination(id)
 	if !p.cold.Reserve(chosen.instance, j.service.ColdRate, now) || !p.allowances.Reserve(chosen.instance, now) {
 		p.tracker.Release(id)
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -115,7 +115,8 @@
 
 // mayRepeat reports whether another attempt is allowed, and takes it from the
 // retry budget if the job was sent before. The grant is kept until the job is
-// sent. If this host can only forward the job, the peer's budget may grant it too.
+// sent. The budget of a peer may grant it too if this host can only forward the job,
+// or if its caller has a part of the response.
 func (p *Proxy) mayRepeat(ctx context.Context, j *job) bool {
 	now := p.now()
 	if ctx.Err() != nil || j.deadline.Sub(now) < minAttemptTime {
@@ -133,7 +134,7 @@
 	if j.sends-j.exemptSends >= j.route.MaxAttempts {
 		return false
 	}
-	return p.grantRetry(j, now) || (p.paths.Stranded() && j.forwardedBy == "")
+	return p.grantRetry(j, now) || (j.forwardedBy == "" && (j.responseStarted || p.paths.Stranded()))
 }
 
 // grantRetry reports whether the retry budget has granted the next send, if the job
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -127,6 +127,14 @@
 	return destination{}, set.heldUntil, errFull
 }
 
+// acquireGrant returns a peer whose retry budget may grant the next attempt of a job.
+func (p *Proxy) acquireGrant(j *job, now time.Time) (destination, time.Time, error) {
+	if dest, err := p.acquirePeer(j, now); err == nil {
+		return dest, time.Time{}, nil
+	}
+	return destination{}, time.Time{}, errNoRetry
+}
+
 // release ends the use of a destination that acquire returned.
 func (p *Proxy) release(dest destination) {
 	if dest.peer != nil {
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -128,6 +128,11 @@
 		{name: "stream of a peer that falls silent", path: "/stream/x", handlers: handlers(silentAfter(3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1", change: func(request *http.Request) {
 			request.Header.Set(headers.DeadlineMS, "2000")
 		}},
+		{name: "stream that resumes by the budget of a peer although this host has paths", path: "/stream/x", handlers: handlers(events(6, 0)), status: 200, body: allEvents(6), runs: "1", prepare: func(f *fleet) {
+			withoutRetries(0)(f)
+			f.paths.stranded.Store(false)
+			f.register(newEndpoint(f.t, events(6, 3)).instance("i-9", "llm"))
+		}},
 		{name: "stream without a budget", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 0)), status: 200, body: allEvents(3), broken: true, runs: "1 0", prepare: withoutRetries(0, 2)},
 		{name: "stream whose peers all break off", path: "/stream/x", handlers: handlers(events(6, 3), events(6, 4), events(6, 0)), status: 200, body: allEvents(4), broken: true, runs: "1 1 0"},
 		{name: "refusal for want of slots", path: "/read/x", handlers: handlers(signed("done"), signed("other")), status: 503, runs: "0 0", prepare: func(f *fleet) { f.peers[0].fill("i-1") }},
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -56,6 +56,7 @@
 		}
 		result := p.streamAttempt(ctx, j, dest, client)
 		p.release(dest)
+		j.responseStarted = client.started || j.responseStarted
 		switch {
 		case result == outcomeDone:
 			p.recordFinished(j, "answered", http.StatusOK, client.events)
@@ -70,7 +71,6 @@
 			return
 		}
 		j.exclude(dest)
-		j.responseStarted = client.started
 		until = p.now().Add(maxResumeWait)
 	}
 }
