--- a/internal/exchange/witness.go
+++ b/internal/exchange/witness.go
@@ -74,11 +74,19 @@
 }
 
 // ReachedElsewhere reports whether a peer gets an answer from an instance that
-// this host cannot reach.
-func (e *Exchanger) ReachedElsewhere(ctx context.Context, instance flamingodoor.Instance) bool {
+// this host cannot reach. It is not known if no peer whose paths are sound responds,
+// unless all peers are stranded or silent.
+func (e *Exchanger) ReachedElsewhere(ctx context.Context, instance flamingodoor.Instance) (reached, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	return e.askPeers(ctx, e.recentPeers(), instance, 0, func(*exchangev1.ReachResponse) {})
+	peers := e.recentPeers()
+	var denied atomic.Bool
+	reached = e.askPeers(ctx, peers, instance, 0, func(response *exchangev1.ReachResponse) {
+		if response.GetSound() && !response.GetAnswers() {
+			denied.Store(true)
+		}
+	})
+	return reached, reached || denied.Load() || len(peers) == 0
 }
 
 // askPeers asks peers to probe an instance, and reports whether it answers one of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	HostID      string
 	DataCentre  string
 	LinkMbps    int            // capacity of the host's network link
+	MemoryBytes int64          // of this process; 0 if not known
 	Front       netip.AddrPort // address for callers
 	Ready       netip.AddrPort // address for the load balancer's readiness checks
 	Peer        netip.AddrPort // address for other entry hosts
@@ -186,7 +187,7 @@
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
 		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	feeds := exchange.Feeds{
@@ -197,7 +198,7 @@
 	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded))
 	g.proxy.UsePeers(g.exchanger)
 	g.planner = planner.New(planner.Parts{
-		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
+		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, StandsForElection: g.exchanger.StandsForElection,
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -88,13 +88,11 @@
 	return instances
 }
 
-// onPathChange tells the peers that this host became stranded or is no longer. What
-// it stated about instances just before is withdrawn.
+// onPathChange tells the peers that this host became stranded or is no longer.
 func (g *Gateway) onPathChange(change reach.Change) {
 	elapsed := change.At.Sub(change.Since).Milliseconds()
 	if change.Stranded {
 		_ = level.Warn(g.logger).Log("event", "stranded", "since", change.Since.UTC(), "found_ms", elapsed)
-		g.shared.withdrawLosses(change.At)
 		g.proxy.EndUnreached()
 	} else {
 		_ = level.Info(g.logger).Log("event", "paths_back", "since", change.Since.UTC(), "stranded_ms", elapsed)
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -27,10 +27,6 @@
 // rounds of the exchange.
 const lossShareTime = 3 * time.Second
 
-// withdrawalMargin is added to the time of a loss that is withdrawn, because the
-// delays of messages differ.
-const withdrawalMargin = 50 * time.Millisecond
-
 // Instances is the roster that the registrations are written to. Publishing a
 // change wakes the requests that wait for an instance.
 type Instances struct {
@@ -73,8 +69,6 @@
 	retiring   bool            // the group takes no new work
 	alive      bool            // the instance answers: earlier losses no longer hold
 	leaving    bool            // the instance stated that it is leaving
-	withdrawn  bool            // the path of the host that reported the loss had failed
-	received   bool            // another host found it, and this one passes it on
 	at         time.Time       // when it was found
 }
 
@@ -82,12 +76,12 @@
 // their times.
 func (l lossReport) sameEvent(other lossReport) bool {
 	return l.instanceID == other.instanceID && l.startedAt.Equal(other.startedAt) && l.group == other.group &&
-		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving && l.withdrawn == other.withdrawn
+		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving
 }
 
 // isLoss reports whether the report states that an instance did not answer.
 func (l lossReport) isLoss() bool {
-	return l.instanceID != "" && !l.alive && !l.leaving && !l.withdrawn
+	return l.instanceID != "" && !l.alive && !l.leaving
 }
 
 func newSharedState(gateway *Gateway) *sharedState {
@@ -126,7 +120,7 @@
 		recent = append(recent, loss)
 		message := &exchangev1.Loss{
 			InstanceId: loss.instanceID, Group: loss.group.Name, Epoch: loss.group.Epoch, AgeMs: now.Sub(loss.at).Milliseconds(),
-			Retiring: loss.retiring, Found: loss.alive, Leaving: loss.leaving, Withdrawn: loss.withdrawn,
+			Retiring: loss.retiring, Found: loss.alive, Leaving: loss.leaving,
 		}
 		if !loss.startedAt.IsZero() {
 			message.BornMs = loss.startedAt.UnixMilli()
@@ -199,8 +193,6 @@
 			g.roster.MarkRetiring(loss.group, now)
 		case loss.leaving:
 			g.roster.MarkLeaving(loss.instanceID, loss.startedAt, now)
-		case loss.withdrawn:
-			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 		case loss.alive:
 			g.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
 			g.parts.refute(poison.Process{InstanceID: loss.instanceID, StartedMS: loss.startedAt.UnixMilli()}, loss.at)
@@ -224,7 +216,6 @@
 func decodeLoss(message *exchangev1.Loss, now time.Time) lossReport {
 	loss := lossReport{
 		instanceID: message.GetInstanceId(), retiring: message.GetRetiring(), alive: message.GetFound(), leaving: message.GetLeaving(),
-		withdrawn: message.GetWithdrawn(), received: true,
 		group: roster.GroupKey{Name: message.GetGroup(), Epoch: message.GetEpoch()},
 		at:    now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
 	}
@@ -255,27 +246,6 @@
 	s.gateway.exchanger.SendUrgent()
 }
 
-// withdrawLosses tells the peers that the losses which this host reported lately do
-// not hold, because its own paths had failed.
-func (s *sharedState) withdrawLosses(now time.Time) {
-	var withdrawn []lossReport
-	s.mu.Lock()
-	s.losses = slices.DeleteFunc(s.losses, func(loss lossReport) bool {
-		if !loss.isLoss() || loss.received || now.Sub(loss.at) > lossShareTime {
-			return false
-		}
-		loss.withdrawn, loss.at = true, loss.at.Add(withdrawalMargin)
-		withdrawn = append(withdrawn, loss)
-		return true
-	})
-	s.mu.Unlock()
-	for _, loss := range withdrawn {
-		s.gateway.roster.MarkAlive(loss.instanceID, loss.startedAt, loss.at)
-	}
-	s.gateway.roster.Publish(now)
-	s.publishLosses(withdrawn...)
-}
-
 // endStreamsOfLostGroups ends the streams of groups that stalled or lost a
 // member.
 func (g *Gateway) endStreamsOfLostGroups(now time.Time) {
--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -289,17 +289,24 @@
 		return headReplaced
 	case err == nil:
 		return headAnswers
-	case connectionRefused(err) && !p.ReachedElsewhere(ctx, head.Instance):
+	case connectionRefused(err) && p.reachedByNone(ctx, head.Instance):
 		return headRefuses
 	case connectionRefused(err):
 		return headUnknown
-	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
+	case !head.Listed && p.reachedByNone(ctx, head.Instance):
 		return headUnlisted
 	default:
 		return headUnknown
 	}
 }
 
+// reachedByNone reports whether an instance that does not answer this host is known to
+// answer no peer either.
+func (p *Planner) reachedByNone(ctx context.Context, instance flamingodoor.Instance) bool {
+	reached, known := p.ReachedElsewhere(ctx, instance)
+	return known && !reached
+}
+
 // isOtherProcess reports whether a report comes from a process other than the
 // registered one. A field that either of them lacks says nothing about it.
 func isOtherProcess(reported, registered flamingodoor.Instance) bool {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -33,7 +33,7 @@
 			p.startDissolution(key, failure)
 		case ready && !group.opening && !now.Before(group.retryAt):
 			if group.retryAt.IsZero() {
-				group.deadline = now.Add(completionMargin)
+				group.deadline = now.Add(completionMargin) // of orders to open
 			}
 			group.opening, group.retryAt = true, now.Add(probeInterval)
 			head := group.members[0]
@@ -43,6 +43,9 @@
 					Kind: flamingodoor.OrderKindOpen, Group: key.Name, Epoch: key.Epoch,
 				})
 				group.opening = result != flamingodoor.OrderResultUnknown
+				if group.opening {
+					group.deadline = now.Add(completionMargin)
+				}
 				return nil
 			})
 		case !ready:
@@ -55,7 +58,8 @@
 // headAwaitsPath reports whether only the leader's lack of a path to the head keeps a
 // pending group from opening.
 func (p *Planner) headAwaitsPath(view *roster.View, group *pendingGroup, ready bool, now time.Time) bool {
-	return ready && !group.opening && view.Unreachable(group.members[0], now)
+	head := group.members[0]
+	return ready && !group.opening && (view.Unreachable(head, now) || p.stateOf(head).unanswered.Load())
 }
 
 // progress reports whether all members of a pending group are ready and whether one is
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -94,8 +94,8 @@
 	Election  flamingodoor.Election
 	Refresher Refresher
 	// ReachedElsewhere reports whether another host gets an answer from an
-	// instance that this host cannot reach.
-	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) bool
+	// instance that this host cannot reach, and whether that is known.
+	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) (reached, known bool)
 	// Stranded reports whether this host has lost its paths to all instances; nil if
 	// it never has.
 	Stranded func() bool
--- a/internal/planner/probe.go
+++ b/internal/planner/probe.go
@@ -54,10 +54,15 @@
 	defer cancel()
 	report, err := p.Instances.Report(probeCtx, instance.Address)
 	now := p.now()
-	switch {
-	case err == nil && report.StartedAt.Equal(instance.StartedAt):
+	if err == nil && report.StartedAt.Equal(instance.StartedAt) {
 		return
-	case err != nil && p.ReachedElsewhere(ctx, instance):
+	}
+	reached, known := false, true
+	if err != nil {
+		reached, known = p.ReachedElsewhere(ctx, instance)
+	}
+	switch {
+	case reached, !known:
 		p.Roster.MarkUnreachable(instance.ID, instance.StartedAt, now)
 	default:
 		_ = level.Info(p.Logger).Log("event", "member_lost", "instance", instance.ID, "err", err)
--- a/internal/planner/silence.go
+++ b/internal/planner/silence.go
@@ -116,28 +116,32 @@
 // probeSilent probes an instance that is marked as lost and records what it finds. If
 // the instance answers this host or a peer, all hosts are told. sentAt is the time of
 // the planning step that started the probe.
-func (p *Planner) probeSilent(ctx context.Context, instance flamingodoor.Instance, known *silence, sentAt time.Time) {
+func (p *Planner) probeSilent(ctx context.Context, instance flamingodoor.Instance, silent *silence, sentAt time.Time) {
 	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := p.Instances.Report(probeCtx, instance.Address)
 	refused := connectionRefused(err)
 	switch {
 	case err == nil && isOtherProcess(report.Instance, instance):
-		known.recordUnanswered(true, sentAt)
+		silent.recordUnanswered(true, sentAt)
+		p.Wake()
+		return
 	case err == nil:
 		_ = level.Info(p.Logger).Log("event", "member_found", "instance", instance.ID)
 		p.Roster.MarkReached(instance.ID, instance.StartedAt, sentAt)
 		p.AnnounceReachable(instance, sentAt)
 		return
-	case !known.mustAsk(refused, sentAt):
+	case !silent.mustAsk(refused, sentAt):
 		return
-	case p.ReachedElsewhere(ctx, instance):
+	}
+	switch reached, known := p.ReachedElsewhere(ctx, instance); {
+	case reached:
 		_ = level.Info(p.Logger).Log("event", "member_found_elsewhere", "instance", instance.ID, "err", err)
 		p.Roster.MarkUnreachable(instance.ID, instance.StartedAt, sentAt)
 		p.AnnounceReachable(instance, sentAt)
 		return
-	default:
-		known.recordUnanswered(refused, sentAt)
+	case known:
+		silent.recordUnanswered(refused, sentAt)
 	}
 	p.Wake()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -183,6 +183,7 @@
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
+	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
 	for _, option := range options {
 		option(p)
 	}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -10,10 +10,16 @@
 )
 
 const (
-	// maxTakeovers and maxTakeoverBytes bound the requests of peers that a host serves
-	// at a time, and their bodies. Each takes two connections.
-	maxTakeovers     = 512
-	maxTakeoverBytes = 32 << 20
+	// takeoverMemoryDivisor sets the part of a host's memory for the requests of peers
+	// that it serves at a time: an eighth.
+	takeoverMemoryDivisor = 8
+	// takeoverBytes is the memory that a request of a peer takes beside its body, of
+	// which there may be two copies. The part of an answer that is buffered may take
+	// twice as much, but those are few.
+	takeoverBytes = 128 << 10
+	bodyCopies    = 2
+	// defaultMemoryBytes is the memory of a host whose settings state none.
+	defaultMemoryBytes = 160 << 20
 	// maxForwardedSends bounds the number of attempts that another host states.
 	maxForwardedSends = 100
 	// lastWriteTime is how long after the deadline of a request its answer may still be
@@ -51,31 +57,42 @@
 	}
 }
 
-// takeovers counts the requests of peers that are in flight. It is safe for
+// takeovers counts the memory of the requests of peers that are in flight. It is safe for
 // concurrent use.
 type takeovers struct {
-	mu       sync.Mutex
-	requests int
-	bytes    int64
+	limit int64 // bytes
+
+	mu    sync.Mutex
+	bytes int64 // that the requests take
 }
 
-// begin counts a request, or returns false if there are too many.
-func (t *takeovers) begin(bytes int64) bool {
+// begin counts a request with a body of the given bytes, or returns false if there are
+// too many.
+func (t *takeovers) begin(body int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.requests >= maxTakeovers || t.bytes+bytes > maxTakeoverBytes {
+	bytes := takeoverBytes + bodyCopies*body
+	if t.bytes+bytes > t.limit {
 		return false
 	}
-	t.requests++
 	t.bytes += bytes
 	return true
 }
 
-func (t *takeovers) end(bytes int64) {
+func (t *takeovers) end(body int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.requests--
-	t.bytes -= bytes
+	t.bytes -= takeoverBytes + bodyCopies*body
+}
+
+// WithMemory sets the memory of the host in bytes, of which a part is for the requests
+// of peers. It changes nothing if the memory is not known.
+func WithMemory(bytes int64) Option {
+	return func(p *Proxy) {
+		if bytes > 0 {
+			p.takeovers.limit = bytes / takeoverMemoryDivisor
+		}
+	}
 }
 
 // PeerHandler returns the handler of requests that peers forward. It passes all
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -85,7 +85,8 @@
 	seed      maphash.Seed
 	suspected chan struct{}
 
-	heard    [heardSlots]atomic.Int64 // Unix nanoseconds, by hash of the instance
+	started  time.Time                // the origin of heard, whose clock is not set back
+	heard    [heardSlots]atomic.Int64 // nanoseconds since the start, at least 1, by hash of the instance
 	stranded atomic.Bool
 
 	mu       sync.Mutex
@@ -126,6 +127,7 @@
 	for _, option := range options {
 		option(p)
 	}
+	p.started = p.now()
 	return p
 }
 
@@ -139,34 +141,29 @@
 // a host is stranded: connections may live on while new ones fail.
 func (p *Paths) Heard(instance flamingodoor.Instance, at time.Time) {
 	slot := &p.heard[p.slot(instance.ID)]
-	if nanoseconds := at.UnixNano(); nanoseconds-slot.Load() >= int64(heardResolution) {
-		slot.Store(nanoseconds)
+	since, known := p.sinceStart(at), slot.Load()
+	if known == 0 || since-known >= int64(heardResolution) {
+		slot.Store(since)
 	}
 }
 
-// HeardSince reports whether bytes of another instance than the given one arrived
-// at the time or later.
-func (p *Paths) HeardSince(at time.Time, exceptID string) bool {
-	except := p.slot(exceptID)
-	for i := range p.heard {
-		if uint64(i) != except && p.heard[i].Load() >= at.UnixNano() {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Paths) slot(instanceID string) uint64 {
 	return maphash.String(p.seed, instanceID) % heardSlots
 }
 
-// latestHeard returns when bytes of any instance arrived last.
+// sinceStart returns a time in the unit of heard.
+func (p *Paths) sinceStart(at time.Time) int64 {
+	return max(0, int64(at.Sub(p.started))) + 1
+}
+
+// latestHeard returns when bytes of any instance arrived last, or a time before the
+// start.
 func (p *Paths) latestHeard() time.Time {
 	latest := int64(0)
 	for i := range p.heard {
 		latest = max(latest, p.heard[i].Load())
 	}
-	return time.Unix(0, latest)
+	return p.started.Add(time.Duration(latest) - 1)
 }
 
 // Failed records that a connection to an instance could not be opened, broke or
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -29,6 +29,9 @@
 	// referenceCount is how many other instances a witness probes, to know whether
 	// its own paths are sound.
 	referenceCount = 2
+	// soundTime is how long the result of such a check holds from its begin. It is
+	// less than the time of an inspection.
+	soundTime = 100 * time.Millisecond
 )
 
 // Report asks an instance for its report. That of an instance without one is empty if
@@ -47,13 +50,23 @@
 	confirm     Confirm
 	dataCentre  string // of this host
 	testimonies singleflight.Group
+	soundChecks singleflight.Group
 	logger      log.Logger
+
+	mu    sync.Mutex
+	sound map[area]soundness // of this host's paths outside the area
+}
+
+// soundness is what a check of this host's paths has shown.
+type soundness struct {
+	sound    bool
+	deadline time.Time // until then, no other check is made
 }
 
 // NewProber returns a prober for a host in a data centre, which records in paths what
 // it sees.
 func NewProber(paths *Paths, report Report, confirm Confirm, dataCentre string, logger log.Logger) *Prober {
-	return &Prober{paths: paths, report: report, confirm: confirm, dataCentre: dataCentre, logger: logger}
+	return &Prober{paths: paths, report: report, confirm: confirm, dataCentre: dataCentre, logger: logger, sound: make(map[area]soundness)}
 }
 
 // Finding is what an examination found of an instance.
@@ -202,11 +215,32 @@
 }
 
 // Sound reports whether an instance of another area than that of the given one
-// answers, or bytes of any other arrive before the context ends. It is true if there is
-// no other area.
+// answers, or there is no other area. Bytes on old connections do not count: they may
+// live on while new ones fail.
 func (p *Prober) Sound(ctx context.Context, instance flamingodoor.Instance) bool {
-	begun := p.paths.now()
-	references := p.references(instance)
+	failed := areaOf(p.registered(instance))
+	if sound, ok := p.recentlySound(failed); ok {
+		return sound && !p.paths.Stranded()
+	}
+	result, _, _ := p.soundChecks.Do(fmt.Sprint(failed), func() (any, error) {
+		return p.checkSound(ctx, failed), nil
+	})
+	sound, _ := result.(bool)
+	return sound && !p.paths.Stranded()
+}
+
+// recentlySound returns the result of the latest check outside an area, if it is
+// recent. The failure of a rack brings many questions at the same time.
+func (p *Prober) recentlySound(failed area) (sound, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	latest, ok := p.sound[failed]
+	return latest.sound, ok && p.paths.now().Before(latest.deadline)
+}
+
+// checkSound probes instances outside an area.
+func (p *Prober) checkSound(ctx context.Context, failed area) bool {
+	begun, references := p.paths.now(), p.references(failed)
 	answered := make(chan bool, len(references))
 	for _, reference := range references {
 		go func() {
@@ -218,21 +252,28 @@
 	for range references {
 		sound = sound || <-answered
 	}
-	return (sound || p.paths.HeardSince(begun, instance.ID)) && !p.paths.Stranded()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sound[failed] = soundness{sound: sound, deadline: begun.Add(soundTime)}
+	return sound
 }
 
-// references returns instances of other areas than that of the given one, at random,
-// one of this host's data centre first.
-func (p *Prober) references(instance flamingodoor.Instance) []flamingodoor.Instance {
-	instances := p.paths.instances()
-	for _, known := range instances {
+// registered returns an instance as it is listed, with its fabric domain.
+func (p *Prober) registered(instance flamingodoor.Instance) flamingodoor.Instance {
+	for _, known := range p.paths.instances() {
 		if known.ID == instance.ID {
-			instance = known
+			return known
 		}
 	}
+	return instance
+}
+
+// references returns instances outside an area, at random, one of this host's data
+// centre first.
+func (p *Prober) references(failed area) []flamingodoor.Instance {
 	var others []flamingodoor.Instance
-	for _, other := range instances {
-		if other.ID != instance.ID && areaOf(other) != areaOf(instance) {
+	for _, other := range p.paths.instances() {
+		if areaOf(other) != failed {
 			others = append(others, other)
 		}
 	}
