Divide limits on instances among hosts that can use them

A stranded host leaves its part to the others for 2 s after each message that says so. It uses it again only when all peers have answered a message that says the opposite, or 3.5 s after the last one that did not. The retry budget stays divided among all. Ruled out: one propagation time as the wait, because a lost message would let two hosts use the same part.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -115,6 +115,7 @@
 	uptime        func() time.Time // of confirmations
 	wake          chan struct{}    // starts the next round at once
 	onStranded    func()           // called after a peer has become stranded
+	onSharers     func()           // called after the hosts that use divided limits changed
 	calls         sync.WaitGroup
 	copying       atomic.Bool // a configuration is being copied
 	announced     atomic.Bool // this host is in the platform's list of hosts
@@ -125,8 +126,10 @@
 	peersByHash     map[uint32]*peerState // by hostHash
 	sequence        uint64
 	leaving         bool
-	newlyStranded   bool // a peer became stranded and onStranded was not called yet
-	directoryLoaded bool // the list of hosts was read at least once
+	newlyStranded   bool      // a peer became stranded and onStranded was not called yet
+	sharersChanged  bool      // onSharers was not called yet
+	strandedAt      time.Time // the latest message that says that this host is stranded
+	directoryLoaded bool      // the list of hosts was read at least once
 	duty            relayDuty
 	localOffset     int // of the rotation over the peers of this data centre
 	remoteOffset    int // of the rotation over the peers of other data centres
@@ -145,6 +148,8 @@
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
 	stranded     bool                      // no instance answers it, as of its latest message
+	sharesAgain  time.Time                 // until then it uses no part of the divided limits
+	knowsSound   bool                      // the message that it answered last says that this host is not stranded
 	started      int64                     // process start in Unix milliseconds, as in its latest message
 	sequence     uint64                    // of its latest message
 	lastResponse *exchangev1.ShareResponse // to the latest message that was answered
@@ -192,6 +197,12 @@
 	return func(e *Exchanger) { e.onStranded = onStranded }
 }
 
+// WithSharersListener sets the function that is called after the hosts that use divided
+// limits have changed. A message that changes them is answered after that.
+func WithSharersListener(onSharers func()) Option {
+	return func(e *Exchanger) { e.onSharers = onSharers }
+}
+
 // New returns an exchanger for the host self, without peers. It exchanges state
 // once Run and RunDirectory are called.
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
@@ -200,7 +211,7 @@
 		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
-		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {},
+		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {}, onSharers: func() {},
 	}
 	for _, option := range options {
 		option(e)
@@ -254,6 +265,7 @@
 	known.started, known.sequence, known.lastSeen = message.GetStartedMs(), message.GetSequence(), now
 	known.left = message.GetLeaving()
 	e.setStranded(known, message.GetStranded())
+	e.setSharing(known, message.GetStranded(), now)
 	known.reported = reportedWork{uses: message.GetUses(), demands: message.GetDemands(), at: now}
 	if known.left {
 		known.lastSeen, known.summarisedUntil, known.reported = time.Time{}, time.Time{}, reportedWork{}
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -233,10 +233,14 @@
 // A host that does not serve accepts messages and never answers.
 type memory struct {
 	handlers map[string]http.Handler // by address; nil until the host serves
+	cut      sync.Map                // addresses that get no messages
 }
 
 func newMemory() *memory { return &memory{handlers: make(map[string]http.Handler)} }
 
+// cutOff makes the host at an address get no more messages.
+func (m *memory) cutOff(address netip.AddrPort) { m.cut.Store(address.String(), true) }
+
 func (m *memory) listen(*testing.T) (netip.AddrPort, func(http.Handler)) {
 	number := len(m.handlers) + 1
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number)}), 80)
@@ -251,7 +255,7 @@
 // RoundTrip delivers a message to the host at its address.
 func (m *memory) RoundTrip(request *http.Request) (*http.Response, error) {
 	handler := m.handlers[request.URL.Host]
-	if handler == nil {
+	if _, cut := m.cut.Load(request.URL.Host); cut || handler == nil {
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
--- a/internal/exchange/hosts.go
+++ b/internal/exchange/hosts.go
@@ -73,14 +73,18 @@
 	peer.stranded = stranded
 }
 
-// notifyStranded calls the listener if a peer has become stranded since the last
-// call. A relay tells the other hosts at once.
+// notifyStranded calls the listeners if a peer has become stranded, or the hosts that
+// use divided limits have changed, since the last call. A relay tells the other hosts
+// at once.
 func (e *Exchanger) notifyStranded() {
 	e.mu.Lock()
-	notify, isRelay := e.newlyStranded, e.isRelay(e.now())
-	e.newlyStranded = false
+	stranded, sharers, isRelay := e.newlyStranded, e.sharersChanged, e.isRelay(e.now())
+	e.newlyStranded, e.sharersChanged = false, false
 	e.mu.Unlock()
-	if !notify {
+	if sharers {
+		e.onSharers()
+	}
+	if !stranded {
 		return
 	}
 	if isRelay {
--- a/internal/exchange/limits_test.go
+++ b/internal/exchange/limits_test.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -74,3 +75,43 @@
 	l.receive(false)
 	l.checkShareHosts("peer", "self")
 }
+
+// Guards against limits that stay divided among hosts that cannot use them, and against
+// a host whose partition has ended and that uses its part before the others give it back.
+func TestStrandedPeerLeavesItsShareOfTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := startDeployment(t, newMemory(), 3, func(int) *registrations { return &registrations{onCatchUp: func(int64) {}} })
+		sharers := func(host int) int { return len(hosts[host].LimitSharers()) }
+		time.Sleep(time.Second)
+		assert.Equal(t, sharers(0), 3)
+		assert.Assert(t, hosts[1].MayShare())
+		hosts[1].setPaths(paths{stranded: true})
+		time.Sleep(time.Second)
+		assert.Equal(t, sharers(0), 2)
+		assert.Equal(t, sharers(1), 3, "a host does not leave itself out")
+		hosts[1].setPaths(paths{})
+		for !hosts[1].MayShare() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, sharers(0), 3)
+		assert.Equal(t, sharers(2), 3)
+	})
+}
+
+// Guards against two hosts that use the same part of a limit, if the message that a host
+// is no longer stranded does not arrive.
+func TestShareOfAPartitionedHostReturnsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemory()
+		hosts := startDeployment(t, network, 2, func(int) *registrations { return &registrations{onCatchUp: func(int64) {}} })
+		time.Sleep(time.Second)
+		hosts[1].setPaths(paths{stranded: true})
+		time.Sleep(time.Second)
+		network.cutOff(hosts[0].address)
+		hosts[1].setPaths(paths{})
+		for !hosts[1].MayShare() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, len(hosts[0].LimitSharers()), 2)
+	})
+}
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -59,11 +59,13 @@
 func (e *Exchanger) send(ctx context.Context, request *exchangev1.ShareRequest, to *peerState) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
+	e.recordSent(to, request.GetStranded())
 	response, err := to.client.Share(ctx, connect.NewRequest(request))
 	if err != nil {
 		_ = level.Debug(e.logger).Log("event", "share_failed", "peer", to.ID, "err", err)
 		return
 	}
+	e.recordAnswered(to, request.GetStranded())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	to.lastResponse = response.Msg
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,6 +162,7 @@
 	shared       *sharedState
 	front        *FrontServer
 	prober       *reach.Prober
+	sharersMu    sync.Mutex  // serialises updateSharers
 	reprobeNow   chan bool   // true to probe all instances, not only those marked unreachable
 	restored     atomic.Bool // the leader has yet to save the blocked parts again
 }
@@ -190,7 +191,7 @@
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
-	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded))
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded), exchange.WithSharersListener(g.updateSharers))
 	g.planner = planner.New(planner.Parts{
 		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
@@ -438,9 +439,7 @@
 			return
 		case <-ticker.C:
 			g.pool.Expire()
-			if g.exchanger.DirectoryLoaded() {
-				g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
-			}
+			g.updateSharers()
 			if g.planner.Leads() && g.restored.CompareAndSwap(true, false) {
 				g.parts.save(g.parts.ledger.AllBlocked(), nil)
 			}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -62,6 +62,7 @@
 // onPathChange tells the peers that this host became stranded or is no longer. What
 // it stated about instances just before is withdrawn.
 func (g *Gateway) onPathChange(change reach.Change) {
+	g.updateSharers()
 	elapsed := change.At.Sub(change.Since).Milliseconds()
 	if change.Stranded {
 		_ = level.Warn(g.logger).Log("event", "stranded", "since", change.Since.UTC(), "found_ms", elapsed)
@@ -75,6 +76,19 @@
 	g.tracker.Wake()
 }
 
+// updateSharers updates the hosts among which the limits are divided. A stranded host
+// leaves its part to the others.
+func (g *Gateway) updateSharers() {
+	if !g.exchanger.DirectoryLoaded() {
+		return
+	}
+	g.sharersMu.Lock()
+	defer g.sharersMu.Unlock()
+	g.proxy.SetSharers(g.exchanger.LimitSharers(), !g.paths.Stranded() && g.exchanger.MayShare())
+	g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
+	g.tracker.Wake()
+}
+
 // runReprobes probes the instances that this host does not reach, until the context
 // ends: each second, and at once when the host has paths again.
 func (g *Gateway) runReprobes(ctx context.Context) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,12 +88,13 @@
 	uptime          func() time.Time // of confirmations
 	random          func() float64
 
-	hostCount   atomic.Int64 // entry hosts that share the limits
-	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
-	stopping    atomic.Bool
-	ending      context.Context // ends when the requests in flight must be answered
-	end         context.CancelFunc
-	inFlight    sync.WaitGroup
+	hostCount    atomic.Int64 // entry hosts that share the limits
+	sharersKnown atomic.Bool  // SetSharers was called
+	reportDelay  atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
+	stopping     atomic.Bool
+	ending       context.Context // ends when the requests in flight must be answered
+	end          context.CancelFunc
+	inFlight     sync.WaitGroup
 
 	mu               sync.Mutex
 	budgets          map[string]*admission.RetryBudget // by service
@@ -202,7 +203,9 @@
 // the number of requests in flight at one host takes to reach all others.
 func (p *Proxy) SetHosts(hosts []string, reportDelay time.Duration) {
 	p.reportDelay.Store(int64(reportDelay))
-	p.divider.SetHosts(hosts)
+	if !p.sharersKnown.Load() {
+		p.divider.SetHosts(hosts)
+	}
 	count := max(1, len(hosts))
 	if p.hostCount.Swap(int64(count)) == int64(count) {
 		return
@@ -210,6 +213,15 @@
 	p.updateBudgetFloors()
 }
 
+// SetSharers sets those of the entry hosts among which the limits on instances are
+// divided, and whether this host uses its part. Until it is called, these are the hosts
+// of SetHosts.
+func (p *Proxy) SetSharers(sharers []string, own bool) {
+	p.sharersKnown.Store(true)
+	p.divider.SetIdle(!own)
+	p.divider.SetHosts(sharers)
+}
+
 // updateBudgetFloors divides the retry burst among the current hosts.
 func (p *Proxy) updateBudgetFloors() {
 	p.mu.Lock()
--- a/internal/share/divider.go
+++ b/internal/share/divider.go
@@ -16,7 +16,8 @@
 	hostID string
 
 	mu    sync.Mutex
-	hosts []string       // all entry hosts, this one included; empty until they are known
+	hosts []string       // those among which limits are divided, this one included; empty until they are known
+	idle  bool           // this host uses no part
 	ranks map[string]int // cached rank of this host among the hosts, by key
 }
 
@@ -43,6 +44,14 @@
 	clear(d.ranks)
 }
 
+// SetIdle sets whether this host uses no part of the limits: every part is 0 while it
+// does not.
+func (d *Divider) SetIdle(idle bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.idle = idle
+}
+
 // Known reports whether SetHosts was called.
 func (d *Divider) Known() bool {
 	d.mu.Lock()
@@ -56,7 +65,7 @@
 func (d *Divider) Share(key string, total int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.hosts) == 0 {
+	if len(d.hosts) == 0 || d.idle {
 		return 0
 	}
 	part := total / len(d.hosts)
@@ -75,7 +84,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sharing := min(float64(len(d.hosts)), math.Ceil(perSecond))
-	if sharing < 1 || float64(d.rank(key)) >= sharing {
+	if sharing < 1 || d.idle || float64(d.rank(key)) >= sharing {
 		return 0
 	}
 	return perSecond / sharing
--- a/internal/share/divider_test.go
+++ b/internal/share/divider_test.go
@@ -60,3 +60,14 @@
 	divider.SetHosts(nil)
 	assert.Equal(t, divider.Share("i-1", 10), 10)
 }
+
+// Guards against a stranded host that uses its part of a limit while the others use it.
+func TestIdleHostHasNoPart(t *testing.T) {
+	divider := share.NewDivider("host-0")
+	divider.SetHosts(hostIDs(3))
+	divider.SetIdle(true)
+	assert.Equal(t, divider.Share("i", 30), 0)
+	assert.Equal(t, divider.RateShare("i", 30), 0.0)
+	divider.SetIdle(false)
+	assert.Equal(t, divider.Share("i", 30), 10)
+}
