--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,13 +88,13 @@
 	uptime          func() time.Time // of confirmations
 	random          func() float64
 
-	hostCount    atomic.Int64 // entry hosts that share the limits
-	sharersKnown atomic.Bool  // SetSharers was called
-	reportDelay  atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
-	stopping     atomic.Bool
-	ending       context.Context // ends when the requests in flight must be answered
-	end          context.CancelFunc
-	inFlight     sync.WaitGroup
+	hostCount   atomic.Int64 // entry hosts that share the limits
+	sharersSet  atomic.Bool  // SetSharers was called
+	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
+	stopping    atomic.Bool
+	ending      context.Context // ends when the requests in flight must be answered
+	end         context.CancelFunc
+	inFlight    sync.WaitGroup
 
 	mu               sync.Mutex
 	budgets          map[string]*admission.RetryBudget // by service
@@ -203,7 +203,7 @@
 // the number of requests in flight at one host takes to reach all others.
 func (p *Proxy) SetHosts(hosts []string, reportDelay time.Duration) {
 	p.reportDelay.Store(int64(reportDelay))
-	if !p.sharersKnown.Load() {
+	if !p.sharersSet.Load() {
 		p.divider.SetHosts(hosts)
 	}
 	count := max(1, len(hosts))
@@ -217,7 +217,7 @@
 // divided, and whether this host uses its part. Until it is called, these are the hosts
 // of SetHosts.
 func (p *Proxy) SetSharers(sharers []string, own bool) {
-	p.sharersKnown.Store(true)
+	p.sharersSet.Store(true)
 	p.divider.SetIdle(!own)
 	p.divider.SetHosts(sharers)
 }
