--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,6 +166,7 @@
 	shared       *sharedState
 	front        *FrontServer
 	prober       *reach.Prober
+	sharersMu    sync.Mutex  // serialises updateSharers
 	reprobeNow   chan bool   // true to probe all instances, not only those marked unreachable
 	restored     atomic.Bool // the leader has yet to save the blocked parts again
 }
@@ -195,7 +196,7 @@
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
-	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded))
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded), exchange.WithSharersListener(g.updateSharers))
 	g.proxy.UsePeers(g.exchanger)
 	g.planner = planner.New(planner.Parts{
 		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
@@ -452,9 +453,7 @@
 		case <-ticker.C:
 			g.pool.Expire()
 			g.peerPool.Expire()
-			if g.exchanger.DirectoryLoaded() {
-				g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
-			}
+			g.updateSharers()
 			if g.planner.Leads() && g.restored.CompareAndSwap(true, false) {
 				g.parts.save(g.parts.ledger.AllBlocked(), nil)
 			}
