Repeat requests on new connections

A repeat opens a connection, so that one without a path is provably unsent and goes on to the next instance or to a peer. The test fails on the code before (the third call comes from the address of the first two).

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -312,8 +312,8 @@
 	response, err := p.pool.Do(ctx, dest.target(), upstream.Call{
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
 		// If a reused connection turns out to be closed, it is unknown whether
-		// the request has run.
-		NewConnection: !j.repeatable(),
+		// the request has run. A repeat has few attempts left for that.
+		NewConnection: !j.repeatable() || j.sends > 0,
 		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	if err == nil {
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -301,6 +301,29 @@
 	}
 }
 
+// Guards against attempts that are lost on connections which died together with the
+// one of a broken stream: a repeat that finds no path on a new one is provably unsent.
+func TestRepeatUsesANewConnection(t *testing.T) {
+	s := newSetup(t)
+	var callers []string // of the second endpoint
+	other := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+		callers = append(callers, request.RemoteAddr)
+		events(6, 0)(writer, request)
+	})
+	far := other.instance("i-2", "llm")
+	far.DataCentre = "dc-b"
+	s.register(far)
+	for n := range 2 {
+		got := s.send("/stream/x", func(request *http.Request) { request.Header.Set(headers.RequestID, strconv.Itoa(n)) })
+		assert.Equal(t, got.body, allEvents(6))
+	}
+	failing := newEndpoint(t, events(6, 3))
+	s.register(failing.instance("i-1", "llm"), far)
+	assert.Equal(t, s.send("/stream/x").body, allEvents(6))
+	assert.Equal(t, failing.runs.Load(), int64(1))
+	assert.Assert(t, len(callers) == 3 && callers[0] == callers[1] && callers[1] != callers[2], callers)
+}
+
 // Guards against demand that counts twice, or at a host that serves nothing.
 func TestDemandOfAForwardedRequestCountsOnce(t *testing.T) {
 	f := newFleet(t, 2)
