Report no requests in flight at instances that a host does not reach

Callers of the only host with paths were refused for as long as the requests of the two others took to time out: these hung at instances that never got them, and counted as in flight there, so that the instances looked full (result=full for 3.5 s).

--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -103,9 +103,7 @@
 // the peers.
 func (s *sharedState) Describe(request *exchangev1.ShareRequest, now time.Time) {
 	request.Stranded = s.gateway.paths.Stranded()
-	for id, requests := range s.gateway.tracker.OwnInFlight() {
-		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(requests)}) //nolint:gosec // a count of requests
-	}
+	s.describeUses(request, now)
 	for key, rate := range s.gateway.demand.Rates(now) {
 		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
 	}
@@ -136,6 +134,22 @@
 	s.losses = recent
 }
 
+// describeUses adds this host's requests in flight. Those at instances that it does not
+// reach are left out: the instance has answered them or never got them, and the other
+// hosts would take it for full until they time out here.
+func (s *sharedState) describeUses(request *exchangev1.ShareRequest, now time.Time) {
+	if request.GetStranded() {
+		return
+	}
+	view := s.gateway.roster.View()
+	for id, requests := range s.gateway.tracker.OwnInFlight() {
+		if entry, ok := view.Entries[id]; ok && view.Unreachable(entry.Instance, now) {
+			continue
+		}
+		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(requests)}) //nolint:gosec // a count of requests
+	}
+}
+
 // Apply updates what this host knows from a message of a peer.
 func (s *sharedState) Apply(request *exchangev1.ShareRequest, now time.Time) {
 	g := s.gateway
