--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -58,6 +58,12 @@
 	l.inFlight--
 }
 
+func (l *peerList) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
 func (l *peerList) AvoidPeer(id string, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -202,7 +208,7 @@
 				assert.Equal(t, e.received("Entry-Forwarded-By")+e.received("Entry-Sends")+e.received("Authorization"), "")
 			}
 			assert.Equal(t, strings.Join(runs, " "), each.runs)
-			assert.Equal(t, f.list.inFlight, 0)
+			assert.Equal(t, f.list.count(), 0)
 		})
 	}
 }
