--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -27,8 +27,10 @@
 	leads         bool
 	address       netip.AddrPort
 	registrations registrations
+	strandedPeers atomic.Int32 // times that peers became stranded
 
 	mu            sync.Mutex
+	paths         paths
 	confirmed     time.Time // received from the leader, or set by the test
 	next          int64
 	received      int
@@ -43,7 +45,23 @@
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
 func (h *host) Withdraw(context.Context, string) error                 { return nil }
 
+// paths is what a host sees of instances.
+type paths struct {
+	answers  bool // the instance in question
+	sound    bool
+	stranded bool
+}
+
+func (h *host) setPaths(seen paths) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.paths = seen
+}
+
 func (h *host) Describe(request *exchangev1.ShareRequest, _ time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	request.Stranded = h.paths.stranded
 	if h.uses > 0 {
 		request.Uses = []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: h.uses}}
 	}
@@ -55,7 +73,11 @@
 	return h.leads
 }
 
-func (h *host) Probe(context.Context, flamingodoor.Instance) (alive bool) { return true }
+func (h *host) Probe(context.Context, flamingodoor.Instance) (answers, sound bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.paths.answers, h.paths.sound
+}
 
 func (h *host) Apply(request *exchangev1.ShareRequest, _ time.Time) {
 	h.mu.Lock()
@@ -211,10 +233,14 @@
 // A host that does not serve accepts messages and never answers.
 type memory struct {
 	handlers map[string]http.Handler // by address; nil until the host serves
+	cut      sync.Map                // addresses that get no messages
 }
 
 func newMemory() *memory { return &memory{handlers: make(map[string]http.Handler)} }
 
+// cutOff makes the host at an address get no more messages.
+func (m *memory) cutOff(address netip.AddrPort) { m.cut.Store(address.String(), true) }
+
 func (m *memory) listen(*testing.T) (netip.AddrPort, func(http.Handler)) {
 	number := len(m.handlers) + 1
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number)}), 80)
@@ -229,7 +255,7 @@
 // RoundTrip delivers a message to the host at its address.
 func (m *memory) RoundTrip(request *http.Request) (*http.Response, error) {
 	handler := m.handlers[request.URL.Host]
-	if handler == nil {
+	if _, cut := m.cut.Load(request.URL.Host); cut || handler == nil {
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,9 +60,9 @@
 	// closeReserve is the part of the grace period that is left when the requests in
 	// flight are ended.
 	closeReserve = 550 * time.Millisecond
-	// maxPeerHeaderBytes bounds the head of a request of another host, of the load
-	// balancer or for metrics.
-	maxPeerHeaderBytes = 16 << 10
+	// maxInternalHeaderBytes bounds the head of a request of the load balancer or for
+	// metrics.
+	maxInternalHeaderBytes = 16 << 10
 	// lastAnswerTime is how long it may take to write the answers of these requests,
 	// and tasksEndTime how long the background tasks may take to end after that. Both
 	// are parts of closeReserve.
@@ -70,13 +70,6 @@
 	tasksEndTime   = 150 * time.Millisecond
 	// departureTimeout bounds the last messages to the platform.
 	departureTimeout = 500 * time.Millisecond
-	// probeTimeout bounds both probes of a member of a silent group. It is
-	// several times the delay between data centres.
-	probeTimeout = 320 * time.Millisecond
-	// secondProbeDelay separates the two probes. It is short, so that the
-	// second has nearly as much time as the first.
-	secondProbeDelay = 100 * time.Millisecond
-	probeAttempts    = 2
 	// noSlowdown is the slowdown of a member at normal speed, and the least
 	// that an inspection reports.
 	noSlowdown = 1.0
@@ -87,6 +80,7 @@
 	HostID      string
 	DataCentre  string
 	LinkMbps    int            // capacity of the host's network link
+	MemoryBytes int64          // of this process; 0 if not known
 	Front       netip.AddrPort // address for callers
 	Ready       netip.AddrPort // address for the load balancer's readiness checks
 	Peer        netip.AddrPort // address for other entry hosts
@@ -124,6 +118,8 @@
 // state about themselves in their responses.
 type InstanceClient interface {
 	flamingodoor.InstanceClient
+	// Health requests the health check of a plain service.
+	Health(ctx context.Context, address netip.AddrPort, path string) error
 	// Observe sets the function that gets these statements. It is called before
 	// the first request.
 	Observe(observe func(notice flamingodoor.InstanceNotice))
@@ -158,6 +154,7 @@
 	roster       *roster.Roster
 	tracker      *balance.Tracker
 	pool         *upstream.Pool
+	peerPool     *upstream.Pool
 	monitor      *stall.Monitor
 	crashTracker *poison.Ledger
 	parts        *partTracker
@@ -168,6 +165,9 @@
 	planner      *planner.Planner
 	shared       *sharedState
 	front        *FrontServer
+	prober       *reach.Prober
+	sharersMu    sync.Mutex  // serialises updateSharers
+	reprobeNow   chan bool   // true to probe all instances, not only those marked unreachable
 	restored     atomic.Bool // the leader has yet to save the blocked parts again
 }
 
@@ -176,16 +176,19 @@
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
 		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
-		crashTracker: poison.New(), demand: proxy.NewDemand(), paths: reach.New(),
+		peerPool:     upstream.New(platform.Headers.RequestID, upstream.WithFailureDetection()),
+		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan bool, 1),
 	}
+	g.paths = g.newPaths()
+	g.prober = g.newProber()
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
 	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now)
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
-		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: g.crashTracker,
-		PartTracker: g.parts, Paths: g.paths, Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }))
+		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
+		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	feeds := exchange.Feeds{
@@ -193,9 +196,10 @@
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
 	}
 	self := flamingodoor.EntryPeer{ID: settings.HostID, Address: settings.Peer, DataCentre: settings.DataCentre, LinkMbps: settings.LinkMbps}
-	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin))
+	g.exchanger = exchange.New(self, platform.Directory, feeds, g.shared, g.shared, logger, exchange.WithDrainBound(settings.DrainWithin), exchange.WithStrandedListener(g.onPeerStranded), exchange.WithSharersListener(g.updateSharers))
+	g.proxy.UsePeers(g.exchanger)
 	g.planner = planner.New(planner.Parts{
-		Catalogue: g.catalogue, Roster: g.roster, Instances: platform.Instances, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
+		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, StandsForElection: g.exchanger.StandsForElection,
@@ -217,6 +221,12 @@
 	g.platform.Followers.Refresh()
 }
 
+// onPeerStranded makes this host stand for election now, because a stranded peer that
+// led has resigned.
+func (g *Gateway) onPeerStranded() {
+	g.planner.Renew()
+}
+
 // SetLimits replaces the limits that all hosts share, after the settings
 // changed.
 func (g *Gateway) SetLimits(limits proxy.Limits) {
@@ -285,6 +295,8 @@
 		func() { g.platform.Followers.FollowConfiguration(background, g.configurationWaitTime) },
 		func() { g.platform.Followers.FollowRegistrations(background, g.registrationInterval) },
 		func() { g.monitor.Run(background) },
+		func() { g.paths.Run(background) },
+		func() { g.runReprobes(background) },
 		func() { g.exchanger.Run(background) },
 		func() { g.exchanger.RunDirectory(background) },
 		func() { g.planner.RunElection(planning, renewInterval) },
@@ -294,13 +306,17 @@
 	} {
 		tasks.Go(run)
 	}
+	peers, err := g.listenForPeers(background, g.settings.Peer)
+	if err != nil {
+		return err
+	}
 	servers, err := g.listen(background)
 	if err != nil {
 		return err
 	}
 	_ = level.Info(g.logger).Log("event", "started", "front", g.settings.Front, "ready", g.settings.Ready, "peer", g.settings.Peer)
 	<-ctx.Done()
-	g.stop(background, stopPlanning)
+	g.stop(background, stopPlanning, peers)
 	for _, server := range servers {
 		_ = server.Close() // no requests are in flight any more
 	}
@@ -327,8 +343,9 @@
 // stop marks this host as not ready, stops planning and announces the departure
 // of this host. It accepts connections for stopListenTime longer, so that the
 // load balancer notices, and then waits for the requests in flight. Those that are not
-// answered when the grace period ends get an error response.
-func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc) {
+// answered when the grace period ends get an error response. Requests of peers are
+// in flight like others.
+func (g *Gateway) stop(ctx context.Context, stopPlanning context.CancelFunc, peers *PeerServer) {
 	deadline := time.Now().Add(g.settings.StopGrace - closeReserve)
 	_ = level.Info(g.logger).Log("event", "stopping", "deadline", deadline.UTC())
 	g.proxy.Stop()
@@ -343,6 +360,9 @@
 	if err := g.front.Shutdown(shutdownCtx); err != nil {
 		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "err", err)
 	}
+	if err := peers.Shutdown(shutdownCtx); err != nil {
+		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "listener", "peer", "err", err)
+	}
 	_ = level.Info(g.logger).Log("event", "stopped")
 }
 
@@ -367,14 +387,13 @@
 		handler http.Handler
 	}{
 		{g.settings.Ready, g.readyHandler()},
-		{g.settings.Peer, g.exchanger.Handler()},
 		{g.settings.Metrics, g.metricsHandler()},
 	} {
 		listener, err := listenOnAddress(ctx, each.address)
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: each.handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxPeerHeaderBytes}
+		server := &http.Server{Handler: each.handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxInternalHeaderBytes}
 		servers = append(servers, server)
 		go g.serve(server, listener)
 	}
@@ -433,9 +452,8 @@
 			return
 		case <-ticker.C:
 			g.pool.Expire()
-			if g.exchanger.DirectoryLoaded() {
-				g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
-			}
+			g.peerPool.Expire()
+			g.updateSharers()
 			if g.planner.Leads() && g.restored.CompareAndSwap(true, false) {
 				g.parts.save(g.parts.ledger.AllBlocked(), nil)
 			}
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -25,6 +25,7 @@
 // about the instance that this request was meant for. Another instance responds
 // with status 421.
 func (p *Proxy) observeHead(instance flamingodoor.Instance, status int, header http.Header) {
+	p.paths.Heard(instance, p.now())
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
@@ -112,6 +113,12 @@
 	return p.holds.MayProbe(instance.ID, instance.StartedAt, p.now())
 }
 
+// Held reports whether the instance asked for no requests of this host.
+func (p *Proxy) Held(instance flamingodoor.Instance) bool {
+	_, held := p.holds.Until(instance.ID, instance.StartedAt, p.now())
+	return held
+}
+
 // heldError is returned if every instance that could take a job asked for no
 // requests, or for no more from this host.
 type heldError struct {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,11 @@
 	crashTracker    flamingodoor.CrashTracker
 	partTracker     flamingodoor.PartTracker
 	paths           flamingodoor.PathState
+	peers           flamingodoor.PeerSelector
+	peerPool        *upstream.Pool
+	takeovers       takeovers
+	forwards        forwardCounts
+	hostID          string
 	unbegun         unbegunAttempts
 	demand          *Demand
 	observer        Observer
@@ -89,10 +94,11 @@
 	random          func() float64
 
 	hostCount   atomic.Int64 // entry hosts that share the limits
+	sharersSet  atomic.Bool  // SetSharers was called
 	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
 	stopping    atomic.Bool
-	ending      context.Context // ends when the requests in flight must be answered
-	end         context.CancelFunc
+	requests    running // in flight
+	unanswered  running // attempts at instances that may be repeated
 	inFlight    sync.WaitGroup
 
 	mu               sync.Mutex
@@ -159,6 +165,7 @@
 	CrashTracker flamingodoor.CrashTracker
 	PartTracker  flamingodoor.PartTracker
 	Paths        flamingodoor.PathState
+	PeerPool     *upstream.Pool // to other entry hosts
 	Demand       *Demand
 	Logger       log.Logger
 }
@@ -171,13 +178,13 @@
 	p := &Proxy{
 		headers: parts.Headers, localDataCentre: parts.DataCentre, catalogue: parts.Catalogue,
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
-		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, demand: parts.Demand, logger: parts.Logger,
+		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
-	p.ending, p.end = context.WithCancel(context.Background())
+	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
 	for _, option := range options {
 		option(p)
 	}
@@ -202,7 +209,9 @@
 // the number of requests in flight at one host takes to reach all others.
 func (p *Proxy) SetHosts(hosts []string, reportDelay time.Duration) {
 	p.reportDelay.Store(int64(reportDelay))
-	p.divider.SetHosts(hosts)
+	if !p.sharersSet.Load() {
+		p.divider.SetHosts(hosts)
+	}
 	count := max(1, len(hosts))
 	if p.hostCount.Swap(int64(count)) == int64(count) {
 		return
@@ -210,6 +219,15 @@
 	p.updateBudgetFloors()
 }
 
+// SetSharers sets those of the entry hosts among which the limits on instances are
+// divided, and whether this host uses its part. Until it is called, these are the hosts
+// of SetHosts.
+func (p *Proxy) SetSharers(sharers []string, own bool) {
+	p.sharersSet.Store(true)
+	p.divider.SetIdle(!own)
+	p.divider.SetHosts(sharers)
+}
+
 // updateBudgetFloors divides the retry burst among the current hosts.
 func (p *Proxy) updateBudgetFloors() {
 	p.mu.Lock()
@@ -261,7 +279,7 @@
 // EndRequests answers the requests in flight now: this host stops before the
 // endpoints have answered them. Streams that have begun break off.
 func (p *Proxy) EndRequests() {
-	p.end()
+	p.requests.end(errStopping)
 }
 
 // Ready reports whether this host has loaded the configuration, the blocked
@@ -276,8 +294,14 @@
 	return p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin - revokeMargin))
 }
 
-// ServeHTTP authorises a request and proxies it to an instance.
+// ServeHTTP authorises a request and proxies it to an instance, or to a peer if
+// this host reaches none.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	p.serve(writer, request, origin{})
+}
+
+// serve serves a request of a caller, which may have come through another host.
+func (p *Proxy) serve(writer http.ResponseWriter, request *http.Request, from origin) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Done()
 	received := p.now()
@@ -303,7 +327,7 @@
 		p.rejectBody(writer, request, err)
 		return
 	}
-	j := p.newJob(request, index, route, workspace, body, received)
+	j := p.newJob(request, from, index, route, workspace, body, received)
 	if p.crashTracker.Blocked(j.fingerprint, received) {
 		p.refuse(writer, j, http.StatusServiceUnavailable, "crashes_endpoints", 0)
 		return
@@ -312,19 +336,18 @@
 		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
 		return
 	}
-	p.retryBudget(j.service.Name).CountRequest(received)
-	p.arrivalRates.add(j.key(), received)
 	ctx, end := context.WithCancelCause(request.Context())
 	defer end(nil)
-	defer context.AfterFunc(p.ending, func() { end(errStopping) })() //nolint:contextcheck // ends requests of all callers
+	p.requests.add(&j.request, end)
+	defer p.requests.remove(&j.request)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	writer = closingWriter{ResponseWriter: writer, stopping: &p.stopping}
+	if j.forwardedBy != "" {
+		defer limitWrites(writer, j.deadline)()
+		writer = takenOverWriter{ResponseWriter: writer, job: j}
+	}
 	if route.Kind == flamingodoor.RouteKindStreaming {
-		if !j.callerRetry {
-			// A caller's retry repeats demand that was counted before.
-			p.demand.Add(j.service, j.model, j.promptTokens, j.maxOutputTokens, received)
-		}
 		p.serveStream(ctx, writer, j)
 		return
 	}
