--- a/internal/exchange/hosts.go
+++ b/internal/exchange/hosts.go
@@ -65,3 +65,30 @@
 	}
 	return hosts
 }
+
+// setStranded records whether no instance answers a peer. The caller holds the
+// mutex.
+func (e *Exchanger) setStranded(peer *peerState, stranded bool) {
+	e.newlyStranded = e.newlyStranded || (stranded && !peer.stranded)
+	peer.stranded = stranded
+}
+
+// notifyStranded calls the listeners if a peer has become stranded, or the hosts that
+// use divided limits have changed, since the last call. A relay tells the other hosts
+// at once.
+func (e *Exchanger) notifyStranded() {
+	e.mu.Lock()
+	stranded, sharers, isRelay := e.newlyStranded, e.sharersChanged, e.isRelay(e.now())
+	e.newlyStranded, e.sharersChanged = false, false
+	e.mu.Unlock()
+	if sharers {
+		e.onSharers()
+	}
+	if !stranded {
+		return
+	}
+	if isRelay {
+		e.SendUrgent()
+	}
+	e.onStranded()
+}
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-	"golang.org/x/sync/errgroup"
-
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/internal/poison"
@@ -82,6 +79,11 @@
 		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving
 }
 
+// isLoss reports whether the report states that an instance did not answer.
+func (l lossReport) isLoss() bool {
+	return l.instanceID != "" && !l.alive && !l.leaving
+}
+
 func newSharedState(gateway *Gateway) *sharedState {
 	return &sharedState{gateway: gateway, demands: make(map[string]peerDemand)}
 }
@@ -94,6 +96,7 @@
 // Describe adds this host's work, demand, strikes and losses to a message to
 // the peers.
 func (s *sharedState) Describe(request *exchangev1.ShareRequest, now time.Time) {
+	request.Stranded = s.gateway.paths.Stranded()
 	for id, requests := range s.gateway.tracker.OwnInFlight() {
 		request.Uses = append(request.Uses, &exchangev1.InstanceUse{InstanceId: id, Requests: int32(requests)}) //nolint:gosec // a count of requests
 	}
@@ -156,10 +159,11 @@
 	delete(s.demands, hostID)
 }
 
-// Probe probes an instance on behalf of a peer that cannot reach it.
-func (s *sharedState) Probe(ctx context.Context, instance flamingodoor.Instance) bool {
-	_, alive := s.gateway.probe(ctx, instance)
-	return alive
+// Probe probes an instance on behalf of a peer that cannot reach it. This host's
+// paths are sound if another instance was heard since.
+func (s *sharedState) Probe(ctx context.Context, instance flamingodoor.Instance) (answers, sound bool) {
+	testimony := s.gateway.prober.Testify(ctx, instance)
+	return testimony.Answers, testimony.Sound
 }
 
 func (s *sharedState) applyDemand(request *exchangev1.ShareRequest, now time.Time) {
@@ -205,6 +209,7 @@
 	if lost {
 		g.endStreamsOfLostGroups(now)
 		g.tracker.Wake()
+		g.planner.Wake()
 	}
 }
 
@@ -293,94 +298,6 @@
 	return true
 }
 
-// inspect probes the members of a silent group. It marks those that do not
-// answer as lost and reports them to the peers. A member that asked for no
-// requests and was probed since is left out.
-func (g *Gateway) inspect(ctx context.Context, group *roster.Group) stall.Inspection {
-	var mu sync.Mutex
-	inspection := stall.Inspection{Slowdown: noSlowdown}
-	var probes errgroup.Group
-	for rank, member := range group.Members {
-		if member.ID == "" {
-			continue
-		}
-		if !g.proxy.MayProbe(member.Instance) {
-			inspection.HeadUnknown = inspection.HeadUnknown || rank == 0
-			continue
-		}
-		probes.Go(func() error {
-			report, alive := g.probe(ctx, member.Instance)
-			mu.Lock()
-			defer mu.Unlock()
-			inspection.Slowdown = max(inspection.Slowdown, report.Slowdown)
-			if !alive {
-				inspection.Lost = append(inspection.Lost, member.ID)
-			}
-			if rank == 0 {
-				inspection.HeadLoad = stall.HeadLoad{Running: report.Running, KVTokensUsed: report.KVTokensUsed}
-			}
-			return nil
-		})
-	}
-	_ = probes.Wait() // probes write to the inspection and return no errors
-	if len(inspection.Lost) > 0 {
-		g.markMembersLost(group, inspection.Lost)
-	}
-	_ = level.Info(g.logger).Log("event", "group_inspected", "group", group.Name, "epoch", group.Epoch,
-		"lost", len(inspection.Lost), "pace", inspection.Slowdown, "running", inspection.HeadLoad.Running, "memory", inspection.HeadLoad.KVTokensUsed)
-	return inspection
-}
-
-// probe asks an instance for its report, and asks again on a new connection
-// while the first answer is still awaited, so that one lost packet does not
-// count as a loss. It reports whether the process that registered the instance
-// answered, rather than another process at its address.
-func (g *Gateway) probe(ctx context.Context, instance flamingodoor.Instance) (report flamingodoor.InstanceReport, alive bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	type answer struct {
-		report flamingodoor.InstanceReport
-		err    error
-	}
-	answers := make(chan answer, probeAttempts)
-	requestReport := func() {
-		report, err := g.platform.Instances.Report(ctx, instance.Address)
-		answers <- answer{report, err}
-	}
-	go requestReport()
-	timer := time.NewTimer(secondProbeDelay)
-	defer timer.Stop()
-	for waiting := 1; waiting > 0; {
-		select {
-		case <-timer.C:
-			waiting++
-			go requestReport()
-		case received := <-answers:
-			waiting--
-			if received.err == nil {
-				sameProcess := received.report.StartedAt.IsZero() || instance.StartedAt.IsZero() || received.report.StartedAt.Equal(instance.StartedAt)
-				return received.report, sameProcess
-			}
-			_ = level.Info(g.logger).Log("event", "member_silent", "instance", instance.ID, "err", received.err)
-		}
-	}
-	return flamingodoor.InstanceReport{}, false
-}
-
-func (g *Gateway) markMembersLost(group *roster.Group, lost []string) {
-	now := time.Now()
-	var losses []lossReport
-	for _, member := range group.Members {
-		if slices.Contains(lost, member.ID) {
-			g.roster.MarkLost(member.ID, member.StartedAt, now)
-			losses = append(losses, lossReport{instanceID: member.ID, startedAt: member.StartedAt, at: now})
-		}
-	}
-	g.roster.Publish(now)
-	g.shared.publishLosses(losses...)
-	g.tracker.Wake()
-}
-
 // markAlive records that an instance answers although some host had marked it as
 // lost, and sends this to the peers.
 func (g *Gateway) markAlive(instance flamingodoor.Instance, at time.Time) {
@@ -404,12 +321,3 @@
 	g.roster.Publish(now)
 	g.shared.publishLosses(lossReport{group: key, retiring: true, at: now})
 }
-
-// markStalled records that a group makes no progress and sends this to the peers.
-func (g *Gateway) markStalled(key roster.GroupKey) {
-	now := time.Now()
-	_ = level.Info(g.logger).Log("event", "group_stalled", "group", key.Name, "epoch", key.Epoch)
-	g.roster.MarkStalled(key, now)
-	g.roster.Publish(now)
-	g.shared.publishLosses(lossReport{group: key, at: now})
-}
--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -12,21 +12,22 @@
 	"flamingodoor.example/flamingodoor/internal/roster"
 )
 
-// repeatedLeaveInterval is the time between two orders to leave to an instance of
-// a group whose head the planner has given up on.
+// repeatedLeaveInterval is the time between two orders to leave to a silent head that
+// is listed, or to an instance of a group whose head the planner has given up on.
 const repeatedLeaveInterval = time.Second
 
 // dissolution is the state of a group that is being dissolved. The instances of
 // the group are free once its head has left. If the planner gives up on the head,
 // which may still serve, each instance is free once it has left itself.
 type dissolution struct {
-	// Once the planner has given up on the head, orderedAt holds the latest order
-	// to leave of each instance, by ID.
+	// orderedAt holds the latest order to leave of each instance, by ID: of the head
+	// and, once the planner has given up on it, of the others.
 	orderedAt map[string]time.Time
 	retired   bool // all hosts were told to send nothing more to the head
 
 	mu        sync.Mutex
 	headLeft  bool
+	silent    bool                 // the head did not answer the latest order
 	abandoned bool                 // the planner has given up on the head
 	left      map[string]time.Time // process start of the instances that have left, by ID
 }
@@ -52,9 +53,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.headLeft = d.headLeft || state.left()
+	d.silent = state == headUnknown
 	d.abandoned = d.abandoned || state.unreachable()
 }
 
+// awaitsHead reports whether the latest order to the head had no answer.
+func (d *dissolution) awaitsHead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.silent
+}
+
 // recordLeft records that an instance has left the group.
 func (d *dissolution) recordLeft(instance flamingodoor.Instance) {
 	d.mu.Lock()
@@ -62,10 +71,10 @@
 	d.left[instance.ID] = instance.StartedAt
 }
 
-// mayOrder reports whether an instance of a group whose head the planner has
-// given up on may be ordered to leave now, and records that it is.
-func (d *dissolution) mayOrder(id string, now time.Time) bool {
-	if now.Sub(d.orderedAt[id]) < repeatedLeaveInterval {
+// mayOrder reports whether an instance may be ordered to leave again now, and records
+// that it is.
+func (d *dissolution) mayOrder(id string, now time.Time, interval time.Duration) bool {
+	if now.Sub(d.orderedAt[id]) < interval {
 		return false
 	}
 	d.orderedAt[id] = now
@@ -83,6 +92,8 @@
 // platform's store.
 func (p *Planner) headlessReason(group *roster.Group, now time.Time) string {
 	switch {
+	case !p.restoredAt.IsZero() && now.Before(p.restoredAt.Add(restoreSettleTime)):
+		return "" // the store may lack the head's registration and its record
 	case p.headHasOtherGroup(group):
 		return "head_in_other_group"
 	case p.headlessTooLong(group, now):
@@ -117,7 +128,8 @@
 	return now.Sub(since) > headlessTimeout
 }
 
-// dissolve orders the heads of ending groups to leave. A head that cannot be
+// dissolve orders the heads of ending groups to leave. A step does not wait for the
+// repeated orders to a silent head. A head that cannot be
 // reached may still serve, so the other members are ordered to leave as well:
 // without them it serves no request, and breaks.
 func (p *Planner) dissolve(ctx context.Context, view *roster.View, now time.Time) {
@@ -133,19 +145,19 @@
 		case left:
 		case head.ID == "":
 			ending.recordHead(headForgotten)
-		case !abandoned:
+		case !abandoned && !ending.awaitsHead():
+			ending.orderedAt[head.ID] = now
 			state := p.stateOf(head.Instance)
 			orders.Go(func() error {
 				p.endHead(ctx, view, group, state, ending, now)
 				return nil
 			})
-		case ending.mayOrder(head.ID, now):
+		case !abandoned && !head.Listed && ending.mayOrder(head.ID, now, probeInterval), ending.mayOrder(head.ID, now, repeatedLeaveInterval):
 			state := p.stateOf(head.Instance)
 			p.background(func() { p.endHead(ctx, view, group, state, ending, now) })
 		}
 	}
 	_ = orders.Wait() // results are stored in the dissolutions
-	p.releaseMembers(ctx, view, now)
 }
 
 // endHead orders the head of an ending group to leave, and records the result.
@@ -178,7 +190,7 @@
 				continue
 			}
 			_, repeated := ending.orderedAt[member.ID]
-			if !ending.mayOrder(member.ID, now) {
+			if !ending.mayOrder(member.ID, now, repeatedLeaveInterval) {
 				continue
 			}
 			state := p.stateOf(member.Instance)
@@ -211,7 +223,7 @@
 	headAnswers                    // it answers and may still serve
 	headLeft                       // it has left the group
 	headReplaced                   // another process answers at its address
-	headRefuses                    // its address refuses connections
+	headRefuses                    // its address refuses the connections of all hosts
 	headUnlisted                   // it is not listed and answers no host
 	headForgotten                  // it is not known
 )
@@ -265,8 +277,8 @@
 }
 
 // probeHead reports whether a head answers or another process does so at its
-// address. If neither does, it is given up on where its port is closed, or where
-// it is not listed and answers no other host. A head that lost its connections to
+// address. If neither does, and it answers no other host, it is given up on where its
+// port is closed or where it is not listed. A head that lost its connections to
 // the platform's store and to some hosts may still serve the other hosts.
 func (p *Planner) probeHead(ctx context.Context, head roster.Entry) headState {
 	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -277,15 +289,24 @@
 		return headReplaced
 	case err == nil:
 		return headAnswers
-	case connectionRefused(err):
+	case connectionRefused(err) && p.reachedByNone(ctx, head.Instance):
 		return headRefuses
-	case !head.Listed && !p.ReachedElsewhere(ctx, head.Instance):
+	case connectionRefused(err):
+		return headUnknown
+	case !head.Listed && p.reachedByNone(ctx, head.Instance):
 		return headUnlisted
 	default:
 		return headUnknown
 	}
 }
 
+// reachedByNone reports whether an instance that does not answer this host is known to
+// answer no peer either.
+func (p *Planner) reachedByNone(ctx context.Context, instance flamingodoor.Instance) bool {
+	reached, known := p.ReachedElsewhere(ctx, instance)
+	return known && !reached
+}
+
 // isOtherProcess reports whether a report comes from a process other than the
 // registered one. A field that either of them lacks says nothing about it.
 func isOtherProcess(reported, registered flamingodoor.Instance) bool {
