--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -79,11 +79,6 @@
 		l.retiring == other.retiring && l.alive == other.alive && l.leaving == other.leaving
 }
 
-// isLoss reports whether the report states that an instance did not answer.
-func (l lossReport) isLoss() bool {
-	return l.instanceID != "" && !l.alive && !l.leaving
-}
-
 func newSharedState(gateway *Gateway) *sharedState {
 	return &sharedState{gateway: gateway, demands: make(map[string]peerDemand)}
 }
--- a/internal/proxy/forward_rules_test.go
+++ b/internal/proxy/forward_rules_test.go
@@ -29,7 +29,7 @@
 	f := newFleet(t, 2)
 	var runs atomic.Int64
 	for n, peer := range f.peers {
-		var instances []flamingodoor.Instance
+		instances := make([]flamingodoor.Instance, 0, 2)
 		for k, last := range []int{2, 4} {
 			count := func(last int) func(http.ResponseWriter, *http.Request) {
 				return func(writer http.ResponseWriter, request *http.Request) {
@@ -69,7 +69,7 @@
 		f := newFleet(t, 2)
 		var first, second atomic.Value
 		for n, seen := range []*atomic.Value{&first, &second} {
-			var instances []flamingodoor.Instance
+			instances := make([]flamingodoor.Instance, 0, 2)
 			for _, service := range []string{"llm", "llm2"} {
 				e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
 					seen.Store(service)
--- a/internal/upstream/detection_test.go
+++ b/internal/upstream/detection_test.go
@@ -30,9 +30,9 @@
 			accepted <- connection
 		}
 	}()
-	dialed, err := upstream.Dialer(upstream.WithFailureDetection()).DialContext(t.Context(), "tcp", listener.Addr().String())
+	caller, err := upstream.Dialer(upstream.WithFailureDetection()).DialContext(t.Context(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
-	for side, connection := range map[string]net.Conn{"dialed": dialed, "accepted": <-accepted} {
+	for side, connection := range map[string]net.Conn{"caller": caller, "accepted": <-accepted} {
 		defer func() { _ = connection.Close() }()
 		idle, interval, count := option(t, connection, syscall.TCP_KEEPIDLE), option(t, connection, syscall.TCP_KEEPINTVL), option(t, connection, syscall.TCP_KEEPCNT)
 		assert.Equal(t, idle+count*interval, 3, "%s: seconds until the connection ends", side)
