--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -108,17 +108,17 @@
 func TestUnreachableInstances(t *testing.T) {
 	next := start.Add(time.Second)
 	for name, test := range map[string]struct {
-		id          string
-		change      func(r *roster.Roster)
-		serves      bool
-		unreachable int
+		id              string
+		change          func(r *roster.Roster)
+		headUnreachable bool
+		unreachable     int
 	}{
-		"head":             {"i-0", func(*roster.Roster) {}, false, 1},
-		"other member":     {"i-1", func(*roster.Roster) {}, true, 1},
-		"reached again":    {"i-0", func(r *roster.Roster) { assert.Assert(t, r.MarkReached("i-0", start, next)) }, true, 0},
-		"reached before":   {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start, start.Add(-1))) }, false, 1},
-		"earlier process":  {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start.Add(-time.Hour), next)) }, false, 1},
-		"mark not renewed": {"i-0", func(*roster.Roster) { next = start.Add(time.Minute) }, true, 0},
+		"head":             {"i-0", func(*roster.Roster) {}, true, 1},
+		"other member":     {"i-1", func(*roster.Roster) {}, false, 1},
+		"reached again":    {"i-0", func(r *roster.Roster) { assert.Assert(t, r.MarkReached("i-0", start, next)) }, false, 0},
+		"reached before":   {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start, start.Add(-1))) }, true, 1},
+		"earlier process":  {"i-0", func(r *roster.Roster) { assert.Assert(t, !r.MarkReached("i-0", start.Add(-time.Hour), next)) }, true, 1},
+		"mark not renewed": {"i-0", func(*roster.Roster) { next = start.Add(time.Minute) }, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			next = start.Add(time.Second)
@@ -128,7 +128,7 @@
 			r.Publish(next)
 			view, current := group(t, r)
 			assert.Assert(t, view.Serving(current, 3, next), "the group is not lost")
-			assert.Equal(t, view.ServesHere(current, 3, next), test.serves)
+			assert.Equal(t, view.Unreachable(current.Head().Instance, next), test.headUnreachable)
 			assert.Equal(t, len(view.UnreachableInstances(next)), test.unreachable)
 		})
 	}
--- a/internal/roster/unreachable.go
+++ b/internal/roster/unreachable.go
@@ -36,12 +36,6 @@
 	return instances
 }
 
-// ServesHere reports whether the group may receive requests of this host: it is
-// serving, and this host reaches its head.
-func (v *View) ServesHere(group *Group, size int, now time.Time) bool {
-	return v.Serving(group, size, now) && !v.Unreachable(group.Head().Instance, now)
-}
-
 // MarkUnreachable records that a process of an instance did not answer this host
 // at a time, and reports whether that is new.
 func (r *Roster) MarkUnreachable(id string, startedAt, at time.Time) bool {
