--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -126,6 +126,7 @@
 	peersByHash     map[uint32]*peerState // by hostHash
 	sequence        uint64
 	leaving         bool
+	answeredAt      time.Time // when a peer last answered a message
 	newlyStranded   bool      // a peer became stranded and onStranded was not called yet
 	sharersChanged  bool      // onSharers was not called yet
 	strandedAt      time.Time // the latest message that says that this host is stranded
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -12,6 +12,10 @@
 	"flamingodoor.example/flamingodoor/internal/upstream"
 )
 
+// peerIdleTimeout is how long a connection of another host may be idle. It is longer
+// than a rotation over all hosts, so that the connections for messages stay open.
+const peerIdleTimeout = 15 * time.Second
+
 // maxPeerHeaderBytes bounds the head of a request of another host, which may be that
 // of a caller.
 const maxPeerHeaderBytes = 64 << 10
@@ -29,7 +33,7 @@
 func NewPeerServer(handler http.Handler) *PeerServer {
 	p := &PeerServer{active: make(map[net.Conn]struct{})}
 	p.http = http.Server{
-		Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: p.setState,
+		Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: p.setState,
 		// An OPTIONS request is routed like any other.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -23,7 +23,8 @@
 	return reach.New(reach.WithProbe(func(ctx context.Context, instance flamingodoor.Instance) bool {
 		_, err := g.report(ctx, instance)
 		return err == nil
-	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange), reach.WithPartialListener(func() { g.requestReprobe(true) }))
+	}), reach.WithInstances(g.probeCandidates), reach.WithListener(g.onPathChange),
+		reach.WithControl(func(since time.Time) bool { return g.exchanger.AnsweredSince(since) }), reach.WithPartialListener(func() { g.requestReprobe(true) }))
 }
 
 // requestReprobe has the unreachable instances probed at once, or all instances.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -96,6 +96,14 @@
 		return destination{}, errNoPath
 	}
 	peer, ok := p.peers.NextPeer(j.failedPeers, now)
+	if !ok && len(j.brokenPeers) > 0 {
+		// Their instances broke off streams: they may have others.
+		for _, id := range j.brokenPeers {
+			delete(j.failedPeers, id)
+		}
+		j.brokenPeers = nil
+		peer, ok = p.peers.NextPeer(j.failedPeers, now)
+	}
 	if !ok {
 		return destination{}, errNoPath
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -56,6 +56,7 @@
 	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
 	priority        int                       // 0 to 9, 0 is the most urgent
 	authorization   string                    // credentials of the caller
+	brokenPeers     []string                  // of failedPeers, those that broke off after some events
 	version         int64                     // of the configuration that the route is from
 	forwardedBy     string                    // host that the caller sent the request to; empty if it is this one
 
@@ -183,12 +184,16 @@
 // chosenService returns the service that the host which forwards the request has
 // chosen, if the route still leads there, or else selects one.
 func chosenService(route *flamingodoor.Route, forwarded string, random float64) string {
-	if slices.ContainsFunc(route.Split, func(share flamingodoor.SplitShare) bool { return share.Service == forwarded }) {
+	if leadsTo(route, forwarded) {
 		return forwarded
 	}
 	return pickService(route, random)
 }
 
+func leadsTo(route *flamingodoor.Route, service string) bool {
+	return slices.ContainsFunc(route.Split, func(share flamingodoor.SplitShare) bool { return share.Service == service })
+}
+
 // pickService selects a service by the weights of the route. `random` is a number
 // from 0 to 1.
 func pickService(route *flamingodoor.Route, random float64) string {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -318,6 +318,11 @@
 		return
 	}
 	route, workspace, status, reason := p.authorise(index, request)
+	if index.Version < from.version && (status != 0 || !leadsTo(route, from.service)) {
+		// The host that forwards the request has accepted it by a newer configuration.
+		p.writeDecline(writer, request.Header.Get(p.headers.RequestID))
+		return
+	}
 	if status != 0 {
 		p.reject(writer, request, status, reason, shortRetryAfter)
 		return
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -54,6 +54,7 @@
 			p.endWithoutSlot(ctx, client, j, err)
 			return
 		}
+		eventsBefore := client.events
 		result := p.streamAttempt(ctx, j, dest, client)
 		p.release(dest)
 		j.responseStarted = client.started || j.responseStarted
@@ -71,6 +72,9 @@
 			return
 		}
 		j.exclude(dest)
+		if dest.peer != nil && client.events > eventsBefore {
+			j.brokenPeers = append(j.brokenPeers, dest.peer.ID)
+		}
 		until = p.now().Add(maxResumeWait)
 	}
 }
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -112,7 +112,7 @@
 func (p *Proxy) serveForwarded(writer http.ResponseWriter, request *http.Request) {
 	from, id := originOf(request.Header), request.Header.Get(p.headers.RequestID)
 	bytes := max(0, request.ContentLength)
-	reason := p.declineReason(request, from, bytes)
+	reason := p.declineReason(request, bytes)
 	if reason == "" && !p.takeovers.begin(bytes) {
 		reason = "taken_over_too_many"
 	}
@@ -130,7 +130,7 @@
 
 // declineReason returns why this host serves no requests of peers now, or "" if it
 // does.
-func (p *Proxy) declineReason(request *http.Request, from origin, bytes int64) string {
+func (p *Proxy) declineReason(request *http.Request, bytes int64) string {
 	index := p.catalogue.Index()
 	switch {
 	case request.Header.Get(forwardedToHeader) != p.hostID:
@@ -141,9 +141,6 @@
 		return "not_ready"
 	case p.paths.Stranded():
 		return "stranded"
-	case index.Version < from.version:
-		// It may lack the route or key that the other host has accepted.
-		return "configuration_older"
 	case request.ContentLength < 0 || bytes > bodyLimit(index):
 		return "body"
 	default:
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -58,6 +58,13 @@
 	return func(p *Paths) { p.instances = instances }
 }
 
+// WithControl sets the function that reports whether another host has answered this one
+// since the given time. If none has, this host may be starved of processor time, and
+// that no instance answers shows nothing.
+func WithControl(answered func(since time.Time) bool) Option {
+	return func(p *Paths) { p.control = answered }
+}
+
 // WithListener sets the function that is called after each change.
 func WithListener(changed func(change Change)) Option {
 	return func(p *Paths) { p.changed = changed }
@@ -80,6 +87,7 @@
 	probe     Probe
 	instances func() []flamingodoor.Instance
 	changed   func(change Change)
+	control   func(since time.Time) bool
 	partial   func()
 	now       func() time.Time
 	seed      maphash.Seed
@@ -121,7 +129,7 @@
 // New returns the paths of a host that has had no failure.
 func New(options ...Option) *Paths {
 	p := &Paths{
-		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, partial: func() {}, now: time.Now,
+		instances: func() []flamingodoor.Instance { return nil }, changed: func(Change) {}, control: func(time.Time) bool { return true }, partial: func() {}, now: time.Now,
 		seed: maphash.MakeSeed(), suspected: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -216,7 +224,8 @@
 	if p.stranded.Load() || len(failed) < 2 || len(p.instances()) == 0 {
 		return
 	}
-	if p.anyAnswersWithin(ctx, failed) || ctx.Err() != nil {
+	begun := p.now()
+	if p.anyAnswersWithin(ctx, failed) || ctx.Err() != nil || !p.control(begun) {
 		return
 	}
 	if !p.latestHeard().Before(since) {
