--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,7 +19,6 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"golang.org/x/sync/errgroup"
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
@@ -55,9 +54,6 @@
 	directoryInterval = 30 * time.Second
 	// directoryRetryDelay is the wait after a failed read of the list.
 	directoryRetryDelay = time.Second
-	// reachPeersPerDataCentre is how many peers of each data centre get a
-	// request to probe an instance that this host cannot reach.
-	reachPeersPerDataCentre = 4
 	// feedShare is the share of the time within which an instance that leaves must
 	// get no more requests for which a read of the leader replaces those of other
 	// hosts, beside the time of the hops. It covers the interval of the leader's
@@ -98,9 +94,9 @@
 	// Forget discards the work that was applied under a host identifier, or
 	// under the name that stands for a relay's summary.
 	Forget(hostID string, now time.Time)
-	// Probe reports whether the instance answers. Another process at the same
-	// address does not count.
-	Probe(ctx context.Context, instance flamingodoor.Instance) bool
+	// Probe reports whether the instance answers, and whether this host's paths to
+	// other instances are sound. Another process at the same address does not count.
+	Probe(ctx context.Context, instance flamingodoor.Instance) (answers, sound bool)
 }
 
 // Exchanger exchanges state with the other entry hosts.
@@ -118,6 +114,8 @@
 	now           func() time.Time
 	uptime        func() time.Time // of confirmations
 	wake          chan struct{}    // starts the next round at once
+	onStranded    func()           // called after a peer has become stranded
+	onSharers     func()           // called after the hosts that use divided limits changed
 	calls         sync.WaitGroup
 	copying       atomic.Bool // a configuration is being copied
 	announced     atomic.Bool // this host is in the platform's list of hosts
@@ -128,7 +126,10 @@
 	peersByHash     map[uint32]*peerState // by hostHash
 	sequence        uint64
 	leaving         bool
-	directoryLoaded bool // the list of hosts was read at least once
+	newlyStranded   bool      // a peer became stranded and onStranded was not called yet
+	sharersChanged  bool      // onSharers was not called yet
+	strandedAt      time.Time // the latest message that says that this host is stranded
+	directoryLoaded bool      // the list of hosts was read at least once
 	duty            relayDuty
 	localOffset     int // of the rotation over the peers of this data centre
 	remoteOffset    int // of the rotation over the peers of other data centres
@@ -146,12 +147,16 @@
 	added        time.Time                 // when this host first knew its address
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
+	stranded     bool                      // no instance answers it, as of its latest message
+	sharesAgain  time.Time                 // until then it uses no part of the divided limits
+	knowsSound   bool                      // the message that it answered last says that this host is not stranded
 	started      int64                     // process start in Unix milliseconds, as in its latest message
 	sequence     uint64                    // of its latest message
 	lastResponse *exchangev1.ShareResponse // to the latest message that was answered
 	inFlight     atomic.Bool               // a message is under way and not answered
 	urgent       bool                      // a change since its latest message must be sent at once
 	reported     reportedWork              // the work in its latest message
+	forwards     forwardState              // requests that this host forwards to it
 	// summarisedUntil is until when summaries of relays include its work.
 	summarisedUntil time.Time
 }
@@ -187,6 +192,18 @@
 	return func(e *Exchanger) { e.client.Transport = transport }
 }
 
+// WithStrandedListener sets the function that is called after a peer has become
+// stranded.
+func WithStrandedListener(onStranded func()) Option {
+	return func(e *Exchanger) { e.onStranded = onStranded }
+}
+
+// WithSharersListener sets the function that is called after the hosts that use divided
+// limits have changed. A message that changes them is answered after that.
+func WithSharersListener(onSharers func()) Option {
+	return func(e *Exchanger) { e.onSharers = onSharers }
+}
+
 // New returns an exchanger for the host self, without peers. It exchanges state
 // once Run and RunDirectory are called.
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
@@ -195,7 +212,7 @@
 		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
-		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary),
+		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {}, onSharers: func() {},
 	}
 	for _, option := range options {
 		option(e)
@@ -219,70 +236,13 @@
 		e.sink.Apply(message, now)
 		e.applySummary(request.Msg, now)
 	}
+	e.notifyStranded()
 	e.applyFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	return connect.NewResponse(&exchangev1.ShareResponse{
 		RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock(),
 	}), nil
 }
 
-// Reach probes an instance on behalf of a host that cannot reach it.
-func (e *Exchanger) Reach(ctx context.Context, request *connect.Request[exchangev1.ReachRequest]) (*connect.Response[exchangev1.ReachResponse], error) {
-	address, err := netip.ParseAddrPort(request.Msg.GetAddress())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	answers := e.sink.Probe(ctx, flamingodoor.Instance{
-		ID: request.Msg.GetInstanceId(), Address: address, StartedAt: time.UnixMilli(request.Msg.GetBornMs()),
-	})
-	return connect.NewResponse(&exchangev1.ReachResponse{Answers: answers}), nil
-}
-
-// ReachedElsewhere reports whether a peer gets an answer from an instance that
-// this host cannot reach.
-func (e *Exchanger) ReachedElsewhere(ctx context.Context, instance flamingodoor.Instance) bool {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	request := &exchangev1.ReachRequest{
-		InstanceId: instance.ID, Address: instance.Address.String(), BornMs: instance.StartedAt.UnixMilli(),
-	}
-	var reached atomic.Bool
-	var calls errgroup.Group
-	for _, peer := range e.recentPeers() {
-		calls.Go(func() error {
-			response, err := peer.client.Reach(ctx, connect.NewRequest(request))
-			if err != nil {
-				_ = level.Debug(e.logger).Log("event", "reach_failed", "peer", peer.ID, "err", err)
-				return nil
-			}
-			if response.Msg.GetAnswers() {
-				reached.Store(true)
-				cancel()
-			}
-			return nil
-		})
-	}
-	_ = calls.Wait() // failed calls are logged and count as no answer
-	return reached.Load()
-}
-
-// recentPeers returns up to reachPeersPerDataCentre peers of each data centre
-// from which a message, or a summary with their work, arrived within
-// peerTimeout.
-func (e *Exchanger) recentPeers() []*peerState {
-	now := e.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	counts := make(map[string]int)
-	var recent []*peerState
-	for _, peer := range e.peers {
-		if now.Sub(peer.lastSeen) < peerTimeout && counts[peer.DataCentre] < reachPeersPerDataCentre {
-			counts[peer.DataCentre]++
-			recent = append(recent, peer)
-		}
-	}
-	return recent
-}
-
 // acceptMessage records the sender's state and reports whether the message is
 // newer than those received before. If relays include the sender's work in
 // their summaries, the returned message omits it, because it would count twice.
@@ -305,6 +265,8 @@
 	known.LinkMbps = int(message.GetLinkMbps())
 	known.started, known.sequence, known.lastSeen = message.GetStartedMs(), message.GetSequence(), now
 	known.left = message.GetLeaving()
+	e.setStranded(known, message.GetStranded())
+	e.setSharing(known, message.GetStranded(), now)
 	known.reported = reportedWork{uses: message.GetUses(), demands: message.GetDemands(), at: now}
 	if known.left {
 		known.lastSeen, known.summarisedUntil, known.reported = time.Time{}, time.Time{}, reportedWork{}
@@ -322,8 +284,8 @@
 		HostId: message.GetHostId(), StartedMs: message.GetStartedMs(), Sequence: message.GetSequence(), Uses: message.GetUses(),
 		Losses: message.GetLosses(), Demands: message.GetDemands(), Strikes: message.GetStrikes(), Leaving: message.GetLeaving(),
 		PartCrashes: message.GetPartCrashes(), PartsBegun: message.GetPartsBegun(), BlockedParts: message.GetBlockedParts(),
-		RateLimits: message.GetRateLimits(),
-		Address:    message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
+		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(),
+		Address: message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
 	}
 }
 
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -93,12 +93,12 @@
 			return
 		}
 		response, result := p.attempt(ctx, j, dest)
-		p.tracker.Release(dest.instance.ID)
+		p.release(dest)
 		switch {
 		case result == outcomeCallerLeft:
 			p.recordFinished(j, "caller_left", 0, 0)
 			return
-		case result == outcomeDone && (response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
+		case result == outcomeDone && (dest.peer != nil || response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
 			p.deliver(ctx, writer, j, response)
 			return
 		case result == outcomeDone:
@@ -108,14 +108,15 @@
 			p.respondFailed(ctx, writer, j)
 			return
 		}
-		j.failedInstances[dest.instance.ID] = true
+		j.exclude(dest)
 		j.waitUntil = p.now().Add(j.route.LatencyObjective / waitDivisor)
 	}
 }
 
 // mayRepeat reports whether another attempt is allowed, and takes it from the
 // retry budget if the job was sent before. The grant is kept until the job is
-// sent.
+// sent. The budget of a peer may grant it too if this host can only forward the job,
+// or if its caller has a part of the response.
 func (p *Proxy) mayRepeat(ctx context.Context, j *job) bool {
 	now := p.now()
 	if ctx.Err() != nil || j.deadline.Sub(now) < minAttemptTime {
@@ -133,7 +134,13 @@
 	if j.sends-j.exemptSends >= j.route.MaxAttempts {
 		return false
 	}
-	j.retryGranted = j.retryGranted || p.retryBudget(j.service.Name).TryRetry(now)
+	return p.grantRetry(j, now) || (j.forwardedBy == "" && (j.responseStarted || p.paths.Stranded()))
+}
+
+// grantRetry reports whether the retry budget has granted the next send, if the job
+// was sent before.
+func (p *Proxy) grantRetry(j *job, now time.Time) bool {
+	j.retryGranted = j.retryGranted || j.sends == 0 || p.retryBudget(j.service.Name).TryRetry(now)
 	return j.retryGranted
 }
 
@@ -162,8 +169,16 @@
 	switch {
 	case ctx.Err() != nil || j.mayHaveRun:
 		p.respondFailed(ctx, writer, j)
+	case errors.Is(err, errNoRetry) && j.forwardedBy != "":
+		p.decline(writer, j, "no_retry")
+	case errors.Is(err, errNoRetry):
+		p.respondFailed(ctx, writer, j)
 	case errors.Is(err, errPartBlocked):
 		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
+	case errors.Is(err, errNoPath) && j.forwardedBy != "":
+		p.decline(writer, j, "no_path")
+	case errors.Is(err, errNoPath):
+		p.refuse(writer, j, http.StatusServiceUnavailable, "no_path", delay)
 	case errors.Is(err, errNoInstance):
 		p.refuse(writer, j, http.StatusServiceUnavailable, "no_instance", delay)
 	default:
@@ -171,10 +186,19 @@
 	}
 }
 
-// attempt sends the job to an instance and buffers the response.
+// attempt sends the job to an instance, or to a peer, and buffers the response.
 func (p *Proxy) attempt(ctx context.Context, j *job, dest destination) (bufferedResponse, outcome) {
+	if dest.peer != nil {
+		return p.attemptAtPeer(ctx, j, *dest.peer)
+	}
+	if j.repeatable() {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		p.awaitResponse(j, cancel)
+	}
 	sendsBefore := j.sends
 	response, err := p.send(ctx, j, dest, j.lastEventID)
+	p.unanswered.remove(&j.unanswered)
 	if err != nil {
 		if j.sends > sendsBefore {
 			p.reportUnbegun(ctx, j, dest)
@@ -288,8 +312,8 @@
 	response, err := p.pool.Do(ctx, dest.target(), upstream.Call{
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
 		// If a reused connection turns out to be closed, it is unknown whether
-		// the request has run.
-		NewConnection: !j.repeatable(),
+		// the request has run. A repeat has few attempts left for that.
+		NewConnection: !j.repeatable() || j.sends > 0,
 		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	if err == nil {
@@ -304,7 +328,7 @@
 }
 
 // handleSendError returns the outcome of an attempt that received no response. An
-// instance that could not be reached is marked as lost.
+// instance that could not be reached gets nothing more from this host for a while.
 func (p *Proxy) handleSendError(ctx context.Context, j *job, dest destination, err error) outcome {
 	var failure *upstream.CallError
 	if errors.As(err, &failure) && !failure.Sent {
@@ -326,6 +350,9 @@
 	j.cause = "broken"
 	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "instance", dest.instance.ID,
 		"cause", context.Cause(ctx), "err", err)
+	if context.Cause(ctx) == nil && isConnectionError(err) {
+		p.paths.Failed(dest.instance, p.now())
+	}
 	return p.callerLeftOr(ctx, outcomeFailed)
 }
 
@@ -338,13 +365,20 @@
 	return otherwise
 }
 
-// markUnreachable marks an instance as lost in the roster.
+// markUnreachable makes this host send nothing more to an instance for a while.
 func (p *Proxy) markUnreachable(dest destination) {
 	now := p.now()
-	p.roster.MarkLost(dest.instance.ID, dest.instance.StartedAt, now)
+	p.paths.Failed(dest.instance, now)
+	p.roster.MarkUnreachable(dest.instance.ID, dest.instance.StartedAt, now)
 	p.roster.Publish(now)
 }
 
+// isConnectionError reports whether a call failed because its connection broke.
+// Errors with a code of their own are about what the endpoint sent.
+func isConnectionError(err error) bool {
+	return flamingodoor.CodeOf(err) == flamingodoor.CodeInternal
+}
+
 // deliver sends a response to the caller. It streams what is not buffered, and
 // closes the caller's connection if that breaks off, so that the response does
 // not look complete.
@@ -396,6 +430,8 @@
 func copyResponseHeader(to, from http.Header) {
 	from = from.Clone()
 	removeHopHeaders(from)
+	from.Del(answerHeader)
+	from.Del(sendsHeader)
 	for name, values := range from {
 		to[name] = values
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -54,6 +55,9 @@
 	fingerprint     flamingodoor.Fingerprint
 	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
 	priority        int                       // 0 to 9, 0 is the most urgent
+	authorization   string                    // credentials of the caller
+	version         int64                     // of the configuration that the route is from
+	forwardedBy     string                    // host that the caller sent the request to; empty if it is this one
 
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
@@ -63,6 +67,11 @@
 	mayHaveRun      bool            // an endpoint may have run the request
 	suspected       bool            // an endpoint may have crashed because of the request
 	failedInstances map[string]bool // not tried again
+	failedPeers     map[string]bool // not tried again; nil if there is none
+	declines        int             // by peers in a row
+	counted         bool            // as a request, here or at another host
+	request         runningEntry    // of Proxy.requests
+	unanswered      runningEntry    // of Proxy.unanswered
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
 	placedAt        time.Time       // first slot reserved
@@ -119,7 +128,7 @@
 
 // newJob returns the job of a request. It drops the credentials and the caller's
 // values of headers that only the proxy may set.
-func (p *Proxy) newJob(request *http.Request, index *catalogue.Index, route *flamingodoor.Route, workspace *flamingodoor.Workspace, body []byte, received time.Time) *job {
+func (p *Proxy) newJob(request *http.Request, from origin, index *catalogue.Index, route *flamingodoor.Route, workspace *flamingodoor.Workspace, body []byte, received time.Time) *job {
 	header := request.Header.Clone()
 	removeHopHeaders(header)
 	for _, name := range []string{
@@ -127,11 +136,15 @@
 	} {
 		header.Del(name)
 	}
+	for _, name := range forwardHeaders {
+		header.Del(name)
+	}
 	j := &job{
 		id: request.Header.Get(p.headers.RequestID), route: route, receivedAt: received,
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
-		priority: route.Priority, failedInstances: make(map[string]bool),
+		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
+		version: index.Version, forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
 	if workspace != nil {
 		j.workspace = workspace.Name
@@ -140,11 +153,11 @@
 			j.priority = workspace.Priority
 		}
 	}
-	j.service = index.Services[pickService(route, p.random())]
+	j.service = index.Services[chosenService(route, from.service, p.random())]
 	j.promptTokens, j.maxOutputTokens = parseTokens(request.Header.Get(p.headers.Tokens))
 	j.deadline = received.Add(route.Timeout)
 	if allowed, ok := parseMilliseconds(request.Header.Get(p.headers.DeadlineMS)); ok {
-		j.callerRetry = p.isCallerRetry(route.Name, allowed)
+		j.callerRetry = from.callerRetry || (from.host == "" && p.isCallerRetry(route.Name, allowed))
 		if limit := received.Add(allowed); limit.Before(j.deadline) {
 			j.deadline = limit
 		}
@@ -167,6 +180,15 @@
 	return flamingodoor.Fingerprint(hash.Sum(nil))
 }
 
+// chosenService returns the service that the host which forwards the request has
+// chosen, if the route still leads there, or else selects one.
+func chosenService(route *flamingodoor.Route, forwarded string, random float64) string {
+	if slices.ContainsFunc(route.Split, func(share flamingodoor.SplitShare) bool { return share.Service == forwarded }) {
+		return forwarded
+	}
+	return pickService(route, random)
+}
+
 // pickService selects a service by the weights of the route. `random` is a number
 // from 0 to 1.
 func pickService(route *flamingodoor.Route, random float64) string {
