Take a confirmed crash for a loss, and keep a starved leader from standing down

Probes whose wait was late show nothing now, orders to join are bounded (128), and hosts that stood for election only because they knew no others give up before the first request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,7 +202,7 @@
 		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
-		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, StandsForElection: g.exchanger.StandsForElection,
+		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, StandsForElection: g.standsForElection,
 		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy)
@@ -210,6 +210,13 @@
 	return g
 }
 
+// standsForElection reports whether this host should be a candidate, given whether it
+// is one. Before the first request the lease may still move without harm: hosts that
+// became candidates only because they knew no others give up.
+func (g *Gateway) standsForElection(stands bool) bool {
+	return g.exchanger.StandsForElection(stands && !g.shared.noDemand())
+}
+
 // onRestore makes this host write again what the platform's store may have lost of it:
 // its place in the list of hosts and, if it comes to lead, the blocked parts. The
 // leader is elected anew.
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/reach"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
@@ -89,6 +90,18 @@
 	return unreachable
 }
 
+// markCrashed records that the process of an instance has ended, as a witness confirms,
+// and sends this to the peers.
+func (g *Gateway) markCrashed(instance flamingodoor.Instance) {
+	now := time.Now()
+	g.roster.MarkLost(instance.ID, instance.StartedAt, now)
+	g.roster.Publish(now)
+	g.shared.publishLosses(lossReport{instanceID: instance.ID, startedAt: instance.StartedAt, at: now})
+	g.endStreamsOfLostGroups(now)
+	g.tracker.Wake()
+	g.planner.Wake()
+}
+
 // markStalled records that a group makes no progress and sends this to the peers. A
 // stranded host knows nothing of the group's progress.
 func (g *Gateway) markStalled(key roster.GroupKey) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -100,6 +100,7 @@
 	process, now := poison.ProcessOf(instance), time.Now()
 	if !t.ledger.Known(process) && t.hasEnded(ctx, instance) && t.ledger.ReportCrash(process, nil, now) {
 		_ = level.Info(t.gateway.logger).Log("event", "instance_crashed", "instance", instance.ID, "started_ms", process.StartedMS)
+		t.gateway.markCrashed(instance)
 	}
 	if !t.ledger.Known(process) || !t.ledger.ReportCrash(process, parts, now) {
 		return
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -288,6 +288,7 @@
 // groups as pending.
 func (p *Planner) orderJoins(ctx context.Context, proposals []proposedGroup, epoch int64, now time.Time) {
 	var orders errgroup.Group
+	orders.SetLimit(maxOrders)
 	for i, proposal := range proposals {
 		key := roster.GroupKey{Name: groupName(epoch, i), Epoch: epoch}
 		pending := &pendingGroup{
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,9 @@
 	// preTrafficLoadDivisor is the factor by which weights load faster before the
 	// first request.
 	preTrafficLoadDivisor = 10
+	// maxOrders bounds the orders to join that are under way: hundreds at once take a
+	// small host longer than orderTimeout.
+	maxOrders = 128
 	// maxBackgroundTasks bounds the calls under way for which a step does not wait.
 	maxBackgroundTasks = 64
 	// restoreSettleTime is how long after a restore of the platform's store no
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -20,6 +20,9 @@
 	// probeTimeout is how long instances have to answer a host that suspects its own
 	// paths, several times the delay between data centres.
 	probeTimeout = 250 * time.Millisecond
+	// maxVerdictTime is how long probes that all fail may take to show anything: a host
+	// that is starved of processor time ends them late and misses their answers.
+	maxVerdictTime = probeTimeout * 3 / 2
 	// probeInterval is the time between the probes of a stranded host.
 	probeInterval = 250 * time.Millisecond
 	// refusedInterval is the time between two rounds of probes while a host suspects
@@ -225,7 +228,7 @@
 		return
 	}
 	begun := p.now()
-	if p.anyAnswersWithin(ctx, failed) || ctx.Err() != nil || !p.control(begun) {
+	if p.anyAnswersWithin(ctx, failed) || ctx.Err() != nil || !p.control(begun) || p.now().Sub(begun) > maxVerdictTime {
 		return
 	}
 	if !p.latestHeard().Before(since) {
