--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -68,7 +68,15 @@
 	e.recordAnswered(to, request.GetStranded())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	to.lastResponse = response.Msg
+	to.lastResponse, e.answeredAt = response.Msg, e.now()
+}
+
+// AnsweredSince reports whether a peer has answered a message at the given time or
+// later, or there is none.
+func (e *Exchanger) AnsweredSince(since time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.answeredAt.Before(since) || len(e.peers) == 0
 }
 
 // planRound selects the receivers of the next round and prepares what they get.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,8 @@
 	// preTrafficLoadDivisor is the factor by which weights load faster before the
 	// first request.
 	preTrafficLoadDivisor = 10
+	// maxBackgroundTasks bounds the calls under way for which a step does not wait.
+	maxBackgroundTasks = 64
 	// restoreSettleTime is how long after a restore of the platform's store no
 	// groups are formed: instances have written again what was lost within about 2 s.
 	restoreSettleTime = 2500 * time.Millisecond
@@ -206,7 +208,7 @@
 // New returns a planner that does not lead until an election is won.
 func New(parts Parts, options ...Option) *Planner {
 	p := &Planner{
-		Parts: parts, now: time.Now, uptime: uptime.Now, pause: sleep, background: func(task func()) { go task() }, renewals: make(chan struct{}, 1), states: make(map[string]*instanceState),
+		Parts: parts, now: time.Now, uptime: uptime.Now, pause: sleep, background: bounded(maxBackgroundTasks), renewals: make(chan struct{}, 1), states: make(map[string]*instanceState),
 		pending: make(map[roster.GroupKey]*pendingGroup), dissolving: make(map[roster.GroupKey]*dissolution),
 		impairedSince: make(map[roster.GroupKey]time.Time), retiring: make(map[roster.GroupKey]time.Time), probedAt: make(map[string]time.Time), silences: make(map[string]*silence), awaited: make(map[roster.GroupKey]bool), findings: make(chan struct{}, 1), activeLoads: make(map[string]flamingodoor.WeightLoad),
 	}
@@ -220,6 +222,23 @@
 	return p
 }
 
+// bounded returns a function that runs tasks in the background, unless the given
+// number is under way. All tasks are repeated later, and more would only starve a host
+// with little processor time.
+func bounded(limit int) func(task func()) {
+	running := make(chan struct{}, limit)
+	return func(task func()) {
+		select {
+		case running <- struct{}{}:
+			go func() {
+				defer func() { <-running }()
+				task()
+			}()
+		default:
+		}
+	}
+}
+
 // Run calls Step periodically, and after Wake, until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
@@ -280,7 +299,7 @@
 func (p *Planner) plan(ctx context.Context, index *catalogue.Index, view *roster.View, now time.Time) {
 	for _, part := range []func(){
 		func() { p.logSummary(index, view, now) },
-		func() { p.probeUnlisted(ctx, view, now) },
+		func() { p.probeDoubtful(ctx, view, now) },
 		func() { p.probeLost(ctx, view, now) },
 		func() { p.probeUnanswered(ctx, view, now) },
 		func() { p.advancePending(ctx, view, now) },
