Fail a test caller's reply that passes its bound

Cause: the integration tests' caller read a reply through io.LimitReader, which cannot tell the limit from the end: a reply over 4 MiB would have passed as a whole one of 4 MiB. It is read through internal/intake now, which fails there. Ruled out beside it: upstream/call.go reads heads through a reader that is bounded before each response (conn.head.Limit, TestEndlessHeadEndsTheCall). No reply of a test is that long, so no figure changes; three integration tests that use the caller pass.

--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/intake"
 )
 
 const maxReplyBytes = 4 << 20
@@ -213,7 +214,7 @@
 }
 
 func readReply(response *http.Response) (Reply, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := intake.ReadAll(response.Body, maxReplyBytes)
 	reply := Reply{
 		Status: response.StatusCode, RequestID: response.Header.Get("X-Request-Id"),
 		RunState: response.Header.Get("X-Run-State"), Body: string(body),
