Count the grants of watchers whose calls have all ended

Callers saw a refusal for a cold endpoint that had a free slot.

Cause: the context of the calls to the watchers also ends when the last call has returned, and the wait for their decisions selected between the end of that context and the decisions. With both ready, select takes either, so a grant that had arrived was dropped. The holder then released the slot, so the loss was an attempt, never a second holder.

The wait now has a context of its own with the same end.

--- a/internal/permit/abandon_test.go
+++ b/internal/permit/abandon_test.go
@@ -1,10 +1,12 @@
 package permit_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor"
@@ -47,3 +49,31 @@
 		next.Release(t.Context())
 	})
 }
+
+// Guards against denials of free slots: the end of the calls to the watchers
+// was taken for the end of the time, although their grants had arrived.
+func TestGrantsOfEndedCallsCount(t *testing.T) {
+	const claims = 5000
+	table := permit.NewTable(permit.WithQuietPeriod(0))
+	endpoints := make([]flamingodoor.Endpoint, claims)
+	for i := range endpoints {
+		endpoints[i] = flamingodoor.Endpoint{ID: fmt.Sprint(i), ColdAllowance: 1}
+	}
+	table.Update(time.Now(), 1, endpoints)
+	holder := permit.NewHolder(permit.Parts{
+		HostID: "h", Table: table, EntryHostsRevision: func() uint64 { return 1 },
+		Watchers: func(flamingodoor.Endpoint) []flamingodoor.EntryHost { return []flamingodoor.EntryHost{{ID: "h"}} },
+	}, permit.WithCallTimeout(time.Minute))
+	var acquisitions errgroup.Group
+	for _, endpoint := range endpoints {
+		table.ObserveReport(flamingodoor.Evidence{EndpointID: endpoint.ID, ProbedAt: time.Now()})
+		acquisitions.Go(func() error {
+			acquired, err := holder.Acquire(t.Context(), endpoint, "1")
+			if err == nil {
+				acquired.Release(t.Context())
+			}
+			return err
+		})
+	}
+	assert.NilError(t, acquisitions.Wait())
+}
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -176,7 +176,7 @@
 	if limit := start.Add(c.callTimeout); limit.Before(end) {
 		end = limit
 	}
-	callCtx, cancel := context.WithDeadline(ctx, end)
+	callCtx, cancelCalls := context.WithDeadline(ctx, end)
 	var calls sync.WaitGroup
 	for _, watcher := range watchers {
 		c.recordAsked(watcher)
@@ -184,15 +184,18 @@
 	}
 	c.pendingCalls.Go(func() {
 		calls.Wait()
-		cancel()
+		cancelCalls()
 	})
+	// The calls' context also ends with the last call, whose decision counts.
+	waitCtx, stopWaiting := context.WithDeadline(ctx, end)
+	defer stopWaiting()
 	valid, granted := Validity, 0
 	for answered := range watchers {
 		if granted+len(watchers)-answered <= len(watchers)/2 {
 			return time.Time{}, false
 		}
 		select {
-		case <-callCtx.Done():
+		case <-waitCtx.Done():
 			return time.Time{}, false
 		case decision := <-decisions:
 			if !decision.Granted {
