Read the blocked parts again while peers are silent

A host that hears less than three quarters of its peers reads the stored parts again, after 1 to 4 s, until they are back or a minute is over. One silent host of seven causes no reads.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -162,6 +162,14 @@
 	summarisedUntil time.Time
 }
 
+// lastContact returns when this host last heard from the peer, or first knew of it.
+func (p *peerState) lastContact() time.Time {
+	if p.lastSeen.IsZero() {
+		return p.added
+	}
+	return p.lastSeen
+}
+
 // Feeds hold what the leader reads from the platform and passes on to the other
 // hosts.
 type Feeds struct {
--- a/internal/exchange/hosts.go
+++ b/internal/exchange/hosts.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// maxSilentFraction is the part of the peers, as one in so many, that may be silent
+// before this host counts as cut off.
+const maxSilentFraction = 4
+
 // HostCount returns the number of live entry hosts: this one and those from
 // which a message, or a summary with their work, arrived within peerTimeout.
 func (e *Exchanger) HostCount() int {
@@ -55,17 +59,34 @@
 	defer e.mu.Unlock()
 	hosts := []string{e.self.ID}
 	for _, peer := range e.peers {
-		lastContact := peer.lastSeen
-		if lastContact.IsZero() {
-			lastContact = peer.added
-		}
-		if !peer.left && now.Sub(lastContact) < limitShareTimeout {
+		if !peer.left && now.Sub(peer.lastContact()) < limitShareTimeout {
 			hosts = append(hosts, peer.ID)
 		}
 	}
 	return hosts
 }
 
+// CutOff reports whether this host hears less than three quarters of its peers, not
+// counting those that left or have been silent for limitShareTimeout: the others may
+// be on the other side of a partition.
+func (e *Exchanger) CutOff() bool {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	peers, silent := 0, 0
+	for _, peer := range e.peers {
+		lastContact := peer.lastContact()
+		if peer.left || now.Sub(lastContact) >= limitShareTimeout {
+			continue
+		}
+		peers++
+		if now.Sub(lastContact) >= peerTimeout {
+			silent++
+		}
+	}
+	return silent*maxSilentFraction > peers
+}
+
 // setStranded records whether no instance answers a peer. The caller holds the
 // mutex.
 func (e *Exchanger) setStranded(peer *peerState, stranded bool) {
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -31,6 +31,10 @@
 	// starting host waits before it is ready.
 	blockedLoadTimeout = time.Second
 	maxBlockedPause    = time.Second
+	// A host that is cut off from others, which may have found parts, reads the blocked
+	// ones again: at first after minCutOffPause, and later less often.
+	minCutOffPause = time.Second
+	maxCutOffPause = 4 * time.Second
 )
 
 // partTracker finds the parts of prompts that crash instances, together with the
@@ -201,6 +205,7 @@
 		t.load(ctx)
 		t.runStore(ctx)
 	})
+	tasks.Go(func() { t.runReads(ctx) })
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
 	for {
@@ -217,16 +222,42 @@
 func (t *partTracker) load(ctx context.Context) {
 	t.retry(ctx, "blocked_parts_unread", func() error {
 		defer t.loaded.Store(true)
-		ctx, cancel := context.WithTimeout(ctx, blockedLoadTimeout)
-		defer cancel()
-		stored, err := t.gateway.platform.Blocked.Load(ctx)
-		if err == nil {
-			t.ledger.Restore(stored, time.Now())
-		}
-		return err
+		return t.read(ctx)
 	})
 }
 
+// runReads reads the stored blocked parts while this host is cut off from others,
+// until the context ends.
+func (t *partTracker) runReads(ctx context.Context) {
+	pause := minCutOffPause
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if !t.Loaded() || !t.gateway.exchanger.CutOff() {
+			pause = minCutOffPause
+			continue
+		}
+		if err := t.read(ctx); err != nil {
+			_ = level.Info(t.gateway.logger).Log("event", "blocked_parts_unread", "err", err)
+		}
+		pause = min(2*pause, maxCutOffPause)
+	}
+}
+
+// read adds the stored blocked parts to the ledger.
+func (t *partTracker) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, blockedLoadTimeout)
+	defer cancel()
+	stored, err := t.gateway.platform.Blocked.Load(ctx)
+	if err == nil {
+		t.ledger.Restore(stored, time.Now())
+	}
+	return err
+}
+
 // runStore writes queued changes to the store until the context ends.
 func (t *partTracker) runStore(ctx context.Context) {
 	for {
