Report from the logs why requests were not answered in time

`flamingodoorctl report lost LOG...` puts each request that was refused, failed or late down to one cause, by model and second, beside what the leader states of the fleet; text, JSON, or a page with plots.

A request that went through another host counts at the first.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -107,7 +107,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = report.AddCommand("burn", "Show how fast each club's service-level budgets are used up", "", &burnCommand{app: a})
+	if _, err := report.AddCommand("burn", "Show how fast each club's service-level budgets are used up", "", &burnCommand{app: a}); err != nil {
+		return err
+	}
+	_, err = report.AddCommand("lost", "Show why requests were not answered in time, from the logs of all entry hosts", "", &lostCommand{app: a})
 	return err
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -448,7 +448,7 @@
 	_ = level.Info(p.logger).Log("event", "request", "request", j.id, "route", j.route.Name, "workspace", j.workspace,
 		"model", j.model, "result", result, "status", status, "instance", j.target, "sends", j.sends,
 		"may_have_run", j.mayHaveRun, "events", events, "cause", j.cause,
-		"placed_ms", j.sinceReceived(j.placedAt), "first_ms", j.sinceReceived(j.firstEventAt), "took_ms", now.Sub(j.receivedAt).Milliseconds(), "left_ms", j.deadline.Sub(now).Milliseconds(),
+		"placed_ms", j.sinceReceived(j.placedAt), "first_ms", j.sinceReceived(j.firstEventAt), "took_ms", now.Sub(j.receivedAt).Milliseconds(), "objective_ms", j.route.LatencyObjective.Milliseconds(), "left_ms", j.deadline.Sub(now).Milliseconds(),
 		"config", p.catalogue.Index().Version)
 }
 
