Stop the server of other entry hosts like that of callers

A host that stops closed the connections of its peers from outside once it counted no request in flight: a message or forwarded request that a read had just returned lost its answer, and those on connections that were not accepted yet were reset. A forwarded posting is then one that may have run, so its caller gets a 502.

Cause: PeerServer.Shutdown ended with http.Server.Close, and counted a connection as active only once the server had processed its first byte, as the server of callers did before.

Ruled out: the way of the first host. It takes a closed connection that was in use for a request that may have run, which is right.

PeerServer now is a FrontServer with limits of its own.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -21,60 +19,16 @@
 const maxPeerHeaderBytes = 64 << 10
 
 // PeerServer serves the messages of other entry hosts and the requests that they
-// forward.
+// forward. It stops like the server of callers.
 type PeerServer struct {
-	http http.Server
-
-	mu     sync.Mutex
-	active map[net.Conn]struct{} // with a request that is not answered
+	*FrontServer
 }
 
 // NewPeerServer returns a server that does not listen yet.
 func NewPeerServer(handler http.Handler) *PeerServer {
-	p := &PeerServer{active: make(map[net.Conn]struct{})}
-	p.http = http.Server{
-		Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: peerIdleTimeout, MaxHeaderBytes: maxPeerHeaderBytes, ConnState: p.setState,
-		// An OPTIONS request is routed like any other.
-		DisableGeneralOptionsHandler: true,
-	}
-	return p
-}
-
-// Serve accepts connections until Shutdown.
-func (p *PeerServer) Serve(listener net.Listener) error {
-	return p.http.Serve(listener)
-}
-
-func (p *PeerServer) setState(connection net.Conn, state http.ConnState) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if state == http.StateActive {
-		p.active[connection] = struct{}{}
-		return
-	}
-	delete(p.active, connection)
-}
-
-// Shutdown waits for the requests in flight, but not for connections on which none
-// has arrived, and closes the listener and all connections.
-func (p *PeerServer) Shutdown(ctx context.Context) error {
-	ticker := time.NewTicker(closedPollInterval)
-	defer ticker.Stop()
-	for p.anyActive() {
-		select {
-		case <-ctx.Done():
-			_ = p.http.Close() // the requests in flight are lost either way
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return p.http.Close()
-}
-
-func (p *PeerServer) anyActive() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.active) > 0
+	server := &PeerServer{FrontServer: &FrontServer{handler: handler}}
+	server.SetLimits(flamingodoor.CallerLimits{HeaderBytes: maxPeerHeaderBytes, HeaderTimeout: time.Second, IdleTimeout: peerIdleTimeout})
+	return server
 }
 
 // listenForPeers starts the server for other entry hosts.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -209,12 +209,24 @@
 // request is read but not yet parsed.
 func TestStopAnswersARequestThatIsReadAsIdleConnectionsClose(t *testing.T) {
 	run := &stopRun{counts: new(stopCounts), begun: make(map[string]bool)}
-	front := gateway.NewFrontServer(run)
+	for name, server := range map[string]stoppable{"callers": gateway.NewFrontServer(run), "peers": gateway.NewPeerServer(run)} {
+		t.Run(name, func(t *testing.T) { testRequestReadAtAStop(t, run, server) })
+	}
+}
+
+// stoppable is a server of callers or peers.
+type stoppable interface {
+	Serve(listener net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
+func testRequestReadAtAStop(t *testing.T, run *stopRun, server stoppable) {
+	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	slow := &slowReads{read: make(chan struct{}), release: make(chan struct{})}
 	served, stopped := make(chan error, 1), make(chan error, 1)
-	go func() { served <- front.Serve(&slowListener{Listener: tcp, connection: slow}) }()
+	go func() { served <- server.Serve(&slowListener{Listener: tcp, connection: slow}) }()
 	caller, err := net.Dial("tcp", tcp.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = caller.Close() }()
@@ -222,7 +234,7 @@
 	assert.NilError(t, run.ask(caller, reader, http.MethodGet, "kept"))
 	go func() {
 		<-slow.read
-		stopped <- front.Shutdown(t.Context())
+		stopped <- server.Shutdown(t.Context())
 	}()
 	go func() {
 		<-slow.read
