Keep the peers of a host that stops while they answer it

Nobody sends messages to a host that has announced its stop, and a peer counted only while its own messages arrived. After 3 s such a host knew no peers: its requests, streams that have to resume among them, found no other host when it was stranded, and it took itself for the only host, so that its word alone made an instance count as lost for all.

The messages of the host that stops go on and are answered, but an answer was no sign of life for its witnesses and for the choice of a peer.

Ruled out: the limits that hosts divide, which keep silent peers for a minute.

The answers to messages now count for both. A peer that has stopped itself is still no witness. Before the change the new test found the host alone and without a peer 4 s after it announced its stop.

--- a/internal/exchange/candidates.go
+++ b/internal/exchange/candidates.go
@@ -41,6 +41,12 @@
 	return preceding < candidatesPerDataCentre
 }
 
+// silence returns how long nothing has arrived from the peer: nobody sends messages to
+// a host that stops, but its own are answered.
+func (p *peerState) silence(now time.Time) time.Duration {
+	return min(now.Sub(p.lastSeen), now.Sub(p.answeredAt))
+}
+
 // isLive reports whether the peer sent a message lately, or is new and has had no
 // time to.
 func (p *peerState) isLive(now time.Time) bool {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -149,6 +149,7 @@
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
 	stranded     bool                      // no instance answers it, as of its latest message
+	answeredAt   time.Time                 // arrival of its latest response to a message
 	sharesAgain  time.Time                 // until then it uses no part of the divided limits
 	knowsSound   bool                      // the message that it answered last says that this host is not stranded
 	started      int64                     // process start in Unix milliseconds, as in its latest message
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -40,7 +40,7 @@
 	var least forwardCost
 	equal := 0
 	for id, peer := range e.peers {
-		if excluded[id] || peer.left || peer.stranded || now.Sub(peer.lastSeen) >= peerTimeout {
+		if excluded[id] || peer.left || peer.stranded || peer.silence(now) >= peerTimeout {
 			continue
 		}
 		cost := e.forwardCost(peer, excluded, now)
@@ -91,7 +91,7 @@
 	if now.Before(peer.forwards.avoidUntil) {
 		cost.doubts |= doubtDeclined
 	}
-	if now.Sub(peer.lastSeen) >= silentPeerTime {
+	if peer.silence(now) >= silentPeerTime {
 		cost.doubts |= doubtSilent
 	}
 	return cost
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -68,7 +68,8 @@
 	e.recordAnswered(to, request.GetStranded())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	to.lastResponse, e.answeredAt = response.Msg, e.now()
+	now := e.now()
+	to.lastResponse, to.answeredAt, e.answeredAt = response.Msg, now, now
 }
 
 // AnsweredSince reports whether a peer has answered a message at the given time or
--- a/internal/exchange/witness.go
+++ b/internal/exchange/witness.go
@@ -127,7 +127,7 @@
 	defer e.mu.Unlock()
 	var witnesses []*peerState
 	for _, peer := range e.peers {
-		if !peer.left && !peer.stranded && now.Sub(peer.lastSeen) < peerTimeout {
+		if !peer.left && !peer.stranded && peer.silence(now) < peerTimeout {
 			witnesses = append(witnesses, peer)
 		}
 	}
@@ -139,7 +139,7 @@
 }
 
 // recentPeers returns up to reachPeersPerDataCentre peers of each data centre
-// from which a message, or a summary with their work, arrived within
+// from which a message, a response, or a summary with their work, arrived within
 // peerTimeout.
 func (e *Exchanger) recentPeers() []*peerState {
 	now := e.now()
@@ -148,7 +148,7 @@
 	counts := make(map[string]int)
 	var recent []*peerState
 	for _, peer := range e.peers {
-		if now.Sub(peer.lastSeen) < peerTimeout && !peer.stranded && counts[peer.DataCentre] < reachPeersPerDataCentre {
+		if !peer.left && peer.silence(now) < peerTimeout && !peer.stranded && counts[peer.DataCentre] < reachPeersPerDataCentre {
 			counts[peer.DataCentre]++
 			recent = append(recent, peer)
 		}
--- a/internal/exchange/witness_test.go
+++ b/internal/exchange/witness_test.go
@@ -11,6 +11,22 @@
 	"flamingodoor.example/flamingodoor"
 )
 
+// Guards against a host that stops, and to which nobody sends messages any more, taking
+// itself for the only one: its word alone would make an instance count as lost, and its
+// last requests would find no peer.
+func TestStoppingHostKnowsItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := startDeployment(t, newMemory(), 4, func(int) *registrations { return &registrations{onCatchUp: func(int64) {}} })
+		time.Sleep(time.Second)
+		hosts[0].Leave()
+		time.Sleep(4 * time.Second)
+		verdict := hosts[0].AskWitnesses(t.Context(), flamingodoor.Instance{ID: "i", Address: netip.MustParseAddrPort("127.0.0.1:1"), StartedAt: time.Now()})
+		assert.Check(t, !verdict.Alone)
+		_, ok := hosts[0].NextPeer(nil, time.Now())
+		assert.Check(t, ok)
+	})
+}
+
 // Guards against a host in a partition whose word makes an instance count as lost for
 // all, and against one that waits for the word of peers that can have none.
 func TestPeersConfirmALoss(t *testing.T) {
