Forward to hosts that stop if no others are left

While all hosts with paths to instances were stopping, as in a rolling restart during a partition, callers of the others got 503 (no_path) at once, although the stopping hosts still accepted connections and served their own callers.

Cause: a peer that had announced its stop was never selected, and declined each request that a peer sent it.

Ruled out: serving every such request while stopping. It would give hosts that stop new work although others can do it.

A leaving peer is now the last choice for 2 s after its announcement, which is less than the 2.5 s for which it accepts connections. The request says that the peer was chosen for want of others (Entry-Last-Choice), and only then a stopping host serves it. Before the change the new cases of TestNextPeer and TestRequestsOfAStrandedHostAreForwarded failed: no peer, and status 503.

--- a/internal/exchange/candidates_test.go
+++ b/internal/exchange/candidates_test.go
@@ -29,11 +29,12 @@
 	hosts    []*exchange.Exchanger
 	peers    []flamingodoor.EntryPeer
 	silent   map[int]bool
+	leaving  map[int]bool
 }
 
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, now: time.Unix(1_800_000_000, 0), silent: make(map[int]bool)}
+	f := &fleet{t: t, now: time.Unix(1_800_000_000, 0), silent: make(map[int]bool), leaving: make(map[int]bool)}
 	for i := range size {
 		peer := flamingodoor.EntryPeer{
 			ID: "host-" + strconv.Itoa(i), DataCentre: "dc-" + strconv.Itoa(i%fleetDataCentres), LinkMbps: 20,
@@ -61,6 +62,7 @@
 		}
 		message := &exchangev1.ShareRequest{
 			HostId: peer.ID, Address: peer.Address.String(), DataCentre: peer.DataCentre, LinkMbps: int32(peer.LinkMbps), Sequence: f.sequence,
+			Leaving: f.leaving[i],
 		}
 		for j, receiver := range f.hosts {
 			if i != j {
@@ -71,6 +73,14 @@
 	}
 }
 
+// leave makes hosts announce that they stop.
+func (f *fleet) leave(hosts ...int) {
+	for _, i := range hosts {
+		f.leaving[i] = true
+	}
+	f.exchangeAll()
+}
+
 // candidates returns the live hosts that stand for election.
 func (f *fleet) candidates(stands bool) []int {
 	var candidates []int
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -148,6 +148,7 @@
 	added        time.Time                 // when this host first knew its address
 	lastSeen     time.Time                 // arrival of its latest message, or of a summary with its work
 	left         bool                      // it announced that it stops
+	leftAt       time.Time                 // arrival of that announcement
 	stranded     bool                      // no instance answers it, as of its latest message
 	answeredAt   time.Time                 // arrival of its latest response to a message
 	sharesAgain  time.Time                 // until then it uses no part of the divided limits
@@ -266,6 +267,9 @@
 	}
 	known.LinkMbps = int(message.GetLinkMbps())
 	known.started, known.sequence, known.lastSeen = message.GetStartedMs(), message.GetSequence(), now
+	if message.GetLeaving() && !known.left {
+		known.leftAt = now
+	}
 	known.left = message.GetLeaving()
 	e.setStranded(known, message.GetStranded())
 	e.setSharing(known, message.GetStranded(), now)
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -15,6 +15,9 @@
 	// avoidTime is how long a peer that declined a request gets another only if there
 	// is no better one.
 	avoidTime = 300 * time.Millisecond
+	// leavingPeerTime is how long a peer that stops may be the last choice. Peers accept
+	// connections for a little longer.
+	leavingPeerTime = 2 * time.Second
 	// remoteCost is how many requests in flight at a peer of this data centre weigh as
 	// much as one at a peer of another.
 	remoteCost = 4
@@ -31,8 +34,8 @@
 // NextPeer selects a peer for a request that this host cannot serve: one of this
 // data centre with few such requests in flight, or one of another if those have
 // many. Peers of a data centre in which one has declined the request, those that
-// declined another a moment ago, and silent ones come later in this order. Stranded
-// and leaving peers are excluded.
+// declined another a moment ago, silent ones and leaving ones come later in this order.
+// Stranded peers, and those that announced their stop leavingPeerTime ago, are excluded.
 func (e *Exchanger) NextPeer(excluded map[string]bool, now time.Time) (flamingodoor.EntryPeer, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -40,7 +43,7 @@
 	var least forwardCost
 	equal := 0
 	for id, peer := range e.peers {
-		if excluded[id] || peer.left || peer.stranded || peer.silence(now) >= peerTimeout {
+		if excluded[id] || !peer.mayServe(now) {
 			continue
 		}
 		cost := e.forwardCost(peer, excluded, now)
@@ -57,7 +60,17 @@
 		return flamingodoor.EntryPeer{}, false
 	}
 	best.forwards.inFlight++
-	return best.EntryPeer, true
+	chosen := best.EntryPeer
+	chosen.Leaving = best.left
+	return chosen, true
+}
+
+// mayServe reports whether the peer may serve a request that is forwarded.
+func (p *peerState) mayServe(now time.Time) bool {
+	if p.left {
+		return !p.stranded && now.Sub(p.leftAt) < leavingPeerTime
+	}
+	return !p.stranded && p.silence(now) < peerTimeout
 }
 
 // forwardCost orders the peers that a request can be forwarded to.
@@ -76,6 +89,7 @@
 	doubtDataCentre = 1 << iota
 	doubtDeclined
 	doubtSilent
+	doubtLeaving
 )
 
 func (e *Exchanger) forwardCost(peer *peerState, excluded map[string]bool, now time.Time) forwardCost {
@@ -94,6 +108,9 @@
 	if peer.silence(now) >= silentPeerTime {
 		cost.doubts |= doubtSilent
 	}
+	if peer.left {
+		cost.doubts |= doubtLeaving
+	}
 	return cost
 }
 
--- a/internal/exchange/forward_test.go
+++ b/internal/exchange/forward_test.go
@@ -48,6 +48,13 @@
 		}},
 		{name: "all silent for a moment", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(1500 * time.Millisecond) }},
 		{name: "all silent", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(3 * time.Second) }},
+		{name: "leaving", want: "other", prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(5) }},
+		{name: "all leaving", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9) }},
+		{name: "all left", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) {
+			f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9)
+			f.now = f.now.Add(2500 * time.Millisecond)
+			f.exchangeAll()
+		}},
 		{name: "declined in another data centre", excluded: []string{"host-1", local}, want: "other"},
 		{name: "nobody left", excluded: []string{"host-1", "host-2", "host-3", "host-4", local, "host-6", "host-7", "host-8", "host-9"}, want: ""},
 	}
@@ -64,6 +71,7 @@
 			}
 			peer, ok := host.NextPeer(excluded, f.now)
 			assert.Equal(t, ok, each.want != "")
+			assert.Equal(t, peer.Leaving, f.leaving[5] && peer.ID == local)
 			if each.want == "other" {
 				assert.Assert(t, peer.ID != local && !slices.Contains(each.excluded, peer.ID), peer.ID)
 				assert.Assert(t, !excluded["host-1"] || peer.DataCentre != "dc-1", peer.ID)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -26,6 +26,7 @@
 	ungrantedHeader   = "Entry-Ungranted"    // set if no retry budget has granted the next attempt
 	versionHeader     = "Entry-Version"      // of the configuration of the host that forwards
 	serviceHeader     = "Entry-Service"      // chosen from the split of the route
+	lastChoiceHeader  = "Entry-Last-Choice"  // set if the peer is known to stop and there is no other
 	answerHeader      = "Entry-Answer"       // of a response: answerTaken or answerDeclined
 )
 
@@ -36,7 +37,7 @@
 
 // forwardHeaders are the headers of requests between entry hosts.
 var forwardHeaders = []string{ //nolint:gochecknoglobals // a constant list
-	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader, versionHeader, serviceHeader,
+	forwardedByHeader, forwardedToHeader, callerRetryHeader, countedHeader, streamBegunHeader, sendsHeader, ungrantedHeader, versionHeader, serviceHeader, lastChoiceHeader,
 }
 
 const (
@@ -321,6 +322,7 @@
 	header.Set(serviceHeader, j.service.Name)
 	for name, set := range map[string]bool{
 		callerRetryHeader: j.callerRetry, countedHeader: j.counted, streamBegunHeader: j.responseStarted, ungrantedHeader: j.sends > 0 && !j.retryGranted,
+		lastChoiceHeader: peer.Leaving,
 	} {
 		if set {
 			header.Set(name, "1")
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -124,7 +124,7 @@
 			f.register(f.unreachable("plain"))
 		}},
 		{name: "forged headers of a caller", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", change: func(request *http.Request) {
-			for _, name := range []string{"Entry-Forwarded-By", "Entry-Forwarded-To", "Entry-Caller-Retry", "Entry-Counted", "Entry-Stream-Begun"} {
+			for _, name := range []string{"Entry-Forwarded-By", "Entry-Forwarded-To", "Entry-Caller-Retry", "Entry-Counted", "Entry-Stream-Begun", "Entry-Last-Choice"} {
 				request.Header.Set(name, "host-9")
 			}
 			request.Header.Set("Entry-Sends", "50")
@@ -155,6 +155,10 @@
 			f.peers[0].register(f.peers[0].unreachable("plain"))
 		}},
 		{name: "declined by a peer that stops", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) { f.peers[0].proxy.Stop() }},
+		{name: "only peers that stop", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", prepare: func(f *fleet) {
+			f.peers[0].proxy.Stop()
+			f.list.peers[0].Leaving = true
+		}},
 		{name: "declined by another host at the address", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) { f.list.peers[0].ID = "host-9" }},
 		{name: "peer that is gone", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) { f.servers[0].Close() }},
 		{name: "nobody left", path: "/post/x", handlers: handlers(signed("done")), status: 503, body: `{"error":"no_path"}`, runs: "0", prepare: stranded(0)},
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -135,7 +135,7 @@
 	switch {
 	case request.Header.Get(forwardedToHeader) != p.hostID:
 		return "other_host"
-	case p.stopping.Load():
+	case p.stopping.Load() && request.Header.Get(lastChoiceHeader) == "":
 		return "stopping"
 	case index == nil || !p.partTracker.Loaded() || !p.keysConfirmed():
 		return "not_ready"
--- a/serving.go
+++ b/serving.go
@@ -340,4 +340,5 @@
 	Address    netip.AddrPort `json:"address"`
 	DataCentre string         `json:"data_centre"`
 	LinkMbps   int            `json:"link_mbps"` // capacity of its network link
+	Leaving    bool           `json:"-"`         // it has announced that it stops
 }
