Count answers to path probes that arrive as their time ends

A stranded host whose probes were answered just as their time ended stayed stranded, and forwarded its callers' requests for another 0.25 s or more; a host that suspects itself probed on although it had an answer.

Ruled out: a false start of being stranded.

All probes end with their time, so the wait now takes each result.

--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -286,7 +286,7 @@
 }
 
 // anyAnswers probes a few instances, those outside the failed areas first, and
-// reports whether one answers.
+// reports whether one answers. All probes end with their time.
 func (p *Paths) anyAnswers(ctx context.Context, failed []area) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -302,13 +302,8 @@
 		}()
 	}
 	for range chosen {
-		select {
-		case answered := <-answers:
-			if answered {
-				return true
-			}
-		case <-ctx.Done():
-			return false
+		if <-answers {
+			return true
 		}
 	}
 	return false
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -37,6 +37,7 @@
 	instances []flamingodoor.Instance
 	reaches   atomic.Pointer[func(instance flamingodoor.Instance) bool]
 	probes    atomic.Int32
+	late      atomic.Bool // probes of instances that it reaches take all of their time
 	refuse    atomic.Bool // probes of instances that it does not reach fail at once
 	partial   atomic.Int32
 	changes   []reach.Change
@@ -69,6 +70,9 @@
 func (p *pathFixture) probe(ctx context.Context, instance flamingodoor.Instance) bool {
 	p.probes.Add(1)
 	if (*p.reaches.Load())(instance) {
+		if p.late.Load() {
+			<-ctx.Done()
+		}
 		return true
 	}
 	if !p.refuse.Load() {
@@ -163,6 +167,20 @@
 	})
 }
 
+// Guards against a host that stays stranded because its probes are answered just as
+// their time ends, as those of a starved host are.
+func TestAnswersAtTheEndOfTheTimeCount(t *testing.T) {
+	play(t, func(p *pathFixture) {
+		p.fail(0, 4)
+		wait(time.Second)
+		assert.Assert(t, p.Stranded())
+		p.late.Store(true)
+		p.setReaches(func(flamingodoor.Instance) bool { return true })
+		wait(600 * time.Millisecond)
+		assert.Assert(t, !p.Stranded())
+	})
+}
+
 // Guards against a host that takes itself for stranded, and back, again and again
 // while new connections are refused and those that were opened before live on.
 func TestHostWithLivingConnectionsIsNotStranded(t *testing.T) {
