Repeat forwarded requests that the peer's grace period ends

At the end of its grace period a peer answers what is in flight: with 503 if it has not run, with 504 if it may have. The host that had forwarded the request passed this on to its caller, although other peers could serve it.

Cause: a refusal by a peer counts as true of the request, and these are true of the peer alone.

Ruled out: streams that have begun; their connection breaks and the first host resumes them elsewhere (a new case shows it).

The peer now declines what has not run, and breaks off the answer of what may be repeated, so that the first host decides by its rules for repeats and its retry budget. A posting that may have run still gets 504.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -146,12 +146,19 @@
 
 // respondFailed sends the caller an error after the last attempt failed.
 func (p *Proxy) respondFailed(ctx context.Context, writer http.ResponseWriter, j *job) {
+	stopping := errors.Is(context.Cause(ctx), errStopping)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		p.recordFinished(j, "caller_left", 0, 0)
+	case stopping && j.forwardedBy != "" && !j.mayHaveRun:
+		p.decline(writer, j, "stopping")
+	case stopping && j.forwardedBy != "" && j.repeatable():
+		// The host that forwarded the request can repeat it at another.
+		p.recordFinished(j, "stopping", 0, 0)
+		panic(http.ErrAbortHandler)
 	case !j.mayHaveRun:
 		p.refuse(writer, j, http.StatusServiceUnavailable, "not_run", p.retryAfterOr(j, shortRetryAfter))
-	case errors.Is(context.Cause(ctx), errStopping):
+	case stopping:
 		p.refuse(writer, j, http.StatusGatewayTimeout, "stopping", 0)
 	case !p.now().Before(j.deadline):
 		p.refuse(writer, j, http.StatusGatewayTimeout, "deadline", 0)
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -184,6 +184,10 @@
 				writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
 			})
 		}},
+		{name: "posting at a peer whose grace period has ended", path: "/post2/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) { f.peers[0].proxy.EndRequests() }},
+		{name: "posting at a peer whose grace period ends", path: "/post2/x", handlers: handlers(silentAfter(0), signed("other")), status: 504, runs: "1 0", prepare: endRequests},
+		{name: "read at a peer whose grace period ends", path: "/read/x", handlers: handlers(silentAfter(0), signed("other")), status: 200, body: "other", runs: "1 1", prepare: endRequests},
+		{name: "stream at a peer whose grace period ends", path: "/stream/x", handlers: handlers(silentAfter(3), events(6, 0)), status: 200, body: allEvents(6), runs: "1 1", prepare: endRequests},
 		{name: "this host stops", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", prepare: func(f *fleet) { f.proxy.Stop() }},
 	}
 	for _, each := range cases {
@@ -276,6 +280,11 @@
 	})
 }
 
+// endRequests ends the grace period of the first peer while it serves a request.
+func endRequests(f *fleet) {
+	time.AfterFunc(300*time.Millisecond, f.peers[0].proxy.EndRequests)
+}
+
 // Guards against work that goes on after the caller has left: the end passes through
 // both hosts (GONE).
 func TestForwardedRequestEndsWithItsCaller(t *testing.T) {
