Give the connections of peers time to close at the end of a stop

A host whose callers' requests took its whole grace period logged event=stop_cut_requests for its peers although none of their requests was in flight: since their server stops like that of callers, idle connections need 20 ms to close and waiting ones 50 ms to be accepted, and its time was over before it began.

The peers' server now has 0.1 s more, which is a part of the 0.55 s that are left of the grace period then; 0.2 s of these stay unused. Found by reading; no test shows it, because the log line has no other effect.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,9 +64,11 @@
 	// metrics.
 	maxInternalHeaderBytes = 16 << 10
 	// lastAnswerTime is how long it may take to write the answers of these requests,
-	// and tasksEndTime how long the background tasks may take to end after that. Both
-	// are parts of closeReserve.
+	// peersCloseTime how long the connections of peers may take to close after that,
+	// and tasksEndTime how long the background tasks may take to end. All are parts of
+	// closeReserve.
 	lastAnswerTime = 100 * time.Millisecond
+	peersCloseTime = 100 * time.Millisecond
 	tasksEndTime   = 150 * time.Millisecond
 	// departureTimeout bounds the last messages to the platform.
 	departureTimeout = 500 * time.Millisecond
@@ -367,7 +369,9 @@
 	if err := g.front.Shutdown(shutdownCtx); err != nil {
 		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "err", err)
 	}
-	if err := peers.Shutdown(shutdownCtx); err != nil {
+	peersCtx, cancelPeers := context.WithDeadline(ctx, deadline.Add(lastAnswerTime+peersCloseTime))
+	defer cancelPeers()
+	if err := peers.Shutdown(peersCtx); err != nil {
 		_ = level.Warn(g.logger).Log("event", "stop_cut_requests", "listener", "peer", "err", err)
 	}
 	_ = level.Info(g.logger).Log("event", "stopped")
