Send requests on dead connections to instances again

Cause: nothing examined a connection on which no byte of the response had arrived. The kernel finds only unacknowledged data, after 2.4 s; the stall monitor ended only streams that had an event, because a stream without one may wait in the head's queue while the group serves others. Once an attempt had failed, its instance was excluded although it was sound, so that with two groups of a model one refusal ended the request with 502; the repeat was also counted as one at a further instance. An attempt after a send opens a new one; the logs show first attempts on reused ones.

Change: internal/upstream examines a reused connection without a byte after the usual response time. It is dead if no older connection delivers, the instance answers on newer ones or answers a probe and is idle, and 0.1 s later it is still silent. Its idle contemporaries are closed. The request, which may be repeated, is sent again within max_attempts and the retry budget, on a new connection to the same instance first, which counts once. A stream whose group sends events on others may resume at the same instance. A connection that timed out in the kernel is treated alike.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,10 +175,11 @@
 func New(settings Settings, platform Platform, metrics *telemetry.Metrics, logger log.Logger) *Gateway {
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
-		roster: roster.New(), tracker: balance.New(), pool: upstream.New(platform.Headers.RequestID),
+		roster: roster.New(), tracker: balance.New(),
 		peerPool:     upstream.New(platform.Headers.RequestID, upstream.WithFailureDetection()),
 		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan bool, 1),
 	}
+	g.pool = upstream.New(platform.Headers.RequestID, upstream.WithProbe(g.answersIdle))
 	g.paths = g.newPaths()
 	g.prober = g.newProber()
 	g.parts = newPartTracker(g)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -9,6 +9,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/reach"
+	"flamingodoor.example/flamingodoor/internal/upstream"
 )
 
 const (
@@ -55,6 +56,17 @@
 	return g.platform.Instances.Report(ctx, instance.Address)
 }
 
+// answersIdle reports whether an instance answers and has no requests. One that has some
+// may have received those that are without a response.
+func (g *Gateway) answersIdle(ctx context.Context, target upstream.Target) bool {
+	entry, known := g.roster.View().Entries[target.InstanceID]
+	if !known || entry.Address != target.Address || !g.proxy.MayProbe(entry.Instance) {
+		return false
+	}
+	report, answers := g.prober.Probe(ctx, entry.Instance)
+	return answers && report.Running == 0 && report.Queued == 0
+}
+
 // healthPath returns the path of the health check of an instance of a plain service.
 func (g *Gateway) healthPath(instanceID string) (string, bool) {
 	entry, known := g.roster.View().Entries[instanceID]
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -143,7 +143,7 @@
 		return p.acquireElsewhere(j, &set, now)
 	}
 	p.countArrival(j)
-	id, ok := p.tracker.Pick(set.candidates, p.unreportedRequests(j, now), now)
+	id, ok := p.pick(j, &set, now)
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
 	}
@@ -155,6 +155,19 @@
 	return chosen, time.Time{}, nil
 }
 
+// pick reserves a slot at the best of the candidates. The instance of a dead connection
+// comes first, so that the job reaches no more instances than needed.
+func (p *Proxy) pick(j *job, set *candidateSet, now time.Time) (id string, ok bool) {
+	unreported := p.unreportedRequests(j, now)
+	again := slices.IndexFunc(set.candidates, func(candidate balance.Candidate) bool { return candidate.ID == j.deadInstance })
+	if again >= 0 {
+		if id, ok := p.tracker.Pick(set.candidates[again:again+1], unreported, now); ok {
+			return id, true
+		}
+	}
+	return p.tracker.Pick(set.candidates, unreported, now)
+}
+
 // waitCounter counts the waiting jobs that are not callers' retries. It is safe
 // for concurrent use.
 type waitCounter struct {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -59,11 +59,12 @@
 type outcome int
 
 const (
-	outcomeDone       outcome = iota + 1 // the response is complete
-	outcomeNotRun                        // the endpoint did not run the request
-	outcomeFailed                        // the endpoint may have run the request
-	outcomeCallerLeft                    // the caller closed its connection
-	outcomeBrokenOff                     // the response broke off after a part of it was sent to the caller
+	outcomeDone           outcome = iota + 1 // the response is complete
+	outcomeNotRun                            // the endpoint did not run the request
+	outcomeFailed                            // the endpoint may have run the request
+	outcomeCallerLeft                        // the caller closed its connection
+	outcomeBrokenOff                         // the response broke off after a part of it was sent to the caller
+	outcomeDeadConnection                    // the connection transfers nothing more; the endpoint may have run the request and may be tried again
 )
 
 // bufferedResponse is a response of an endpoint.
@@ -108,7 +109,9 @@
 			p.respondFailed(ctx, writer, j)
 			return
 		}
-		j.exclude(dest)
+		if result != outcomeDeadConnection {
+			j.exclude(dest)
+		}
 		j.waitUntil = p.now().Add(j.route.LatencyObjective / waitDivisor)
 	}
 }
@@ -200,7 +203,7 @@
 	response, err := p.send(ctx, j, dest, j.lastEventID)
 	p.unanswered.remove(&j.unanswered)
 	if err != nil {
-		if j.sends > sendsBefore {
+		if j.sends > sendsBefore && !onDeadConnection(err) {
 			p.reportUnbegun(ctx, j, dest)
 		}
 		return bufferedResponse{}, p.handleSendError(ctx, j, dest, err)
@@ -309,20 +312,31 @@
 		header.Set(p.headers.Priority, strconv.Itoa(min(9, max(0, priority))))
 	}
 	sentAt := p.now()
+	suspectAt := time.Time{}
+	if j.repeatable() {
+		suspectAt = p.responseTimes.suspectAt(j, sentAt)
+	}
 	response, err := p.pool.Do(ctx, dest.target(), upstream.Call{
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
 		// If a reused connection turns out to be closed, it is unknown whether
 		// the request has run. A repeat has few attempts left for that.
-		NewConnection: !j.repeatable() || j.sends > 0,
-		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
+		NewConnection: !j.repeatable() || j.sends > 0, SuspectAt: suspectAt,
+		OnHead: func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	if err == nil {
 		p.observeResponse(dest.instance, sentAt, response)
+		if response.StatusCode < http.StatusMultipleChoices {
+			p.responseTimes.add(j, p.now().Sub(sentAt))
+		}
 	}
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
 		j.sends++
 		j.retryGranted = false
+		if dest.instance.ID == j.deadInstance {
+			j.exemptSends++
+		}
+		j.deadInstance = ""
 	}
 	return response, err
 }
@@ -341,9 +355,32 @@
 		return p.callerLeftOr(ctx, outcomeNotRun)
 	}
 	j.mayHaveRun = true
+	if onDeadConnection(err) {
+		return p.recordDeadConnection(ctx, j, dest, err)
+	}
 	return p.handleBrokenResponse(ctx, j, dest, err)
 }
 
+// onDeadConnection reports whether an attempt failed because its connection, which was
+// used before, transfers nothing more. That says nothing about the instance.
+func onDeadConnection(err error) bool {
+	var failure *upstream.CallError
+	if errors.As(err, &failure) {
+		return failure.Dead
+	}
+	return upstream.TimedOut(err)
+}
+
+// recordDeadConnection logs an attempt on a connection that transfers nothing more.
+func (p *Proxy) recordDeadConnection(ctx context.Context, j *job, dest destination, err error) outcome {
+	j.cause = "dead_connection"
+	if !upstream.TimedOut(err) {
+		j.deadInstance = dest.instance.ID // it answers on other connections
+	}
+	_ = level.Info(p.logger).Log("event", "connection_dead", "request", j.id, "instance", dest.instance.ID, "err", err)
+	return p.callerLeftOr(ctx, outcomeDeadConnection)
+}
+
 // handleBrokenResponse returns the outcome of an attempt whose response is
 // missing, ended early or cannot be used.
 func (p *Proxy) handleBrokenResponse(ctx context.Context, j *job, dest destination, err error) outcome {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -62,7 +62,8 @@
 
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
-	exemptSends     int             // sends to instances that are gone, which MaxAttempts does not count
+	exemptSends     int             // sends that MaxAttempts does not count: to instances that are gone, and again to one after a dead connection
+	deadInstance    string          // whose connection transferred nothing more at the latest attempt; tried again first
 	retryGranted    bool            // the retry budget has granted the next send
 	responseStarted bool            // the caller has received a part of the response
 	mayHaveRun      bool            // an endpoint may have run the request
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,6 +111,7 @@
 	limitWarnings    rate.Sometimes
 	waiters          *waitCounter
 	arrivalRates     *arrivalRates
+	responseTimes    *responseTimes
 }
 
 // Observer records metrics of requests.
@@ -181,7 +182,7 @@
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(),
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -91,6 +91,7 @@
 type setup struct {
 	t         testing.TB
 	paths     *pathState
+	answers   atomic.Bool // instances answer the probes of silent connections
 	proxy     *proxy.Proxy
 	catalogue *catalogue.Cache
 	roster    *roster.Roster
@@ -114,7 +115,7 @@
 	s.proxy = proxy.New(proxy.Parts{
 		Paths: s.paths, PeerPool: upstream.New(headers.RequestID, upstream.WithFailureDetection()),
 		Headers: headers, Limits: proxy.Limits{RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetryBurst: 100},
-		HostID: id, DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID),
+		HostID: id, DataCentre: "dc-a", Catalogue: s.catalogue, Roster: s.roster, Tracker: s.tracker, Pool: upstream.New(headers.RequestID, upstream.WithProbe(func(context.Context, upstream.Target) bool { return s.answers.Load() })),
 		Monitor: monitor, CrashTracker: poison.New(), PartTracker: s.parts, Demand: s.demand, Logger: log.NewNopLogger(),
 	}, options...)
 	s.catalogue.Configure(&flamingodoor.Catalogue{
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -71,7 +71,9 @@
 			p.endFailedStream(ctx, client, j)
 			return
 		}
-		j.exclude(dest)
+		if result != outcomeDeadConnection {
+			j.exclude(dest)
+		}
 		if dest.peer != nil && client.events > eventsBefore {
 			j.brokenPeers = append(j.brokenPeers, dest.peer.ID)
 		}
@@ -137,7 +139,7 @@
 	response, err := p.send(ctx, j, dest, client.lastEventID)
 	p.unanswered.remove(&j.unanswered)
 	if err != nil {
-		if j.sends > sendsBefore {
+		if j.sends > sendsBefore && !onDeadConnection(err) {
 			p.exemptLostAttempt(j, dest)
 			p.reportUnbegun(ctx, j, dest)
 		}
@@ -176,7 +178,7 @@
 	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "instance", dest.instance.ID,
 		"last_event", client.lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
 	p.exemptLostAttempt(j, dest)
-	if !begun {
+	if !begun && !onDeadConnection(err) {
 		p.reportUnbegun(ctx, j, dest)
 	}
 	return p.handleStreamError(ctx, j, dest, err)
@@ -224,12 +226,7 @@
 	case errors.As(err, &callerLeft):
 		return outcomeCallerLeft
 	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent), errors.Is(cause, errPartBlocked):
-		j.mayHaveRun = true
-		j.cause = cause.Error()
-		if errors.Is(cause, stall.ErrLost) || errors.Is(cause, stall.ErrSilent) {
-			p.paths.Failed(dest.instance, p.now())
-		}
-		return outcomeFailed
+		return p.handleEndedStream(j, dest, cause)
 	case errors.Is(cause, errUnreached):
 		return p.handleSendError(ctx, j, dest, err)
 	case cause != nil:
@@ -238,6 +235,9 @@
 	if failure != nil && !failure.Sent {
 		return p.handleSendError(ctx, j, dest, err)
 	}
+	if onDeadConnection(err) {
+		return p.recordDeadConnection(ctx, j, dest, err)
+	}
 	j.cause = "broken"
 	if isConnectionError(err) {
 		p.paths.Failed(dest.instance, p.now())
@@ -250,6 +250,19 @@
 	return p.callerLeftOr(ctx, outcomeFailed)
 }
 
+// handleEndedStream returns the outcome of an attempt that this host has ended.
+func (p *Proxy) handleEndedStream(j *job, dest destination, cause error) outcome {
+	j.mayHaveRun, j.cause = true, cause.Error()
+	switch {
+	case errors.Is(cause, stall.ErrLost):
+		p.paths.Failed(dest.instance, p.now())
+	case errors.Is(cause, stall.ErrSilent):
+		p.paths.Failed(dest.instance, p.now())
+		return outcomeDeadConnection
+	}
+	return outcomeFailed
+}
+
 // handleNonStream handles a response that is not a stream of events. It forwards
 // an error response unchanged, unless events were sent before, or it is a server
 // error and the job can be retried.
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,6 +38,9 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // do not reuse an idle connection
+	// SuspectAt is when a reused connection that has delivered nothing is examined. It
+	// is closed if it transfers nothing more. Zero stands for never.
+	SuspectAt time.Time
 	// OnHead is called for each head that is received, also for interim and
 	// skipped responses. It may be nil.
 	OnHead func(status int, header http.Header)
@@ -58,6 +61,7 @@
 	Sent    bool // some of the request may have reached the endpoint
 	Refused bool // the address refused the connection
 	Reused  bool // the connection had been used for an earlier request
+	Dead    bool // the reused connection transfers nothing more, which says nothing about the endpoint
 	cause   error
 }
 
@@ -82,6 +86,9 @@
 	conn.sent.add(id)
 	stopClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	exchange := &exchange{pool: p, target: target, conn: conn, stopClose: stopClose, call: call}
+	if conn.reused && !call.SuspectAt.IsZero() {
+		conn.await(call.SuspectAt)
+	}
 	response, err := exchange.run()
 	if err != nil {
 		exchange.discard()
@@ -118,6 +125,7 @@
 	if err != nil {
 		return nil, e.failure(true, err)
 	}
+	e.conn.endAwait()
 	received := &Response{Response: response}
 	if received.EndsWithConnection() {
 		response.Body = &unframedBody{ReadCloser: response.Body, pattern: e.pool.secondHead}
@@ -128,7 +136,17 @@
 
 // failure returns the error of this call.
 func (e *exchange) failure(sent bool, err error) *CallError {
-	return &CallError{Sent: sent, Reused: e.conn.reused, cause: err}
+	dead := e.conn.endAwait() || (e.conn.reused && TimedOut(err))
+	e.closeIdleAfter(err)
+	return &CallError{Sent: sent, Reused: e.conn.reused, Dead: dead, cause: err}
+}
+
+// closeIdleAfter closes idle connections that are silent for as long as one that timed
+// out.
+func (e *exchange) closeIdleAfter(err error) {
+	if TimedOut(err) {
+		e.pool.closeIdle(e.target, e.pool.now().Add(-userTimeout))
+	}
 }
 
 // readResponse reads the response to this request. It skips interim responses
@@ -235,6 +253,7 @@
 	case errors.Is(err, io.EOF):
 		b.exchange.release(b.response)
 	case err != nil:
+		b.exchange.closeIdleAfter(err)
 		b.exchange.discard()
 	}
 	return n, err
--- a/internal/upstream/dead_connections_test.go
+++ b/internal/upstream/dead_connections_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -91,3 +94,92 @@
 	_, err = served.Read(make([]byte, 1))
 	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded) && time.Since(gone) < deadWithin, "%v after %s", err, time.Since(gone))
 }
+
+// Guards against requests that wait for their deadline on a reused connection that is
+// silent although what is sent is acknowledged, and against taking a slow endpoint for
+// such a connection.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	const usualTime, slowTime, limit = 100 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond
+	for _, test := range []struct {
+		name      string
+		silenced  bool          // open connections transfer nothing more
+		answersAt time.Duration // when probes are answered first; 0 for never
+		newer     bool          // a new connection is used meanwhile
+		older     bool          // another idle connection is used meanwhile
+		dead      bool
+	}{
+		{name: "new connections work", silenced: true, newer: true, dead: true},
+		{name: "idle endpoint", silenced: true, answersAt: time.Millisecond, dead: true},
+		{name: "endpoint that does not answer", silenced: true},
+		{name: "slow endpoint", older: true, answersAt: time.Millisecond},
+		{name: "endpoint that stood still", answersAt: slowTime - 50*time.Millisecond},
+		{name: "busy endpoint"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			target, accepted := endpoint(t, func(connection net.Conn, request *http.Request, _ int) {
+				switch id := request.Header.Get(idHeader); id {
+				case "slow":
+					time.Sleep(slowTime)
+					respond(connection, id, "right")
+				case "idle 1", "idle 2":
+					time.Sleep(usualTime) // so that they need a connection each
+					respond(connection, id, "right")
+				default:
+					respond(connection, id, "right")
+				}
+			})
+			proxy, err := faultproxy.New(context.WithoutCancel(t.Context()), netip.MustParseAddr("127.0.0.1"), target.Address)
+			assert.NilError(t, err)
+			t.Cleanup(proxy.Close)
+			target.Address = proxy.Address()
+			var sent time.Time
+			pool := upstream.New(idHeader, upstream.WithProbe(func(context.Context, upstream.Target) bool {
+				return test.answersAt != 0 && time.Since(sent) > test.answersAt
+			}))
+			var idle sync.WaitGroup
+			for _, id := range []string{"idle 1", "idle 2"} {
+				idle.Go(func() { _, err := fetch(t, pool, target, id); assert.Check(t, err) })
+			}
+			idle.Wait()
+			if test.silenced {
+				proxy.SilenceOpen()
+			}
+			sent = time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			result := make(chan error, 1)
+			go func() {
+				slow := call("slow")
+				slow.SuspectAt = sent.Add(usualTime)
+				response, err := pool.Do(ctx, target, slow)
+				if err == nil {
+					_ = response.Body.Close()
+				}
+				result <- err
+			}()
+			for i := range 6 {
+				time.Sleep(usualTime)
+				if test.newer || test.older {
+					other := call(fmt.Sprint("other ", i))
+					other.NewConnection = test.newer && i == 0
+					response, err := pool.Do(t.Context(), target, other)
+					assert.NilError(t, err)
+					_, err = io.Copy(io.Discard, response.Body)
+					assert.NilError(t, err)
+				}
+			}
+			err = <-result
+			var callErr *upstream.CallError
+			assert.Equal(t, errors.As(err, &callErr) && callErr.Dead, test.dead, "%v after %s", err, time.Since(sent))
+			assert.Equal(t, err == nil, !test.silenced, "%v", err)
+			if test.dead {
+				assert.Assert(t, time.Since(sent) < limit)
+				_, err = fetch(t, pool, target, "next")
+				assert.NilError(t, err)
+				assert.Equal(t, accepted.Load(), int64(3), "connections")
+			}
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,14 @@
 	secondHead *regexp.Regexp
 	dialer     net.Dialer
 	now        func() time.Time
+	probe      Probe     // of the endpoints of silent connections; nil for none
+	started    time.Time // the origin of the times at which connections were heard
 
-	mu   sync.Mutex
-	idle map[Target][]*connection
+	mu     sync.Mutex
+	idle   map[Target][]*connection
+	open   map[Target]map[*connection]struct{} // idle or in use
+	probes map[Target]*probeState
+	deadAt map[Target]time.Time // when a connection to the target was last found dead
 }
 
 // Target is an instance of an endpoint at its address.
@@ -63,6 +69,11 @@
 
 type connection struct {
 	net.Conn
+	pool     *Pool
+	target   Target
+	opened   time.Time
+	heard    atomic.Int64 // nanoseconds from the start of the pool to the last bytes received; 0 before the first
+	silence  silence
 	reader   *bufio.Reader // on top of head
 	head     *intake.HeadReader
 	sent     history
@@ -85,7 +96,8 @@
 // response, which links a response to its request.
 func New(idHeader string, options ...Option) *Pool {
 	pool := &Pool{
-		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, idle: make(map[Target][]*connection),
+		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, started: time.Now(),
+		idle: make(map[Target][]*connection), open: make(map[Target]map[*connection]struct{}), probes: make(map[Target]*probeState), deadAt: make(map[Target]time.Time),
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setTimeout(userTimeout)},
 	}
 	for _, option := range options {
@@ -140,8 +152,11 @@
 	if err != nil {
 		return nil, err
 	}
-	head := intake.NewHeadReader(socket)
-	return &connection{Conn: socket, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	conn := &connection{Conn: socket, pool: p, target: target, opened: p.now()}
+	conn.head = intake.NewHeadReader(conn)
+	conn.reader = bufio.NewReaderSize(conn.head, readBufferBytes)
+	p.remember(conn)
+	return conn, nil
 }
 
 // buffered returns the number of received bytes that were not read.
@@ -204,6 +219,11 @@
 			p.idle[target] = live
 		}
 	}
+	for target, state := range p.probes {
+		if now.Sub(state.nextAt) > proofTime {
+			delete(p.probes, target)
+		}
+	}
 	p.mu.Unlock()
 	for _, conn := range expired {
 		_ = conn.Close()
