--- a/internal/planner/restored_test.go
+++ b/internal/planner/restored_test.go
@@ -98,6 +98,9 @@
 		h.fleet.SetUnlisted(members[test.lost], false)
 		h.run(4*time.Second, p)
 		assert.Equal(t, *leaves > 0, test.written > 3*time.Second, "case %d", n)
+		if *leaves == 0 {
+			assert.Equal(t, h.openHead(), members[0], "case %d", n)
+		}
 		heads, err := h.fleet.Load(t.Context())
 		assert.NilError(t, err)
 		saved := slices.ContainsFunc(heads, func(head flamingodoor.Instance) bool { return head.ID == members[0] })
