Let a host examine its own paths before it inspects groups

Cause: each host inspected all its groups, which had fallen silent, before it knew that no instance answered it. An inspection probes up to 16 members, twice, and asks two witnesses about each: 7,757 failed probes (member_silent) in 0.9 s, and messages between hosts took 50 to 130 ms. The random delay of inspections, up to 0.4 s in large fleets, also delayed what raises the suspicion: hosts found out 0.56 to 0.86 s after the cut.

Ruled out by the logs of these seconds: full instances (no request has the result full) and the retry budget (1 stream broken off).

Now the monitor reports a silence at once, without the random delay, as a failure of the path. Inspections wait for the examination that this begins; if it finds the host stranded, they probe nothing and ask nobody.

The new test has 120 of 200 hosts before 1,100 instances lose their paths: 3,840 questions to witnesses before, none now. A silence was reported only with the inspection before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,8 @@
 	g.prober = g.newProber()
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
-	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now)
+	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now,
+		stall.WithSilenceListener(func(group *roster.Group) { g.paths.Failed(group.Head().Instance, time.Now()) }))
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -99,10 +99,12 @@
 	started  time.Time                // the origin of heard, whose clock is not set back
 	heard    [heardSlots]atomic.Int64 // nanoseconds since the start, at least 1, by hash of the instance
 	stranded atomic.Bool
+	suspects atomic.Bool // whether an examination is due or under way
 
-	mu       sync.Mutex
-	failures []failure // since an instance was heard last, one of each area
-	since    time.Time // when the first of the failures occurred, while stranded
+	mu          sync.Mutex
+	failures    []failure     // since an instance was heard last, one of each area
+	since       time.Time     // when the first of the failures occurred, while stranded
+	examination chan struct{} // closed at the verdict; nil unless suspects is set
 }
 
 // failure is the failure of the path to an instance.
@@ -148,6 +150,28 @@
 	return p.stranded.Load()
 }
 
+// Suspected reports whether this host examines its own paths at present, because
+// instances of several areas failed and none was heard since.
+func (p *Paths) Suspected() bool {
+	return p.suspects.Load()
+}
+
+// AwaitExamination waits until the examination of this host's paths, if there is one,
+// or the context has ended. It reports whether there was one.
+func (p *Paths) AwaitExamination(ctx context.Context) bool {
+	p.mu.Lock()
+	examination := p.examination
+	p.mu.Unlock()
+	if examination == nil {
+		return false
+	}
+	select {
+	case <-examination:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // Heard records that bytes of an instance arrived. They do not end the time in which
 // a host is stranded: connections may live on while new ones fail.
 func (p *Paths) Heard(instance flamingodoor.Instance, at time.Time) {
@@ -193,11 +217,30 @@
 	} else if at.After(heard) {
 		p.failures = append(p.failures, failure{area: failed, first: at, last: at})
 	}
-	if len(p.failures) > 1 {
+	if len(p.failures) > 1 && p.probe != nil {
+		p.beginExamination()
 		signal(p.suspected)
 	}
 }
 
+// beginExamination is called with the lock held.
+func (p *Paths) beginExamination() {
+	if p.examination == nil {
+		p.examination = make(chan struct{})
+		p.suspects.Store(true)
+	}
+}
+
+func (p *Paths) endExamination() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.examination != nil {
+		p.suspects.Store(false)
+		close(p.examination)
+		p.examination = nil
+	}
+}
+
 // Run probes instances whenever this host suspects its own paths, and while it is
 // stranded, until the context ends.
 func (p *Paths) Run(ctx context.Context) {
@@ -212,6 +255,7 @@
 			return
 		case <-p.suspected:
 			p.examine(ctx)
+			p.endExamination()
 		case <-ticker.C:
 			if p.stranded.Load() && p.anyAnswers(ctx, nil) {
 				p.end()
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -84,12 +84,20 @@
 }
 
 // Examine probes an instance. Witnesses are asked together with the second probe, or
-// at once if the first one fails. A stranded host finds nothing lost.
+// at once if the first one fails. A stranded host finds nothing lost, and one that
+// suspects its own paths examines these first: otherwise each host in a partition would
+// have its witnesses probe all its instances.
 func (p *Prober) Examine(ctx context.Context, instance flamingodoor.Instance) Finding {
+	if p.paths.AwaitExamination(ctx) && p.paths.Stranded() {
+		return Finding{Instance: instance}
+	}
 	ctx, cancel := context.WithTimeout(ctx, memberProbeTimeout)
 	defer cancel()
 	confirmed := make(chan bool, 1)
-	ask := sync.OnceFunc(func() { confirmed <- p.confirm(ctx, instance) })
+	ask := sync.OnceFunc(func() {
+		p.paths.AwaitExamination(ctx)
+		confirmed <- !p.paths.Stranded() && p.confirm(ctx, instance)
+	})
 	timer := time.AfterFunc(secondProbeDelay, ask)
 	defer timer.Stop()
 	report, answers := p.Probe(ctx, instance)
--- a/internal/reach/prober_test.go
+++ b/internal/reach/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"syscall"
@@ -100,6 +101,38 @@
 	}
 }
 
+// Guards against a storm of probes when 120 of 200 hosts lose their paths: each had its
+// witnesses probe all members of its groups, so that the sound hosts were late.
+func TestHostsThatLoseTheirPathsAskNoWitnesses(t *testing.T) {
+	const hosts, cut, instances, members = 200, 120, 1100, 32 // of two groups
+	all := make([]flamingodoor.Instance, instances)
+	for i := range all {
+		all[i] = flamingodoor.Instance{ID: fmt.Sprint("i-", i), FabricDomain: fmt.Sprint("d-", i/73)}
+	}
+	var questions atomic.Int32
+	report := func(ctx context.Context, _ flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
+		<-ctx.Done()
+		return flamingodoor.InstanceReport{}, ctx.Err()
+	}
+	confirm := func(context.Context, flamingodoor.Instance) bool { return questions.Add(1) == 0 }
+	for host := range cut {
+		synctest.Test(t, func(t *testing.T) {
+			paths := reach.New(reach.WithInstances(func() []flamingodoor.Instance { return all }),
+				reach.WithProbe(func(ctx context.Context, _ flamingodoor.Instance) bool { <-ctx.Done(); return false }))
+			prober := reach.NewProber(paths, report, confirm, "dc-0", log.NewNopLogger())
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			paths.Failed(all[host], time.Now())
+			paths.Failed(all[host+hosts], time.Now())
+			for member := range members {
+				go prober.Examine(ctx, all[host+member%2*hosts+member/2])
+			}
+			paths.Run(ctx)
+		})
+	}
+	assert.Equal(t, questions.Load(), int32(0))
+}
+
 // Guards against a host whose path to an instance has failed and that takes the
 // instance for lost or crashed for all hosts, and against real failures that are found
 // later than a host alone would.
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -84,11 +84,21 @@
 	ErrSilent  = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "the connection delivers no events while the group makes progress")
 )
 
+// Option configures a Monitor.
+type Option func(*Monitor)
+
+// WithSilenceListener sets the function that is called once for each silence of a
+// group, without the random delay of an inspection.
+func WithSilenceListener(silent func(group *roster.Group)) Option {
+	return func(m *Monitor) { m.silent = silent }
+}
+
 // Monitor cancels the streams of groups and connections that make no progress.
 // It is safe for concurrent use.
 type Monitor struct {
 	inspect Inspector
 	stalled func(key roster.GroupKey)
+	silent  func(group *roster.Group)
 	now     func() time.Time
 	hosts   func() int
 	mu      sync.Mutex
@@ -101,6 +111,7 @@
 	group            *roster.Group
 	watches          map[*Watch]struct{}
 	progress         time.Time     // of the latest event on any stream
+	silenceReported  time.Time     // when a silence was reported last
 	inspected        time.Time     // start of the latest inspection
 	inspectionDelay  time.Duration // random delay of the next inspection beyond silenceLimit
 	cleanInspections int           // inspections without a lost member since the latest event
@@ -130,11 +141,15 @@
 
 // New returns a monitor. It calls `stalled` for groups that make no progress
 // although their members respond. `hosts` returns the number of entry hosts.
-func New(inspect Inspector, stalled func(key roster.GroupKey), hosts func() int, now func() time.Time) *Monitor {
-	return &Monitor{
-		inspect: inspect, stalled: stalled, hosts: hosts, now: now,
+func New(inspect Inspector, stalled func(key roster.GroupKey), hosts func() int, now func() time.Time, options ...Option) *Monitor {
+	m := &Monitor{
+		inspect: inspect, stalled: stalled, silent: func(*roster.Group) {}, hosts: hosts, now: now,
 		groups: make(map[roster.GroupKey]*groupState), speeds: make(map[string]*speed),
 	}
+	for _, option := range options {
+		option(m)
+	}
+	return m
 }
 
 // Begin starts to follow a stream of the group. `expected` is the usual time
@@ -251,7 +266,15 @@
 			watch.cancel(ErrSilent)
 		}
 	}
-	if !waiting || silence <= m.silenceLimit(state, hasEvents)+state.inspectionDelay {
+	limit := m.silenceLimit(state, hasEvents)
+	if !waiting || silence <= limit {
+		return
+	}
+	if !state.silenceReported.After(state.progress) {
+		state.silenceReported = now
+		m.silent(state.group)
+	}
+	if silence <= limit+state.inspectionDelay {
 		return
 	}
 	// Requests of this host may wait in the queue of a group that serves those
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -225,3 +225,20 @@
 	assert.Equal(t, len(s.stalled), 0)
 	assert.Assert(t, s.inspected > 2)
 }
+
+// Guards against hosts of a large fleet that learn later than those of a small one that
+// all their groups are silent: the random delay of inspections grows with the fleet.
+func TestSilenceIsReportedWithoutDelay(t *testing.T) {
+	s, reports := newFixture(t), 0
+	s.monitor = stall.New(s.inspect, func(roster.GroupKey) {}, func() int { return 200 }, s.clock,
+		stall.WithSilenceListener(func(*roster.Group) { reports++ }))
+	for before := range 3 {
+		watch, _ := s.begin()
+		watch.Progress()
+		s.advance(250 * time.Millisecond)
+		assert.Equal(t, reports, before)
+		s.advance(200 * time.Millisecond)
+		assert.Equal(t, reports, before+1, "a silence is reported once")
+		watch.End()
+	}
+}
