Resume the streams of a host that becomes stranded at once

A host that knows that no instance answers it ended only the attempts without a response.

No event of any stream arrived since the first failure, or the host would not be stranded. Streams that cannot be resumed stay: the cut may be short.

The new test waits until its deadline before the change (failed), and passes now.

--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -382,6 +382,27 @@
 	}
 }
 
+// Guards against streams that wait for the inspection of their group although their host
+// knows that no instance answers it.
+func TestBegunStreamsOfAStrandedHostAreResumed(t *testing.T) {
+	f := newFleet(t, 1)
+	f.paths.stranded.Store(false)
+	silent := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+		events(3, 0)(writer, request)
+		<-request.Context().Done()
+	})
+	f.register(silent.instance("i-1", "llm"))
+	f.peers[0].register(newEndpoint(t, events(6, 0)).instance("i-2", "llm"))
+	go func() {
+		for f.paths.heard.Load() < 4 { // the response and three events
+			time.Sleep(time.Millisecond)
+		}
+		f.paths.stranded.Store(true)
+		f.proxy.EndUnreached()
+	}()
+	assert.Equal(t, f.send("/stream/x").body, allEvents(6))
+}
+
 // Guards against a host that takes over more than it can hold.
 func TestTakeoversAreBounded(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -73,8 +73,9 @@
 }
 
 // EndUnreached ends the attempts at instances that have no response yet and may be
-// repeated, so that they go through a peer. It is called when this host has lost its
-// paths to all instances.
+// repeated, and the streams that may be resumed, so that they go through a peer. It is
+// called when this host has lost its paths to all instances: none of the streams has
+// had an event since.
 func (p *Proxy) EndUnreached() {
 	p.unanswered.cancelAll(errUnreached)
 	p.tracker.Wake()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -132,10 +132,10 @@
 	defer endUnbegun()
 	if j.repeatable() {
 		p.awaitResponse(j, cancel)
+		defer p.unanswered.remove(&j.unanswered)
 	}
 	sentAt, sendsBefore := p.now(), j.sends
 	response, err := p.send(ctx, j, dest, client.lastEventID)
-	p.unanswered.remove(&j.unanswered)
 	if err != nil {
 		if j.sends > sendsBefore {
 			p.exemptLostAttempt(j, dest)
@@ -160,6 +160,9 @@
 			watch.Progress()
 		}
 		p.paths.Heard(dest.instance, p.now())
+		if client.unnumbered {
+			p.unanswered.remove(&j.unanswered)
+		}
 		if !begun {
 			begun = true
 			endUnbegun()
