Send requests to peers while a host suspects its paths

Now a host that examines its own paths sends new requests to a peer, and declines those of peers.

The new test fails before for a sound and for a suspicious peer.

--- a/interfaces.go
+++ b/interfaces.go
@@ -242,6 +242,9 @@
 	// Stranded reports whether no instance answers this host, although other
 	// hosts may reach them.
 	Stranded() bool
+	// Suspected reports whether this host is about to find out whether it is
+	// stranded.
+	Suspected() bool
 	// Heard records that bytes of an instance arrived at this host.
 	Heard(instance Instance, at time.Time)
 	// Failed records that a connection to an instance could not be opened, broke
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -129,6 +129,13 @@
 		dest, err := p.acquirePeer(j, now)
 		return dest, time.Time{}, err
 	}
+	if p.paths.Suspected() {
+		if dest, err := p.acquirePeer(j, now); err == nil {
+			return dest, time.Time{}, nil
+		}
+		// All paths may be sound, and an instance merely slow.
+		j.declines = 0
+	}
 	if !p.grantRetry(j, now) {
 		return p.acquireGrant(j, now)
 	}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -26,10 +26,12 @@
 // pathState is what a test says of a host's paths, and what its proxy reports.
 type pathState struct {
 	stranded      atomic.Bool
+	suspected     atomic.Bool
 	heard, failed atomic.Int64
 }
 
 func (p *pathState) Stranded() bool                          { return p.stranded.Load() }
+func (p *pathState) Suspected() bool                         { return p.suspected.Load() }
 func (p *pathState) Heard(flamingodoor.Instance, time.Time)  { p.heard.Add(1) }
 func (p *pathState) Failed(flamingodoor.Instance, time.Time) { p.failed.Add(1) }
 
@@ -403,6 +405,22 @@
 	assert.Equal(t, f.send("/stream/x").body, allEvents(6))
 }
 
+// Guards against requests that are sent into a partition while their host finds out that
+// it is stranded, and against refusals if all hosts suspect their paths.
+func TestHostThatSuspectsItsPathsForwards(t *testing.T) {
+	for suspiciousPeers, want := range []string{"peer 0", "peer 1", "own"} {
+		f := newFleet(t, 2)
+		f.paths.stranded.Store(false)
+		f.paths.suspected.Store(true)
+		f.register(newEndpoint(t, signed("own")).instance("i-1", "plain"))
+		for n, peer := range f.peers {
+			peer.register(newEndpoint(t, signed(fmt.Sprint("peer ", n))).instance("i-1", "plain"))
+			peer.paths.suspected.Store(n < suspiciousPeers)
+		}
+		assert.Equal(t, f.send("/post/x").body, want)
+	}
+}
+
 // Guards against a host that takes over more than it can hold.
 func TestTakeoversAreBounded(t *testing.T) {
 	f := newFleet(t, 1)
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -141,6 +141,8 @@
 		return "not_ready"
 	case p.paths.Stranded():
 		return "stranded"
+	case p.paths.Suspected():
+		return "suspects_its_paths"
 	case request.ContentLength < 0 || bytes > bodyLimit(index):
 		return "body"
 	default:
