Fill a host with forwarded requests one by one in the test

TestTakeoversAreBounded failed once beside load (1 of 2 runs of the package with -race, GOMAXPROCS=2, load average 42), with 503 for a request that the host had to take.

Cause: a fault of the test. It started 200 requests at once, with deadlines of 1.5 s. A run that printed the answers shows no_path and not_run after 1.3 to 2.0 s and 504 (deadline): beside load the first ones ended, or their dials took longer than 0.4 s, before the last ones were there.

Ruled out: a limit below 159, as no host declined more than the test expects when the requests are sequential.

The test now fills the host request by request, with deadlines of a minute, and then sends the 41 that must be refused; counts and limit are as before.

--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -262,6 +262,17 @@
 	s.catalogue.Confirm(time.Now())
 }
 
+// setTimeouts sets how long a request of any route may take.
+func (s *setup) setTimeouts(timeout time.Duration) {
+	configuration := *s.catalogue.Index().Catalogue
+	configuration.Version++
+	configuration.Routes = slices.Clone(configuration.Routes)
+	for i := range configuration.Routes {
+		configuration.Routes[i].Timeout = timeout
+	}
+	s.catalogue.Configure(&configuration)
+}
+
 // withoutRetries takes the retry budgets of hosts away, of which 0 is the stranded one.
 func withoutRetries(hosts ...int) func(*fleet) {
 	return func(f *fleet) {
@@ -408,15 +419,27 @@
 	instance := e.instance("i-1", "plain")
 	instance.Slots = 1000
 	f.peers[0].register(instance)
-	results := make(chan int)
+	for _, host := range []*setup{f.setup, f.peers[0]} {
+		host.setTimeouts(time.Minute)
+	}
+	results := make(chan int, 1)
+	send := func(n int) {
+		results <- f.send("/read/x", func(request *http.Request) {
+			request.Header.Set(headers.RequestID, strconv.Itoa(n))
+			request.Header.Set(headers.DeadlineMS, "60000")
+		}).status
+	}
 	// A host of 160 MB has an eighth for requests of 128 KB each.
 	const requests, taken = 200, 159
-	for n := range requests {
-		go func() {
-			results <- f.send("/read/x", func(request *http.Request) { request.Header.Set(headers.RequestID, strconv.Itoa(n)) }).status
-		}()
+	for n := range taken {
+		go send(n)
+		for e.runs.Load() <= int64(n) {
+			assert.Equal(t, len(results), 0, "request %d was not taken", n)
+			time.Sleep(time.Millisecond)
+		}
 	}
-	for range requests - taken {
+	for n := range requests - taken {
+		send(taken + n)
 		assert.Equal(t, <-results, http.StatusServiceUnavailable)
 	}
 	end()
