Let hosts that are all stranded try their instances

The leader resigned.

Cause: a stranded host refuses what no peer takes, ends the attempts that wait for a response, and resigns, because peers with paths serve better. If every peer is stranded too, there is none, and silence is as likely that of slow or starved instances.

Change: a host without a peer that was heard lately, has paths and does not stop sends its requests to its instances, on new connections while it is stranded, so that what does not arrive is provably unsent. If all are marked as unreachable, a request tries as many as its route allows attempts. Attempts without a response go on. The leader keeps its lease, gives no orders, and resigns within 50 ms of a peer having paths. Price: callers of a fleet that is really cut off from all instances wait for the connections to fail, up to 0.4 s each, instead of being refused at once.

Ruled out: leading on in that state. A leader whose peers are all stranded decides alone that instances are gone.

Before, both new tests fail (503 and 502 instead of 200; the lease is lost).

With -race at a load average of about 40, TestTakeoversAreBounded failed (without the change too, 3 of 25 runs beside busy processes), and TestLongResponseIsWhole once; it passed 3 of 3 times by itself.

--- a/internal/exchange/candidates_test.go
+++ b/internal/exchange/candidates_test.go
@@ -29,6 +29,7 @@
 	hosts    []*exchange.Exchanger
 	peers    []flamingodoor.EntryPeer
 	silent   map[int]bool
+	stranded bool // what all hosts say
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -60,7 +61,7 @@
 			continue
 		}
 		message := &exchangev1.ShareRequest{
-			HostId: peer.ID, Address: peer.Address.String(), DataCentre: peer.DataCentre, LinkMbps: int32(peer.LinkMbps), Sequence: f.sequence,
+			HostId: peer.ID, Address: peer.Address.String(), DataCentre: peer.DataCentre, LinkMbps: int32(peer.LinkMbps), Sequence: f.sequence, Stranded: f.stranded,
 		}
 		for j, receiver := range f.hosts {
 			if i != j {
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -40,7 +40,7 @@
 	var least forwardCost
 	equal := 0
 	for id, peer := range e.peers {
-		if excluded[id] || peer.left || peer.stranded || now.Sub(peer.lastSeen) >= peerTimeout {
+		if excluded[id] || !peer.takesForwards(now) {
 			continue
 		}
 		cost := e.forwardCost(peer, excluded, now)
@@ -60,6 +60,25 @@
 	return best.EntryPeer, true
 }
 
+// HasPeer reports whether NextPeer would select a peer if none was excluded. If not,
+// all hosts are in the same position: a host without paths to instances cannot tell
+// that they fail rather than its paths.
+func (e *Exchanger) HasPeer(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, peer := range e.peers {
+		if peer.takesForwards(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// takesForwards reports whether a request can be forwarded to the peer.
+func (p *peerState) takesForwards(now time.Time) bool {
+	return !p.left && !p.stranded && now.Sub(p.lastSeen) < peerTimeout
+}
+
 // forwardCost orders the peers that a request can be forwarded to.
 type forwardCost struct {
 	doubts int // that the peer can serve the request
--- a/internal/exchange/forward_test.go
+++ b/internal/exchange/forward_test.go
@@ -47,6 +47,10 @@
 			f.exchangeAll()
 		}},
 		{name: "all silent for a moment", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(1500 * time.Millisecond) }},
+		{name: "all stranded", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) {
+			f.stranded = true
+			f.exchangeAll()
+		}},
 		{name: "all silent", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(3 * time.Second) }},
 		{name: "declined in another data centre", excluded: []string{"host-1", local}, want: "other"},
 		{name: "nobody left", excluded: []string{"host-1", "host-2", "host-3", "host-4", local, "host-6", "host-7", "host-8", "host-9"}, want: ""},
@@ -64,6 +68,7 @@
 			}
 			peer, ok := host.NextPeer(excluded, f.now)
 			assert.Equal(t, ok, each.want != "")
+			assert.Equal(t, host.HasPeer(f.now), ok || len(excluded) > 0)
 			if each.want == "other" {
 				assert.Assert(t, peer.ID != local && !slices.Contains(each.excluded, peer.ID), peer.ID)
 				assert.Assert(t, !excluded["host-1"] || peer.DataCentre != "dc-1", peer.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,7 +202,7 @@
 		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
-		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, StandsForElection: g.standsForElection,
+		ReachedElsewhere: g.exchanger.ReachedElsewhere, Stranded: g.paths.Stranded, HasSoundPeer: func() bool { return g.exchanger.HasPeer(time.Now()) }, StandsForElection: g.standsForElection,
 		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy)
--- a/internal/planner/election.go
+++ b/internal/planner/election.go
@@ -19,11 +19,12 @@
 // candidacy is this host's part in the election. Only the goroutine that calls
 // Campaign uses it.
 type candidacy struct {
-	stands     bool // whether this host should be a candidate
-	joined     bool // whether the store may count it as one
-	failed     bool // the latest renewal failed
-	stranded   bool // this host had no paths in the latest round
-	strandedAt time.Time
+	stands   bool // whether this host should be a candidate
+	joined   bool // whether the store may count it as one
+	failed   bool // the latest renewal failed
+	stranded bool // this host had no paths in the latest round
+	cutOff   bool // and another host had
+	cutOffAt time.Time
 }
 
 // Leads reports whether this host holds the leader lease. A host without paths to
@@ -47,7 +48,7 @@
 }
 
 // Campaign runs one round of the election: it renews the leader lease, or gives it
-// up if this host has no paths to instances.
+// up if this host has no paths to instances and another one has.
 func (p *Planner) Campaign(ctx context.Context) {
 	if p.withdraws(ctx) {
 		return
@@ -69,16 +70,17 @@
 	}
 }
 
-// withdraws reports whether this host has no paths to instances, or had none until
-// lately. It then ends its term and leaves the election, so that the lease is not
-// given to it.
+// withdraws reports whether this host has no paths to instances while another one has,
+// or was in this position until lately. It then ends its term and leaves the election,
+// so that the lease is not given to it.
 func (p *Planner) withdraws(ctx context.Context) bool {
 	own, now := &p.candidacy, p.now()
 	own.stranded = p.Stranded()
-	if own.stranded {
-		own.strandedAt = now
+	own.cutOff = own.stranded && p.HasSoundPeer()
+	if own.cutOff {
+		own.cutOffAt = now
 	}
-	if !own.stranded && (own.strandedAt.IsZero() || now.Sub(own.strandedAt) >= standDelay) {
+	if !own.cutOff && (own.cutOffAt.IsZero() || now.Sub(own.cutOffAt) >= standDelay) {
 		return false
 	}
 	p.setLeadership(false, time.Time{})
@@ -128,7 +130,7 @@
 		case <-p.renewals:
 			return
 		case <-paths.C:
-			if !p.candidacy.stranded && p.Stranded() {
+			if p.Stranded() && (!p.candidacy.stranded || (!p.candidacy.cutOff && p.HasSoundPeer())) {
 				return
 			}
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -105,6 +105,9 @@
 	// Stranded reports whether this host has lost its paths to all instances; nil if
 	// it never has.
 	Stranded func() bool
+	// HasSoundPeer reports whether another host that runs has paths to instances; nil
+	// if one always has.
+	HasSoundPeer func() bool
 	// StandsForElection reports whether this host should be a candidate, given
 	// whether it is one; nil if it always is.
 	StandsForElection func(stands bool) bool
@@ -221,6 +224,9 @@
 	if p.Stranded == nil {
 		p.Stranded = func() bool { return false }
 	}
+	if p.HasSoundPeer == nil {
+		p.HasSoundPeer = func() bool { return true }
+	}
 	for _, option := range options {
 		option(p)
 	}
--- a/internal/planner/stranded_test.go
+++ b/internal/planner/stranded_test.go
@@ -69,6 +69,9 @@
 	return nil
 }
 
+// hasSoundPeer tells what the peer says of its paths.
+func (e *entryHost) hasSoundPeer() bool { return !e.peer.stranded() }
+
 func (e *entryHost) stranded() bool {
 	return e.cut && !e.leases.now().Before(e.cutAt.Add(e.suspects))
 }
@@ -119,7 +122,7 @@
 		host := &entryHost{t: h.t, name: name, leases: shared, fleet: h.fleet, roster: roster.New(), joins: joins, random: random}
 		parts := h.parts()
 		parts.Roster, parts.Instances, parts.Election = host.roster, host, host
-		parts.Stranded, parts.ReachedElsewhere = host.stranded, host.reachedElsewhere
+		parts.Stranded, parts.HasSoundPeer, parts.ReachedElsewhere = host.stranded, host.hasSoundPeer, host.reachedElsewhere
 		parts.AnnounceReachable = func(instance flamingodoor.Instance, at time.Time) {
 			for _, each := range hosts {
 				each.roster.MarkAlive(instance.ID, instance.StartedAt, at)
@@ -225,6 +228,27 @@
 	assert.Assert(t, follower.Leads(), "a host whose paths are back does not stand")
 }
 
+// Guards against a fleet without a leader because no instance answers any host for a
+// while: the leader keeps its lease, gives no orders meanwhile, and hands over as soon
+// as another host has paths again.
+func TestLeaderStaysWhileAllHostsAreStranded(t *testing.T) {
+	for _, peerFirst := range []bool{false, true} {
+		random := rand.New(rand.NewPCG(1, 1))
+		h := newHarness(t)
+		h.add("d0", 5, large)
+		hosts := h.entryHosts(random)
+		h.runHosts(random, 6*time.Second, hosts, nil)
+		leader, leaves := hosts[0].leases.holder, h.countLeaves()
+		leader.cut, leader.peer.cut, leader.cutAt = true, true, h.fleet.Now()
+		h.runHosts(random, 4*time.Second, hosts, nil)
+		assert.Assert(t, !leader.Leads() && leader.leases.holder == leader && leader.resigned+leader.peer.resigned == 0)
+		leader.peer.cut, leader.cut = false, peerFirst
+		h.runHosts(random, time.Second, hosts, nil)
+		assert.Assert(t, leader.peer.Leads() == peerFirst && leader.Leads() == !peerFirst)
+		assert.Equal(t, *leaves, 0)
+	}
+}
+
 // Guards against a group that is given up because the leader alone does not reach its
 // head when it is to open: no request goes there yet that would mark the head.
 func TestPendingGroupAwaitsThePathToItsHead(t *testing.T) {
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -127,7 +127,9 @@
 	now := p.now()
 	if p.paths.Stranded() {
 		dest, err := p.acquirePeer(j, now)
-		return dest, time.Time{}, err
+		if err == nil || !p.reliesOnOwnPaths(j, now) {
+			return dest, time.Time{}, err
+		}
 	}
 	if !p.grantRetry(j, now) {
 		return p.acquireGrant(j, now)
@@ -139,6 +141,9 @@
 		return destination{}, time.Time{}, errFull
 	}
 	set := p.findCandidates(j, p.roster.View(), now)
+	if len(set.candidates) == 0 && set.unreachable > 0 && len(j.failedInstances) < j.route.MaxAttempts && p.reliesOnOwnPaths(j, now) {
+		set = p.findCandidates(j, p.roster.View().IgnoringPaths(), now)
+	}
 	if len(set.candidates) == 0 {
 		return p.acquireElsewhere(j, &set, now)
 	}
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -313,7 +313,7 @@
 		Method: j.method, URI: j.uri, Host: j.host, Header: header, Body: j.body,
 		// If a reused connection turns out to be closed, it is unknown whether
 		// the request has run. A repeat has few attempts left for that.
-		NewConnection: !j.repeatable() || j.sends > 0,
+		NewConnection: !j.repeatable() || j.sends > 0 || p.paths.Stranded(),
 		OnHead:        func(status int, header http.Header) { p.observeHead(dest.instance, status, header) },
 	})
 	if err == nil {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -83,6 +83,7 @@
 	return flamingodoor.EntryPeer{}, false
 }
 func (noPeers) ReleasePeer(string)          {}
+func (noPeers) HasPeer(time.Time) bool      { return false }
 func (noPeers) AvoidPeer(string, time.Time) {}
 
 // UsePeers sets the selector of peers. It is called before the first request.
@@ -111,6 +112,12 @@
 	return destination{peer: &peer}, nil
 }
 
+// reliesOnOwnPaths reports whether a job has no way but this host's own paths, because
+// no peer is known to have better ones. The instances may only be slow.
+func (p *Proxy) reliesOnOwnPaths(j *job, now time.Time) bool {
+	return j.forwardedBy == "" && !p.peers.HasPeer(now)
+}
+
 // acquireElsewhere returns a peer for a job without a candidate if only the paths of
 // this host exclude instances, or else the reason why there is no candidate.
 func (p *Proxy) acquireElsewhere(j *job, set *candidateSet, now time.Time) (destination, time.Time, error) {
--- a/internal/proxy/forward_rules_test.go
+++ b/internal/proxy/forward_rules_test.go
@@ -154,3 +154,39 @@
 	f.configure(func(*flamingodoor.Catalogue) {})
 	assert.Equal(t, f.send("/read/x").status, http.StatusOK)
 }
+
+// Guards against refusals, and against attempts that are ended, at hosts that are all
+// stranded: instances that are slow or starved look like paths that are lost (soak, seed
+// 3106).
+func TestHostWithoutASoundPeerTriesItsInstances(t *testing.T) {
+	for _, each := range []struct {
+		path            string
+		marked, refuses bool // the instance is marked as unreachable, and refuses
+		during          bool // the host becomes stranded during the request
+		status          int
+	}{
+		{path: "/read/x", status: 200},
+		{path: "/post/x", marked: true, status: 200},
+		{path: "/read/x", marked: true, during: true, status: 200},
+		{path: "/read/x", marked: true, refuses: true, status: 503},
+	} {
+		f := newFleet(t, 0)
+		f.paths.stranded.Store(!each.during)
+		instance := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+			f.paths.stranded.Store(true)
+			f.proxy.EndUnreached()
+			time.Sleep(50 * time.Millisecond)
+			signed("done")(writer, request)
+		}).instance("i-1", "plain")
+		if each.refuses {
+			instance = f.unreachable("plain")
+		}
+		if each.marked {
+			f.roster.MarkUnreachable(instance.ID, instance.StartedAt, time.Now())
+		}
+		f.register(instance)
+		sentAt := time.Now()
+		assert.Equal(t, f.send(each.path).status, each.status, "%+v", each)
+		assert.Assert(t, time.Since(sentAt) < 500*time.Millisecond, "answered after %s", time.Since(sentAt))
+	}
+}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -53,6 +53,8 @@
 	return flamingodoor.EntryPeer{}, false
 }
 
+func (l *peerList) HasPeer(time.Time) bool { return len(l.peers) > 0 }
+
 func (l *peerList) ReleasePeer(string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -73,17 +73,19 @@
 }
 
 // EndUnreached ends the attempts at instances that have no response yet and may be
-// repeated, so that they go through a peer. It is called when this host has lost its
-// paths to all instances.
+// repeated, so that they go through a peer, if there is one. It is called when this
+// host has lost its paths to all instances.
 func (p *Proxy) EndUnreached() {
-	p.unanswered.cancelAll(errUnreached)
+	if p.peers.HasPeer(p.now()) {
+		p.unanswered.cancelAll(errUnreached)
+	}
 	p.tracker.Wake()
 }
 
 // awaitResponse lets EndUnreached end an attempt of a job that may be repeated.
 func (p *Proxy) awaitResponse(j *job, cancel context.CancelCauseFunc) {
 	p.unanswered.add(&j.unanswered, cancel)
-	if p.paths.Stranded() {
+	if p.paths.Stranded() && p.peers.HasPeer(p.now()) {
 		cancel(errUnreached)
 	}
 }
--- a/internal/roster/unreachable.go
+++ b/internal/roster/unreachable.go
@@ -21,6 +21,13 @@
 	return ok && mark.startedAt.Equal(instance.StartedAt) && now.Before(mark.deadline)
 }
 
+// IgnoringPaths returns the view without the marks of unreachable instances.
+func (v *View) IgnoringPaths() *View {
+	ignoring := *v
+	ignoring.unreachable = nil
+	return &ignoring
+}
+
 // UnreachableInstances returns the instances whose processes are marked as
 // unreachable from this host, those with the oldest marks first.
 func (v *View) UnreachableInstances(now time.Time) []flamingodoor.Instance {
