--- a/internal/exchange/candidates_test.go
+++ b/internal/exchange/candidates_test.go
@@ -30,6 +30,7 @@
 	peers    []flamingodoor.EntryPeer
 	silent   map[int]bool
 	leaving  map[int]bool
+	stranded bool // what all hosts say
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -62,7 +63,7 @@
 		}
 		message := &exchangev1.ShareRequest{
 			HostId: peer.ID, Address: peer.Address.String(), DataCentre: peer.DataCentre, LinkMbps: int32(peer.LinkMbps), Sequence: f.sequence,
-			Leaving: f.leaving[i],
+			Leaving: f.leaving[i], Stranded: f.stranded,
 		}
 		for j, receiver := range f.hosts {
 			if i != j {
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -73,6 +73,20 @@
 	return !p.stranded && p.silence(now) < peerTimeout
 }
 
+// HasPeer reports whether NextPeer would select a peer if none was excluded. If not,
+// all hosts are in the same position: a host without paths to instances cannot tell
+// that they fail rather than its paths.
+func (e *Exchanger) HasPeer(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, peer := range e.peers {
+		if peer.mayServe(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // forwardCost orders the peers that a request can be forwarded to.
 type forwardCost struct {
 	doubts int // that the peer can serve the request
--- a/internal/exchange/forward_test.go
+++ b/internal/exchange/forward_test.go
@@ -47,6 +47,10 @@
 			f.exchangeAll()
 		}},
 		{name: "all silent for a moment", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(1500 * time.Millisecond) }},
+		{name: "all stranded", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) {
+			f.stranded = true
+			f.exchangeAll()
+		}},
 		{name: "all silent", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(3 * time.Second) }},
 		{name: "leaving", want: "other", prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(5) }},
 		{name: "all leaving", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9) }},
@@ -72,6 +76,7 @@
 			peer, ok := host.NextPeer(excluded, f.now)
 			assert.Equal(t, ok, each.want != "")
 			assert.Equal(t, peer.Leaving, f.leaving[5] && peer.ID == local)
+			assert.Equal(t, host.HasPeer(f.now), ok || len(excluded) > 0)
 			if each.want == "other" {
 				assert.Assert(t, peer.ID != local && !slices.Contains(each.excluded, peer.ID), peer.ID)
 				assert.Assert(t, !excluded["host-1"] || peer.DataCentre != "dc-1", peer.ID)
