--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -120,23 +120,29 @@
 	return errors.As(err, &held) && held.until.After(until)
 }
 
+// acquireAround returns a peer for a job if this host is stranded or suspects its own
+// paths. It returns neither a peer nor an error if the job is to try these paths.
+func (p *Proxy) acquireAround(j *job, now time.Time) (destination, error) {
+	stranded := p.paths.Stranded()
+	if !stranded && !p.paths.Suspected() {
+		return destination{}, nil
+	}
+	dest, err := p.acquirePeer(j, now)
+	if err == nil || (stranded && !p.reliesOnOwnPaths(j, now)) {
+		return dest, err
+	}
+	// All paths may be sound, and instances merely slow.
+	j.declines = 0
+	return destination{}, nil
+}
+
 // tryAcquire reserves a slot without waiting. If there is none, it also returns when
 // the first of the instances that asked for no requests, or no more, takes one again;
 // the time is zero if none asked for that.
 func (p *Proxy) tryAcquire(j *job) (destination, time.Time, error) {
 	now := p.now()
-	if p.paths.Stranded() {
-		dest, err := p.acquirePeer(j, now)
-		if err == nil || !p.reliesOnOwnPaths(j, now) {
-			return dest, time.Time{}, err
-		}
-	}
-	if p.paths.Suspected() {
-		if dest, err := p.acquirePeer(j, now); err == nil {
-			return dest, time.Time{}, nil
-		}
-		// All paths may be sound, and an instance merely slow.
-		j.declines = 0
+	if dest, err := p.acquireAround(j, now); err != nil || dest.peer != nil {
+		return dest, time.Time{}, err
 	}
 	if !p.grantRetry(j, now) {
 		return p.acquireGrant(j, now)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -139,9 +139,8 @@
 	sentAt, sendsBefore := p.now(), j.sends
 	response, err := p.send(ctx, j, dest, client.lastEventID)
 	if err != nil {
-		if j.sends > sendsBefore && !onDeadConnection(err) {
-			p.exemptLostAttempt(j, dest)
-			p.reportUnbegun(ctx, j, dest)
+		if j.sends > sendsBefore {
+			return p.endAttempt(ctx, j, dest, false, err)
 		}
 		return p.handleStreamError(ctx, j, dest, err)
 	}
@@ -180,6 +179,11 @@
 	}
 	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "instance", dest.instance.ID,
 		"last_event", client.lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
+	return p.endAttempt(ctx, j, dest, begun, err)
+}
+
+// endAttempt returns the outcome of an attempt of a stream that was sent and failed.
+func (p *Proxy) endAttempt(ctx context.Context, j *job, dest destination, begun bool, err error) outcome {
 	p.exemptLostAttempt(j, dest)
 	if !begun && !onDeadConnection(err) {
 		p.reportUnbegun(ctx, j, dest)
