Do not probe unlisted instances again

One instance crashed at 6.0 s and was listed until 10.7 s; nine hosts and more probed it until 30 s, twice a second each.

Cause: a mark as unreachable is renewed by the probe that is made for it, so that it lasts until the instance answers, and a crashed one never does.

An instance that is not listed gets no requests (View.Serving, ByService), so its mark need not be kept up to date. If it is listed again, requests or inspections mark it anew.

The new test fails before: of 100 marked instances of 1,100, 60 of which were removed, 100 were probed each second, 40 now.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -134,6 +134,28 @@
 	}
 }
 
+// Guards against each host of a large fleet probing crashed instances for ever: a probe
+// renews the mark for which it is made.
+func TestUnlistedInstancesAreNotProbedAgain(t *testing.T) {
+	const crashed, removed = 100, 60
+	r, _ := largeRoster()
+	for i := range crashed {
+		r.MarkUnreachable(fmt.Sprint("i-", i), start, start)
+	}
+	for i := range removed {
+		r.Remove(fmt.Sprint("i-", i), start)
+	}
+	for second := range 30 {
+		now := start.Add(time.Duration(second) * time.Second)
+		r.Publish(now)
+		probed := r.View().UnreachableInstances(now)
+		assert.Equal(t, len(probed), crashed-removed)
+		for _, instance := range probed {
+			r.MarkUnreachable(instance.ID, instance.StartedAt, now)
+		}
+	}
+}
+
 // The loss of one process of an instance must not mark its successor as lost.
 func TestLossDoesNotMarkTheNextProcess(t *testing.T) {
 	r := newFilledRoster()
--- a/internal/roster/unreachable.go
+++ b/internal/roster/unreachable.go
@@ -21,12 +21,13 @@
 	return ok && mark.startedAt.Equal(instance.StartedAt) && now.Before(mark.deadline)
 }
 
-// UnreachableInstances returns the instances whose processes are marked as
-// unreachable from this host, those with the oldest marks first.
+// UnreachableInstances returns the listed instances whose processes are marked as
+// unreachable from this host, those with the oldest marks first. Others get no
+// requests until they are listed again.
 func (v *View) UnreachableInstances(now time.Time) []flamingodoor.Instance {
 	var instances []flamingodoor.Instance
 	for id := range v.unreachable {
-		if entry, ok := v.Entries[id]; ok && v.Unreachable(entry.Instance, now) {
+		if entry, ok := v.Entries[id]; ok && entry.Listed && v.Unreachable(entry.Instance, now) {
 			instances = append(instances, entry.Instance)
 		}
 	}
