Allow long bodies of a test more time than 1.5 s

TestLongErrorResponseToAStreamIsWhole failed once with -race beside load (unexpected EOF after 1.82 s); TestLongResponseIsWhole fails in the same way.

Cause: a fault of the tests. Their requests had a deadline of 1.5 s for 12 MiB through two servers with the race detector; the proxy breaks off at the deadline, which is right. The failures take 1.66 s or more.

Ruled out: a loss of bytes. With deadlines of a minute all bytes arrive.

With GOMAXPROCS=1, four processes at a time, 12 runs each: 16 failed checks before, none after.

--- a/internal/proxy/misbehaving_test.go
+++ b/internal/proxy/misbehaving_test.go
@@ -21,6 +21,11 @@
 // longBody is longer than a response that the proxy buffers.
 var longBody = strings.Repeat("0123456789abcdef", 12<<16) //nolint:gochecknoglobals // a constant of 12 MiB
 
+// longDeadline allows for the transfer of a long body beside load.
+func longDeadline(request *http.Request) {
+	request.Header.Set(headers.DeadlineMS, "60000")
+}
+
 // A long response reaches the caller whole, with and without a length.
 func TestLongResponseIsWhole(t *testing.T) {
 	for name, status := range map[string]int{"success": http.StatusOK, "failure": http.StatusInternalServerError, "not found": http.StatusNotFound} {
@@ -36,7 +41,8 @@
 					_, _ = io.WriteString(writer, longBody)
 				})
 				s.register(long.instance("i-1", "plain"))
-				got := s.send("/post/x")
+				s.setTimeouts(time.Minute)
+				got := s.send("/post/x", longDeadline)
 				assert.NilError(t, got.err)
 				assert.Equal(t, got.status, status)
 				assert.Assert(t, got.body == longBody, "%d of %d bytes", len(got.body), len(longBody))
@@ -54,7 +60,8 @@
 		_, _ = io.WriteString(writer, longBody)
 	})
 	s.register(long.instance("i-1", "llm"))
-	got := s.send("/stream/x")
+	s.setTimeouts(time.Minute)
+	got := s.send("/stream/x", longDeadline)
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusNotFound)
 	assert.Assert(t, got.body == longBody, "%d of %d bytes", len(got.body), len(longBody))
