Forward to hosts that stop for as long as they serve

Cause: a leaving peer was the last choice for 2 s only, although it runs and serves its own callers until its grace period ends; its server for peers accepts connections as long.

It is the last choice for 5 s. A host that has ended refuses the connection, which is provably unsent, and what its grace period ends is repeated by the first host. The case "all leaving for a while" of TestNextPeer failed before; "all left" is 5.5 s after the announcement now.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -15,9 +15,9 @@
 	// avoidTime is how long a peer that declined a request gets another only if there
 	// is no better one.
 	avoidTime = 300 * time.Millisecond
-	// leavingPeerTime is how long a peer that stops may be the last choice. Peers accept
-	// connections for a little longer.
-	leavingPeerTime = 2 * time.Second
+	// leavingPeerTime is how long a peer that stops may be the last choice. It serves
+	// others while requests of its own callers are in flight, until its grace period ends.
+	leavingPeerTime = 5 * time.Second
 	// remoteCost is how many requests in flight at a peer of this data centre weigh as
 	// much as one at a peer of another.
 	remoteCost = 4
--- a/internal/exchange/forward_test.go
+++ b/internal/exchange/forward_test.go
@@ -54,11 +54,8 @@
 		{name: "all silent", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) { f.now = f.now.Add(3 * time.Second) }},
 		{name: "leaving", want: "other", prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(5) }},
 		{name: "all leaving", want: local, prepare: func(f *fleet, _ *exchange.Exchanger) { f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9) }},
-		{name: "all left", want: "", prepare: func(f *fleet, _ *exchange.Exchanger) {
-			f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9)
-			f.now = f.now.Add(2500 * time.Millisecond)
-			f.exchangeAll()
-		}},
+		{name: "all leaving for a while", want: local, prepare: leaveFor(4 * time.Second)},
+		{name: "all left", want: "", prepare: leaveFor(5500 * time.Millisecond)},
 		{name: "declined in another data centre", excluded: []string{"host-1", local}, want: "other"},
 		{name: "nobody left", excluded: []string{"host-1", "host-2", "host-3", "host-4", local, "host-6", "host-7", "host-8", "host-9"}, want: ""},
 	}
@@ -86,3 +83,12 @@
 		})
 	}
 }
+
+// leaveFor makes all peers announce their stop, and again after the given time.
+func leaveFor(duration time.Duration) func(*fleet, *exchange.Exchanger) {
+	return func(f *fleet, _ *exchange.Exchanger) {
+		f.leave(1, 2, 3, 4, 5, 6, 7, 8, 9)
+		f.now = f.now.Add(duration)
+		f.exchangeAll()
+	}
+}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -266,13 +266,13 @@
 	s.catalogue.Confirm(time.Now())
 }
 
-// setTimeouts sets how long a request of any route may take.
-func (s *setup) setTimeouts(timeout time.Duration) {
+// raiseTimeouts allows requests of all routes to take longTimeout.
+func (s *setup) raiseTimeouts() {
 	configuration := *s.catalogue.Index().Catalogue
 	configuration.Version++
 	configuration.Routes = slices.Clone(configuration.Routes)
 	for i := range configuration.Routes {
-		configuration.Routes[i].Timeout = timeout
+		configuration.Routes[i].Timeout = longTimeout
 	}
 	s.catalogue.Configure(&configuration)
 }
@@ -461,7 +461,7 @@
 	instance.Slots = 1000
 	f.peers[0].register(instance)
 	for _, host := range []*setup{f.setup, f.peers[0]} {
-		host.setTimeouts(time.Minute)
+		host.raiseTimeouts()
 	}
 	results := make(chan int, 1)
 	send := func(n int) {
