Write the reports of the operators' tool in one place

The choice between text, JSON and a page stood twice. Two comments were out of date: HasPeer counts hosts that stop, since these are the last choice.

--- a/interfaces.go
+++ b/interfaces.go
@@ -259,8 +259,8 @@
 	NextPeer(excluded map[string]bool, now time.Time) (EntryPeer, bool)
 	// ReleasePeer ends a request that NextPeer counted.
 	ReleasePeer(peerID string)
-	// HasPeer reports whether any peer could be selected: one that was heard lately,
-	// has paths to instances and does not stop.
+	// HasPeer reports whether any peer could be selected: one that was heard lately
+	// and has paths to instances.
 	HasPeer(now time.Time) bool
 	// AvoidPeer makes a peer a late choice for a moment, because it declined a request
 	// or was not reached.
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -34,14 +34,7 @@
 		return err
 	}
 	report := burn.Compute(response.GetSummaries(), burn.DefaultObjectives(), from, to)
-	switch {
-	case c.HTML != "":
-		return writeHTMLFile(c.HTML, report.WriteHTML)
-	case c.app.options.Output == outputJSON:
-		return report.WriteJSON(c.app.stdout)
-	default:
-		return report.WriteText(c.app.stdout)
-	}
+	return c.app.writeReport(report, c.HTML)
 }
 
 type lostCommand struct {
@@ -61,14 +54,7 @@
 		}
 	}
 	report := reader.Report()
-	switch {
-	case c.HTML != "":
-		return writeHTMLFile(c.HTML, report.WriteHTML)
-	case c.app.options.Output == outputJSON:
-		return report.WriteJSON(c.app.stdout)
-	default:
-		return report.WriteText(c.app.stdout)
-	}
+	return c.app.writeReport(&report, c.HTML)
 }
 
 // readLog adds the lines of a file, or those of the standard input for the name "-".
@@ -84,6 +70,26 @@
 	return reader.Read(file)
 }
 
+// report is what the report commands print.
+type report interface {
+	WriteText(w io.Writer) error
+	WriteJSON(w io.Writer) error
+	WriteHTML(w io.Writer) error
+}
+
+// writeReport writes a page to the file with the given path, or the chosen form to
+// standard output if the path is empty.
+func (a *app) writeReport(report report, path string) error {
+	switch {
+	case path != "":
+		return writeHTMLFile(path, report.WriteHTML)
+	case a.options.Output == outputJSON:
+		return report.WriteJSON(a.stdout)
+	default:
+		return report.WriteText(a.stdout)
+	}
+}
+
 func writeHTMLFile(path string, write func(io.Writer) error) error {
 	file, err := os.Create(path) //nolint:gosec // The operator names the file.
 	if err != nil {
--- a/internal/planner/silence.go
+++ b/internal/planner/silence.go
@@ -39,7 +39,8 @@
 	asked   bool // peers have been asked whether they reach it
 	ended   bool // no process listens at its address, or another one does
 	unheard bool // no host got an answer towards the end of the silence
-	// The machine answered the opening of a connection, so its process stands still.
+	// connects is set once the machine has answered the opening of a connection: the
+	// process stands still.
 	connects bool
 	dark     int // latest consecutive probes in which no host could open a connection
 }
