Read the load of a head again before its group counts as stalled

Callers whose requests wait in the queue of a busy group see no event. The group counts as stalled, and is dissolved, if the load of its head has not changed for 1.2 s; the load is read with the inspections, whose pauses grow to 3.2 s. A group that serves others was therefore taken for stalled once a request had waited for about 4 s.

Ruled out: a head whose load is unknown, which counts as changed already.

The load is now read 0.4 s before it would show a stall, and must have been read in the last 0.4 s when it does. Price: up to an inspection each 0.8 s instead of each 3.2 s while a request waits in a queue.

--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -116,6 +116,7 @@
 	inspectionDelay  time.Duration // random delay of the next inspection beyond silenceLimit
 	cleanInspections int           // inspections without a lost member since the latest event
 	headLoad         HeadLoad      // at the latest inspection
+	headLoadRead     time.Time     // end of the latest inspection
 	headLoadChanged  time.Time     // when an inspection last found that the head's load had changed
 	inspecting       bool
 	cancelled        bool    // all streams are cancelled and no other has begun since
@@ -277,14 +278,12 @@
 	if silence <= limit+state.inspectionDelay {
 		return
 	}
-	// Requests of this host may wait in the queue of a group that serves those
-	// of other hosts, so the load of the head must have stopped changing too.
-	if state.cleanInspections >= minInspections && min(silence, now.Sub(state.headLoadChanged)) > m.scaleBySlowdown(state, stallTimeout) {
+	if m.isStalled(state, silence, now) {
 		m.cancelAll(state, ErrStalled)
 		m.stalled(state.group.Key())
 		return
 	}
-	if state.inspecting || now.Sub(state.inspected) < inspectionInterval<<min(max(0, state.cleanInspections-1), maxBackoff) {
+	if state.inspecting || now.Sub(state.inspected) < m.inspectionPause(state, silence, now) {
 		return
 	}
 	state.inspectionDelay = m.jitter()
@@ -292,6 +291,24 @@
 	go m.runInspection(ctx, state)
 }
 
+// isStalled reports whether a silent group makes no progress. Requests of this host may
+// wait in the queue of a group that serves those of other hosts, so the load of the head
+// must have stopped changing too, and must have been read lately.
+func (m *Monitor) isStalled(state *groupState, silence time.Duration, now time.Time) bool {
+	return state.cleanInspections >= minInspections && now.Sub(state.headLoadRead) <= inspectionInterval &&
+		min(silence, now.Sub(state.headLoadChanged)) > m.scaleBySlowdown(state, stallTimeout)
+}
+
+// inspectionPause returns the time between two inspections of a silent group. It grows,
+// but the load is read again before it would show a stall.
+func (m *Monitor) inspectionPause(state *groupState, silence time.Duration, now time.Time) time.Duration {
+	unchanged := min(silence, now.Sub(state.headLoadChanged))
+	if state.cleanInspections >= minInspections && unchanged > m.scaleBySlowdown(state, stallTimeout)-inspectionInterval {
+		return inspectionInterval
+	}
+	return inspectionInterval << min(max(0, state.cleanInspections-1), maxBackoff)
+}
+
 // silenceLimit returns how long the group may send no event before it is
 // inspected. It is longer for a slow group, and for one that has sent no event
 // yet on the streams of this host.
@@ -327,7 +344,7 @@
 	if state.cleanInspections > 0 && (result.HeadUnknown || result.HeadLoad != state.headLoad) {
 		state.headLoadChanged = m.now()
 	}
-	state.headLoad = result.HeadLoad
+	state.headLoad, state.headLoadRead = result.HeadLoad, m.now()
 	state.cleanInspections++
 	if len(result.Lost) > 0 {
 		state.cleanInspections = 0
--- a/internal/stall/monitor_test.go
+++ b/internal/stall/monitor_test.go
@@ -137,15 +137,32 @@
 func TestQueuedRequestsAreNoStall(t *testing.T) {
 	s := newFixture(t)
 	_, ctx := s.begin()
-	for i := range 6 {
+	s.serveOthers(6)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, len(s.stalled), 0)
+	s.advance(1800 * time.Millisecond)
+	assert.Assert(t, errors.Is(context.Cause(ctx), stall.ErrStalled), "%v", context.Cause(ctx))
+}
+
+// serveOthers lets the load of the head change a number of times, every 0.4 s.
+func (s *fixture) serveOthers(changes int) {
+	for i := range changes {
 		s.mu.Lock()
 		s.inspection.HeadLoad = stall.HeadLoad{Running: 30, KVTokensUsed: 10_000 + i}
 		s.mu.Unlock()
 		s.advance(400 * time.Millisecond)
 	}
+}
+
+// Guards against a working group that is taken for stalled because its load is read
+// ever less often while a request of this host waits in its queue.
+func TestLongQueueIsNoStall(t *testing.T) {
+	s := newFixture(t)
+	_, ctx := s.begin()
+	s.serveOthers(30)
 	assert.NilError(t, ctx.Err())
-	assert.Equal(t, len(s.stalled), 0)
-	s.advance(1800 * time.Millisecond)
+	assert.Assert(t, s.inspected < 20, "%d inspections in 12 s", s.inspected)
+	s.advance(3 * time.Second)
 	assert.Assert(t, errors.Is(context.Cause(ctx), stall.ErrStalled), "%v", context.Cause(ctx))
 }
 
