--- /dev/null
+++ b/review/_standin/silence.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// caseSilence: a worker falls silent for a second while a host is stopped. With
+// `preempted`, it preempts some streams instead, which may not be resumed.
+func caseSilence(preempted bool) {
+	folder, err := os.MkdirTemp("", "review")
+	if err != nil {
+		cannotRun(err.Error())
+	}
+	defer os.RemoveAll(folder)
+	length, _ := time.ParseDuration(envOr("SILENCE", "1s"))
+	store := NewStore()
+	fleet := NewEngineFleet(Model{Name: "daka510000", Size: 4, Load: 1600 * time.Millisecond, Warm: 1600 * time.Millisecond})
+	for i := range 4 {
+		worker := fleet.Add(store, fmt.Sprintf("i-llm%d", i), "billing-llm", "dar-a", "d-1", 26, 50*time.Millisecond)
+		worker.Preemption = length
+	}
+	store.Put("keyed.op", "config", llmConfig(!preempted))
+	entries := prepareEntries(folder, store.Address)
+	startEntries(entries...)
+	head := awaitOpen(fleet, 30*time.Second)
+	note("worker %s is the head of an open group", head.ID)
+	time.Sleep(4 * time.Second) // longer than stable_window_ms
+
+	const events = 80
+	const streams = 6
+	var results sync.Map
+	var sending sync.WaitGroup
+	for i := range streams {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			client := &Client{Target: entries[0].Front}
+			client.Do(http.MethodPost, "ficu95.example", "/lohu930/2f?events=2", "n2ctnfzs989anu6wsjnb", []byte("prompt"), 8*time.Second, llmHeaders)
+			path := fmt.Sprintf("/lohu930/2f?events=%d", events)
+			if preempted && trouble() && i%2 == 0 {
+				path += "&preempted_at=30" // after the stop has begun
+			}
+			result := client.Do(http.MethodPost, "ficu95.example", path, "n2ctnfzs989anu6wsjnb", []byte("prompt"), 8*time.Second, llmHeaders)
+			got := strings.Count(string(result.Body), "\ndata: ")
+			note("client: %s kept=%v status=%d events=%d of %d err=%v", result.ID, result.Kept, result.Status, got, events, result.Err)
+			results.Store(i, result.Status == http.StatusOK && result.Err == nil && got == events)
+		}()
+	}
+	time.Sleep(time.Second)
+	entries[0].Signal(syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	if trouble() && !preempted {
+		head.StandStill(length)
+	}
+	sending.Wait()
+	lost := 0
+	results.Range(func(_, complete any) bool {
+		if !complete.(bool) {
+			lost++
+		}
+		return true
+	})
+	note("streams that were passed on and ended without a complete answer: %d of %d", lost, streams)
+	fmt.Printf("LOST: %d of %d streams ended without a complete answer\n", lost, streams)
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
+		for _, entry := range entries {
+			data, _ := os.ReadFile(folder + "/" + entry.Name + ".log")
+			_ = os.WriteFile(keep+"/"+entry.Name+".log", data, 0o600)
+		}
+	}
+	_ = os.RemoveAll(folder)
+	if lost > 0 {
+		finish(exitBroken)
+	}
+	finish(exitHeld)
+}
+
+const llmHeaders = "Flamingodoor-Model: daka510000\r\nFlamingodoor-Token-Usage: 1460,600\r\nFlamingodoor-Prefix-Hash: 5c1e07a2:40,91bd3f06:1420\r\n"
+
+// awaitOpen waits for a head of an open group.
+func awaitOpen(fleet *EngineFleet, limit time.Duration) *Engine {
+	for begun := time.Now(); time.Since(begun) < limit; time.Sleep(50 * time.Millisecond) {
+		fleet.mu.Lock()
+		for _, worker := range fleet.workers {
+			if worker.state == "open" {
+				fleet.mu.Unlock()
+				return worker
+			}
+		}
+		fleet.mu.Unlock()
+	}
+	cannotRun("no group opens")
+	return nil
+}
