--- a/review/_standin/closing.go
+++ b/review/_standin/closing.go
@@ -26,6 +26,7 @@
 	entries := prepareEntries(folder, store.Address)
 	startEntries(entries...)
 	broken, total := 0, 0
+	var unsigned []string
 	for round := range 10 {
 		for _, entry := range entries {
 			client := &Client{Target: entry.Front, EndsSending: trouble()}
@@ -37,6 +38,7 @@
 			note("client: %s at %s: status=%d signed=%v body=%q err=%v, runs %d", result.ID, entry.Name, result.Status, signed, result.Body, result.Err, runs.count(result.ID))
 			if result.Status/100 == 2 && !signed {
 				broken++
+				unsigned = append(unsigned, result.ID)
 			}
 		}
 	}
@@ -58,7 +60,13 @@
 			}
 		}
 	}
-	summary := fmt.Sprintf("MIXED: %d of %d payments were answered with a success without the signature of a worker; %d of %d streams ended early as complete", broken, total, short, streams)
+	neverRun := 0
+	for _, id := range unsigned {
+		if runs.count(id) == 0 {
+			neverRun++
+		}
+	}
+	summary := fmt.Sprintf("MIXED: %d of %d payments were answered with a success without the signature of a worker, %d of them never ran; %d of %d streams ended early as complete", broken, total, neverRun, short, streams)
 	note("%s", summary)
 	fmt.Println(summary)
 	_ = os.RemoveAll(folder)
