--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,7 +33,7 @@
 	Address                   string
 	Slots                     int
 	EventPause                time.Duration
-	Preemption                time.Duration // how long a preempted stream waits
+	Capacity                  int // tokens of memory
 	OnRun                     func(worker *Engine, id string, request *http.Request)
 
 	fleet *EngineFleet
@@ -55,6 +56,71 @@
 	sequence    int64
 	running     int
 	made        int
+	used        int       // tokens in memory
+	streams     []*stream // in the order in which they began
+}
+
+// stream is a request that runs, and the memory that it holds.
+type stream struct {
+	id        string
+	tokens    int
+	preempted bool
+}
+
+const (
+	tokensPerEvent  = 7
+	readTokensPerMS = 50.7
+)
+
+// grow gives a stream the memory of its next event. When memory runs out, the newest
+// stream is preempted. The caller holds the lock.
+func (w *Engine) grow(s *stream) {
+	s.tokens += tokensPerEvent
+	w.used += tokensPerEvent
+	for i := len(w.streams) - 1; i >= 0 && w.used > w.Capacity; i-- {
+		newest := w.streams[i]
+		if newest.preempted {
+			continue
+		}
+		newest.preempted = true
+		w.used -= newest.tokens
+		note("worker %s: memory of %d tokens is full, %s is preempted", w.ID, w.Capacity, newest.id)
+	}
+}
+
+// awaitMemory waits while a stream is preempted, and until it is read again.
+func (w *Engine) awaitMemory(s *stream) {
+	begun, waited := time.Now(), false
+	for {
+		w.fleet.mu.Lock()
+		back := s.preempted && w.used+s.tokens <= w.Capacity
+		if back {
+			s.preempted = false
+			w.used += s.tokens
+		}
+		preempted, tokens := s.preempted, s.tokens
+		w.fleet.mu.Unlock()
+		if !preempted {
+			if waited || back {
+				time.Sleep(time.Duration(float64(tokens)/readTokensPerMS) * time.Millisecond)
+				note("worker %s: %s goes on after %.2f s", w.ID, s.id, time.Since(begun).Seconds())
+			}
+			return
+		}
+		waited = true
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// end takes a stream out of memory.
+func (w *Engine) end(s *stream) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if !s.preempted {
+		w.used -= s.tokens
+	}
+	w.streams = slices.DeleteFunc(w.streams, func(other *stream) bool { return other == s })
+	w.running--
 }
 
 // EngineFleet holds the workers of a service with an engine.
@@ -76,7 +142,7 @@
 	if err != nil {
 		cannotRun(err.Error())
 	}
-	w := &Engine{ID: id, Service: service, Zone: zone, Domain: domain, Address: listener.Addr().String(), Slots: slots, EventPause: eventPause, fleet: f, store: store, born: time.Now()}
+	w := &Engine{ID: id, Service: service, Zone: zone, Domain: domain, Address: listener.Addr().String(), Slots: slots, EventPause: eventPause, Capacity: 1590000, fleet: f, store: store, born: time.Now()}
 	f.mu.Lock()
 	f.workers[id] = w
 	f.mu.Unlock()
@@ -154,7 +220,7 @@
 		w.fleet.mu.Lock()
 		fields := w.fields()
 		fields["id"], fields["busy"], fields["sequence"], fields["queued"], fields["running"] = w.ID, w.staging != "", w.sequence, 0, w.running
-		fields["kv_used"], fields["kv_total"], fields["handles"], fields["pace"] = 7*w.made, 1590000, 0, 1
+		fields["kv_used"], fields["kv_total"], fields["handles"], fields["pace"] = w.used, w.Capacity, 0, 1
 		w.fleet.mu.Unlock()
 		reply(writer, http.StatusOK, fields)
 	case "/order":
@@ -276,7 +342,13 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	w.fleet.mu.Lock()
 	open, full := w.state == "open" && w.model == request.Header.Get("Flamingodoor-Model"), w.running >= w.Slots
+	id := request.Header.Get("Flamingodoor-Request-Id")
+	held := &stream{id: id}
 	if open && !full {
+		prompt, _, _ := strings.Cut(request.Header.Get("Flamingodoor-Token-Usage"), ",")
+		held.tokens, _ = strconv.Atoi(prompt)
+		w.used += held.tokens
+		w.streams = append(w.streams, held)
 		w.running++
 	}
 	w.fleet.mu.Unlock()
@@ -289,33 +361,25 @@
 		writer.WriteHeader(status)
 		return
 	}
-	defer func() {
-		w.fleet.mu.Lock()
-		w.running--
-		w.fleet.mu.Unlock()
-	}()
-	id := request.Header.Get("Flamingodoor-Request-Id")
+	defer w.end(held)
 	note("worker %s runs %s last-event=%q", w.ID, id, request.Header.Get("Last-Event-Id"))
 	if w.OnRun != nil {
 		w.OnRun(w, id, request)
 	}
 	events, _ := strconv.Atoi(request.URL.Query().Get("events"))
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	preemptedAt, _ := strconv.Atoi(request.URL.Query().Get("preempted_at"))
 	writer.Header().Set("Content-Type", "text/event-stream")
 	writer.Header().Set("Flamingodoor-Response-Signature", w.ID+"."+id)
 	for event := first + 1; event <= events; event++ {
 		w.awaitMoving()
-		if event == preemptedAt {
-			note("worker %s preempts %s for %s", w.ID, id, w.Preemption)
-			time.Sleep(w.Preemption)
-		}
+		w.awaitMemory(held)
 		if request.Context().Err() != nil {
 			note("worker %s: %s is cut at event %d of %d", w.ID, id, event, events)
 			return
 		}
 		w.fleet.mu.Lock()
 		w.made++
+		w.grow(held)
 		w.fleet.mu.Unlock()
 		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s.%d\n\n", event, id, event)
 		_ = http.NewResponseController(writer).Flush()
--- a/review/_standin/revoked.go
+++ b/review/_standin/revoked.go
@@ -49,6 +49,9 @@
 			rewritten = true
 		}
 		for _, entry := range entries {
+			if !entry.IsReady() {
+				continue // the platform sends it no clients
+			}
 			sent := time.Now()
 			result := ask(entry, revoked)
 			if runs.count(result.ID) > 0 && sent.Sub(acknowledged) > 5*time.Second {
--- a/review/_standin/silence.go
+++ b/review/_standin/silence.go
@@ -9,19 +9,19 @@
 	"time"
 )
 
-const (
-	silenceTime    = time.Second             // "a second or so"
-	preemptionTime = 1300 * time.Millisecond // less than the two seconds after which clients give up
-)
+const silenceTime = time.Second // "a second or so"
 
 // caseSilence: a worker falls silent for a second while a host is stopped. With
-// `preempted`, it preempts some streams instead, which may not be resumed.
+// `preempted`, its memory runs out instead, and it preempts the newest stream, which may
+// not be resumed.
 func caseSilence(preempted bool) {
 	store := NewStore()
 	fleet := NewEngineFleet(Model{Name: "daka510000", Size: 4, Load: 1600 * time.Millisecond, Warm: 1600 * time.Millisecond})
 	for i := range 4 {
 		worker := fleet.Add(store, fmt.Sprintf("i-llm%d", i), "billing-llm", "dar-a", "d-1", 26, 50*time.Millisecond)
-		worker.Preemption = preemptionTime
+		if preempted && trouble() {
+			worker.Capacity = 90000
+		}
 	}
 	store.Put("keyed.op", "config", llmConfig(!preempted))
 	entries := prepareEntries(store.Address)
@@ -31,7 +31,10 @@
 	time.Sleep(4 * time.Second) // longer than stable_window_ms
 
 	const events = 80
-	const streams = 6
+	streams, headers := 6, llmHeaders
+	if preempted {
+		streams, headers = 24, strings.Replace(llmHeaders, "1460,600", "3470,600", 1)
+	}
 	var results sync.Map
 	var sending sync.WaitGroup
 	for i := range streams {
@@ -39,15 +42,19 @@
 		go func() {
 			defer sending.Done()
 			client := &Client{Target: entries[0].Front}
-			client.Do(http.MethodPost, "ficu95.example", "/lohu930/2f?events=2", "n2ctnfzs989anu6wsjnb", []byte("prompt"), 8*time.Second, llmHeaders)
-			path := fmt.Sprintf("/lohu930/2f?events=%d", events)
-			if preempted && trouble() && i%2 == 0 {
-				path += "&preempted_at=30" // after the stop has begun
+			client.Do(http.MethodPost, ledgerHost, "/lohu930/2f?events=2", ledgerKey, []byte("prompt"), 8*time.Second, llmHeaders)
+			wanted := events
+			if preempted && i == 0 {
+				wanted = 66 // it ends 1.3 s after the memory has run out
+			}
+			if preempted {
+				time.Sleep(200 * time.Millisecond)
+				time.Sleep(time.Duration(i) * time.Millisecond) // a known order
 			}
-			result := client.Do(http.MethodPost, "ficu95.example", path, "n2ctnfzs989anu6wsjnb", []byte("prompt"), 8*time.Second, llmHeaders)
+			result := client.Do(http.MethodPost, ledgerHost, fmt.Sprintf("/lohu930/2f?events=%d", wanted), ledgerKey, []byte("prompt"), 8*time.Second, headers)
 			got := strings.Count(string(result.Body), "\ndata: ")
-			note("client: %s kept=%v status=%d events=%d of %d err=%v", result.ID, result.Kept, result.Status, got, events, result.Err)
-			results.Store(i, result.Status == http.StatusOK && result.Err == nil && got == events)
+			note("client: %s kept=%v status=%d events=%d of %d err=%v", result.ID, result.Kept, result.Status, got, wanted, result.Err)
+			results.Store(i, result.Status == http.StatusOK && result.Err == nil && got == wanted)
 		}()
 	}
 	time.Sleep(time.Second)
