--- a/review/_standin/base.go
+++ b/review/_standin/base.go
@@ -116,14 +116,18 @@
 	process *exec.Cmd
 }
 
-// freePort returns a port that is free on a loopback address.
-func freePort(ip string) int {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		cannotRun(err.Error())
+// freePorts returns different ports that are free on a loopback address.
+func freePorts(ip string, count int) []int {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			cannotRun(err.Error())
+		}
+		defer func() { _ = listener.Close() }() // only once all are chosen
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	return ports
 }
 
 var network = 1 + os.Getpid()%250
@@ -132,7 +136,8 @@
 func NewEntry(index int, zone, store, bounds string) *Entry {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+network/16, network%250, 1+index)
 	e := &Entry{Name: fmt.Sprintf("edge-%s-%d", zone, index), IP: ip, Zone: zone}
-	front, ready, first := freePort(ip), freePort(ip), freePort(ip)
+	ports := freePorts(ip, 3)
+	front, ready, first := ports[0], ports[1], ports[2]
 	e.Front, e.Ready = fmt.Sprintf("%s:%d", ip, front), fmt.Sprintf("%s:%d", ip, ready)
 	text := fmt.Sprintf(`node_name: %q
 role: "entry"
@@ -209,7 +214,8 @@
 			return
 		}
 	}
-	cannotRun(e.Name + " does not become ready")
+	log, _ := os.ReadFile(filepath.Join(folder, e.Name+".log"))
+	cannotRun(e.Name + " does not become ready; the end of its log: " + string(log[max(0, len(log)-1000):]))
 }
 
 // IsReady asks the entry host once.
