Keep a silent stream until another attempt goes on with it

Cause: internal/stall cancelled streams on the suspicion that their group, or their connection, did not go on, before the proxy had another attempt. Without another group, retry budget or a resumable route the stream was lost. Ruled out: the stop itself (7 s of the grace period were left; a change of the configuration shows the same), wrong witnesses (a silent instance answers nobody).

Change: the monitor suspects streams. Another attempt begins at the moment at which the stream was cancelled before, and the old one is kept; the first that has the next event goes on with the stream. The same for what peers find, for a host that loses its paths and for a peer that sends no events.

--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -97,7 +97,7 @@
 	g.roster.MarkLost(instance.ID, instance.StartedAt, now)
 	g.roster.Publish(now)
 	g.shared.publishLosses(lossReport{instanceID: instance.ID, startedAt: instance.StartedAt, at: now})
-	g.endStreamsOfLostGroups(now)
+	g.suspectStreamsOfLostGroups(now)
 	g.tracker.Wake()
 	g.planner.Wake()
 }
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -221,7 +221,7 @@
 		g.exchanger.SendUrgent()
 	}
 	if lost {
-		g.endStreamsOfLostGroups(now)
+		g.suspectStreamsOfLostGroups(now)
 		g.tracker.Wake()
 		g.planner.Wake()
 	}
@@ -260,18 +260,18 @@
 	s.gateway.exchanger.SendUrgent()
 }
 
-// endStreamsOfLostGroups ends the streams of groups that stalled or lost a
+// suspectStreamsOfLostGroups suspects the streams of groups that stalled or lost a
 // member.
-func (g *Gateway) endStreamsOfLostGroups(now time.Time) {
+func (g *Gateway) suspectStreamsOfLostGroups(now time.Time) {
 	view := g.roster.View()
 	for _, group := range view.Groups {
 		if view.Stalled(group.Key(), now) {
-			g.monitor.CancelGroup(group.Key(), stall.ErrStalled)
+			g.monitor.SuspectGroup(group.Key(), stall.ErrStalled)
 			continue
 		}
 		for _, member := range group.Members {
 			if member.ID != "" && view.Lost(member.Instance, now) {
-				g.monitor.CancelGroup(group.Key(), stall.ErrLost)
+				g.monitor.SuspectGroup(group.Key(), stall.ErrLost)
 				break
 			}
 		}
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -60,6 +60,14 @@
 	peer     *flamingodoor.EntryPeer // nil for an instance
 }
 
+// id returns the identifier of the instance or of the peer.
+func (d destination) id() string {
+	if d.peer != nil {
+		return d.peer.ID
+	}
+	return d.instance.ID
+}
+
 func (d destination) target() upstream.Target {
 	return upstream.Target{InstanceID: d.instance.ID, Address: d.instance.Address}
 }
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -67,6 +67,11 @@
 	outcomeDeadConnection                    // the connection transfers nothing more; the endpoint may have run the request and may be tried again
 )
 
+// final reports whether the outcome ends the request.
+func (o outcome) final() bool {
+	return o == outcomeDone || o == outcomeCallerLeft || o == outcomeBrokenOff
+}
+
 // bufferedResponse is a response of an endpoint.
 type bufferedResponse struct {
 	status int
@@ -338,7 +343,7 @@
 	}
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
-		j.sends++
+		j.countSend()
 		j.retryGranted = false
 		if dest.instance.ID == j.deadInstance {
 			j.exemptSends++
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -45,12 +45,14 @@
 	// refused. In a cut that spares old connections, several hosts may not know yet that
 	// they have no paths; a decline takes a few milliseconds.
 	maxDeclines = 8
-	// maxPeerSilence is the longest gap between two events of a peer. The peer itself
-	// resumes a stream whose instance is silent, and callers give up after 2 s.
-	maxPeerSilence = 1500 * time.Millisecond
+	// peerSilenceThreshold is how long a peer may send no event before another attempt
+	// begins. The instance may be silent, and the peer does not resume the stream. A
+	// host that reaches instances knows of their silence in about this time.
+	peerSilenceThreshold = 600 * time.Millisecond
 )
 
-// errPeerSilent is the cause of streams that end because the peer sends no events.
+// errPeerSilent is the cause of streams that are suspected because the peer sends no
+// events.
 var errPeerSilent = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "the peer sends no events")
 
 // forwardCounts count the requests that went from host to host since the start.
@@ -211,28 +213,24 @@
 }
 
 // streamFromPeer sends the job to a peer and forwards its events.
-func (p *Proxy) streamFromPeer(ctx context.Context, j *job, peer flamingodoor.EntryPeer, client *delivery) outcome {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ranBefore := j.mayHaveRun
-	response, result := p.sendToPeer(ctx, j, peer, client.lastEventID)
+func (p *Proxy) streamFromPeer(runner *contender, j *job, peer flamingodoor.EntryPeer, client *delivery, suspect func(cause error)) outcome {
+	ctx, ranBefore, from := runner.ctx, j.mayHaveRun, client.sent()
+	response, result := p.sendToPeer(ctx, j, peer, from.lastEventID)
 	if result != outcomeDone {
 		return result
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK || response.Header.Get(p.headers.Signature) == "" {
-		return p.deliverRefusal(ctx, j, peer, response, client, ranBefore)
+		return p.deliverRefusal(runner, j, peer, response, client, ranBefore)
 	}
 	j.target = peer.ID
-	watched := &watchedBody{ReadCloser: response.Body, silence: time.AfterFunc(maxPeerSilence, func() { cancel(errPeerSilent) })}
+	watched := &watchedBody{ReadCloser: response.Body, silence: time.AfterFunc(peerSilenceThreshold, func() {
+		p.peers.AvoidPeer(peer.ID, p.now())
+		suspect(errPeerSilent)
+	})}
 	defer watched.silence.Stop()
 	response.Body = watched
-	err := p.copyEvents(response, client, func() {
-		if client.events == 1 {
-			j.firstEventAt = p.now()
-			p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
-		}
-	})
+	err := p.copyEvents(runner, response, client, from, func(sent position) { p.recordFirstEvent(j, sent) })
 	if err == nil {
 		return outcomeDone
 	}
@@ -253,28 +251,24 @@
 
 // Read reads from the peer.
 func (w *watchedBody) Read(data []byte) (int, error) {
-	w.silence.Reset(maxPeerSilence)
+	w.silence.Reset(peerSilenceThreshold)
 	defer w.silence.Stop()
 	return w.ReadCloser.Read(data)
 }
 
 // deliverRefusal forwards a peer's response that is no stream, unless events were
 // sent before or it states only for the peer that the request has not run.
-func (p *Proxy) deliverRefusal(ctx context.Context, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
+func (p *Proxy) deliverRefusal(runner *contender, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
 	buffered, err := bufferResponse(response)
 	if err != nil {
-		return p.handlePeerError(ctx, j, peer, err)
+		return p.handlePeerError(runner.ctx, j, peer, err)
 	}
-	if client.started || (ranBefore && statusMeansNotRun(buffered.status)) {
+	if ranBefore && statusMeansNotRun(buffered.status) {
 		buffered.discard()
 		return outcomeFailed
 	}
 	j.target = peer.ID
-	if err := writeResponse(client.writer, buffered); err != nil {
-		j.cause = err.Error()
-		return outcomeBrokenOff
-	}
-	return outcomeDone
+	return client.refuse(runner, j, buffered)
 }
 
 // sendToPeer forwards the request to a peer as the caller sent it, with the time
@@ -354,10 +348,8 @@
 	var failure *upstream.CallError
 	unsent := errors.As(err, &failure) && !failure.Sent
 	_ = level.Info(p.logger).Log("event", "forward_broken", "request", j.id, "peer", peer.ID, "unsent", unsent, "cause", context.Cause(ctx), "err", err)
-	if unsent || errors.Is(context.Cause(ctx), errPeerSilent) {
-		p.peers.AvoidPeer(peer.ID, p.now())
-	}
 	if unsent {
+		p.peers.AvoidPeer(peer.ID, p.now())
 		j.cause = "peer_unreachable"
 		j.declines++
 		p.forwards.declined.Add(1)
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -62,6 +64,7 @@
 
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
+	statedSends     *atomic.Int64   // sends of this job and its copies; nil unless forwardedBy is set
 	exemptSends     int             // sends that MaxAttempts does not count: to instances that are gone, and again to one after a dead connection
 	deadInstance    string          // whose connection transferred nothing more at the latest attempt; tried again first
 	retryGranted    bool            // the retry budget has granted the next send
@@ -72,7 +75,6 @@
 	failedPeers     map[string]bool // not tried again; nil if there is none
 	declines        int             // by peers in a row
 	counted         bool            // as a request, here or at another host
-	request         runningEntry    // of Proxy.requests
 	unanswered      runningEntry    // of Proxy.unanswered
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
@@ -89,6 +91,24 @@
 	return moment.Sub(j.receivedAt).Milliseconds()
 }
 
+// copy returns a job in the same state whose attempts do not change that of this one.
+// It is not called during an attempt of this job.
+func (j *job) copy() job {
+	other := *j
+	other.unanswered = runningEntry{}
+	other.failedInstances, other.failedPeers = maps.Clone(j.failedInstances), maps.Clone(j.failedPeers)
+	other.brokenPeers = slices.Clone(j.brokenPeers)
+	return other
+}
+
+// countSend counts an attempt that may have reached an endpoint.
+func (j *job) countSend() {
+	j.sends++
+	if j.statedSends != nil {
+		j.statedSends.Add(1)
+	}
+}
+
 // key returns the service and model that the job requests.
 func (j *job) key() DemandKey {
 	return DemandKey{Service: j.service.Name, Model: j.model}
@@ -148,6 +168,10 @@
 		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
 		version: index.Version, forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
+	if j.forwardedBy != "" {
+		j.statedSends = &atomic.Int64{}
+		j.statedSends.Store(int64(j.sends))
+	}
 	if workspace != nil {
 		j.workspace = workspace.Name
 		header.Set(p.headers.Workspace, workspace.Name)
--- a/internal/proxy/parts.go
+++ b/internal/proxy/parts.go
@@ -4,12 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"errors"
 	"strings"
 	"sync"
 
 	"flamingodoor.example/flamingodoor"
-	"flamingodoor.example/flamingodoor/internal/stall"
 )
 
 // maxPromptParts limits the parts of a request that are examined. Those that many
@@ -89,7 +87,7 @@
 // reportUnbegun reports an attempt that was sent and ended before the response
 // began, unless this host or the caller ended it although the endpoint answers.
 func (p *Proxy) reportUnbegun(ctx context.Context, j *job, dest destination) {
-	if cause := context.Cause(ctx); len(j.parts) == 0 || (cause != nil && !errors.Is(cause, stall.ErrLost)) {
+	if len(j.parts) == 0 || context.Cause(ctx) != nil {
 		return
 	}
 	j.suspected = true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -344,8 +344,9 @@
 	}
 	ctx, end := context.WithCancelCause(request.Context())
 	defer end(nil)
-	p.requests.add(&j.request, end)
-	defer p.requests.remove(&j.request)
+	entry := &runningEntry{}
+	p.requests.add(entry, end)
+	defer p.requests.remove(entry)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	writer = closingWriter{ResponseWriter: writer, stopping: &p.stopping}
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -18,7 +18,8 @@
 	ended error // the cause with which later entries are cancelled at once
 }
 
-// runningEntry is part of a job, so that adding it to the list allocates nothing.
+// runningEntry is what the list holds. One is part of each job, so that adding it
+// allocates nothing.
 type runningEntry struct {
 	previous, next *runningEntry
 	cancel         context.CancelCauseFunc // nil if the entry is in no list
@@ -73,9 +74,9 @@
 }
 
 // EndUnreached ends the attempts at instances that have no response yet and may be
-// repeated, and the streams that may be resumed, so that they go through a peer, if
-// there is one. It is called when this host has lost its paths to all instances: none of
-// the streams has had an event since.
+// repeated, and suspects the streams that may be resumed, so that they go through a
+// peer, if there is one. It is called when this host has lost its paths to all instances:
+// none of the streams has had an event since.
 func (p *Proxy) EndUnreached() {
 	if p.peers.HasPeer(p.now()) {
 		p.unanswered.cancelAll(errUnreached)
@@ -83,7 +84,8 @@
 	p.tracker.Wake()
 }
 
-// awaitResponse lets EndUnreached end an attempt of a job that may be repeated.
+// awaitResponse lets EndUnreached end or suspect an attempt of a job that may be
+// repeated.
 func (p *Proxy) awaitResponse(j *job, cancel context.CancelCauseFunc) {
 	p.unanswered.add(&j.unanswered, cancel)
 	if p.paths.Stranded() && p.peers.HasPeer(p.now()) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -32,49 +32,49 @@
 // event after the last one sent to the caller.
 var errStreamGap = flamingodoor.Errorf(flamingodoor.CodeProtocol, "resumed stream does not continue with the next event")
 
-// delivery writes a stream to the caller and records what was sent.
-type delivery struct {
-	writer      http.ResponseWriter
-	control     *http.ResponseController
-	started     bool   // the status and headers were sent
-	events      int    // complete events sent
-	lastEventID string // of the last complete event sent; at first as sent by the caller
-	unnumbered  bool   // an event without an identifier was sent
-}
-
 // serveStream proxies a request whose response is a stream of server-sent events.
 // If the stream of an instance breaks, it resumes at another instance where the
 // route allows this.
 func (p *Proxy) serveStream(ctx context.Context, writer http.ResponseWriter, j *job) {
-	client := &delivery{writer: writer, control: http.NewResponseController(writer), lastEventID: j.lastEventID}
-	until := j.waitUntil
+	client := newDelivery(ctx, writer, j.lastEventID)
+	runner, leave := client.enter()
+	defer leave()
+	result, err := p.runStream(runner, j, client, j.waitUntil) //nolint:contextcheck // the runner's context is derived from this one
+	switch {
+	case err != nil:
+		p.endWithoutSlot(ctx, client, j, err)
+	case result == outcomeDone:
+		p.recordFinished(j, "answered", http.StatusOK, client.events)
+	case result == outcomeCallerLeft:
+		p.recordFinished(j, "caller_left", 0, client.events)
+	case result == outcomeBrokenOff:
+		p.abortStream(j, client)
+	default:
+		p.endFailedStream(ctx, client, j)
+	}
+}
+
+// runStream makes attempts until one ends the stream or no other is allowed. Its error
+// is that of acquire, if there is no slot for the next attempt.
+func (p *Proxy) runStream(runner *contender, j *job, client *delivery, until time.Time) (outcome, error) {
 	for {
-		dest, err := p.acquire(ctx, j, until)
+		dest, err := p.acquire(runner.ctx, j, until)
 		if err != nil {
-			p.endWithoutSlot(ctx, client, j, err)
-			return
+			return outcomeFailed, err
 		}
-		eventsBefore := client.events
-		result := p.streamAttempt(ctx, j, dest, client)
+		eventsBefore := client.sent().events
+		contest := p.newContest(j, dest, client)
+		result := contest.decide(j, p.streamAttempt(runner, j, dest, client, contest.suspect))
 		p.release(dest)
-		j.responseStarted = client.started || j.responseStarted
-		switch {
-		case result == outcomeDone:
-			p.recordFinished(j, "answered", http.StatusOK, client.events)
-			return
-		case result == outcomeCallerLeft:
-			p.recordFinished(j, "caller_left", 0, client.events)
-			return
-		case result == outcomeBrokenOff:
-			p.abortStream(j, client)
-		case !p.mayResume(ctx, j, client):
-			p.endFailedStream(ctx, client, j)
-			return
+		sent := client.sent()
+		j.responseStarted = sent.started || j.responseStarted
+		if result.final() || client.superseded(runner) || !p.mayResume(runner.ctx, j, sent) {
+			return result, nil
 		}
 		if result != outcomeDeadConnection {
 			j.exclude(dest)
 		}
-		if dest.peer != nil && client.events > eventsBefore {
+		if dest.peer != nil && sent.events > eventsBefore {
 			j.brokenPeers = append(j.brokenPeers, dest.peer.ID)
 		}
 		until = p.now().Add(maxResumeWait)
@@ -83,8 +83,8 @@
 
 // mayResume reports whether the stream may continue with another attempt, and
 // takes that attempt from the retry budget.
-func (p *Proxy) mayResume(ctx context.Context, j *job, client *delivery) bool {
-	if client.started && (!j.route.Resumable || client.unnumbered || j.forwardedBy != "") {
+func (p *Proxy) mayResume(ctx context.Context, j *job, sent position) bool {
+	if sent.started && (!j.route.Resumable || sent.unnumbered || j.forwardedBy != "") {
 		// A stream that was forwarded is resumed by the first host, which counts the
 		// attempts of all.
 		return false
@@ -119,25 +119,26 @@
 }
 
 // streamAttempt sends the job to an instance, or to a peer, and forwards its events.
-func (p *Proxy) streamAttempt(ctx context.Context, j *job, dest destination, client *delivery) outcome {
+// `suspect` is called if they seem not to go on.
+func (p *Proxy) streamAttempt(runner *contender, j *job, dest destination, client *delivery, suspect func(cause error)) outcome {
 	if dest.peer != nil {
-		return p.streamFromPeer(ctx, j, *dest.peer, client)
+		return p.streamFromPeer(runner, j, *dest.peer, client, suspect)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(runner.ctx)
 	defer cancel(nil)
 	var watch *stall.Watch
 	if dest.group != nil {
-		watch = p.monitor.Begin(dest.group, p.expectedEventGap(j), cancel)
+		watch = p.monitor.Begin(dest.group, p.expectedEventGap(j), suspect)
 		defer watch.End()
 	}
 	endUnbegun := p.unbegun.add(j.parts, cancel)
 	defer endUnbegun()
 	if j.repeatable() {
-		p.awaitResponse(j, cancel)
+		p.awaitResponse(j, suspect)
 		defer p.unanswered.remove(&j.unanswered)
 	}
-	sentAt, sendsBefore := p.now(), j.sends
-	response, err := p.send(ctx, j, dest, client.lastEventID)
+	sentAt, sendsBefore, from := p.now(), j.sends, client.sent()
+	response, err := p.send(ctx, j, dest, from.lastEventID)
 	if err != nil {
 		if j.sends > sendsBefore {
 			return p.endAttempt(ctx, j, dest, false, err)
@@ -151,17 +152,17 @@
 	}
 	j.mayHaveRun = true
 	if response.StatusCode != http.StatusOK || response.Header.Get(p.headers.Signature) == "" {
-		return p.handleNonStream(ctx, j, dest, response, client)
+		return p.handleNonStream(ctx, runner, j, dest, response, client)
 	}
 	defer func() { _ = response.Body.Close() }()
 	j.target = dest.instance.ID
 	begun := false
-	err = p.copyEvents(response, client, func() {
+	err = p.copyEvents(runner, response, client, from, func(sent position) {
 		if watch != nil {
 			watch.Progress()
 		}
 		p.paths.Heard(dest.instance, p.now())
-		if client.unnumbered {
+		if sent.unnumbered {
 			p.unanswered.remove(&j.unanswered)
 		}
 		if !begun {
@@ -169,19 +170,24 @@
 			endUnbegun()
 			p.reportBegun(j)
 		}
-		if client.events == 1 {
-			j.firstEventAt = p.now()
-			p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
-		}
+		p.recordFirstEvent(j, sent)
 	})
 	if err == nil {
 		return outcomeDone
 	}
 	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "instance", dest.instance.ID,
-		"last_event", client.lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
+		"last_event", client.sent().lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
 	return p.endAttempt(ctx, j, dest, begun, err)
 }
 
+// recordFirstEvent records when the caller was sent the first event.
+func (p *Proxy) recordFirstEvent(j *job, sent position) {
+	if sent.events == 1 {
+		j.firstEventAt = p.now()
+		p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
+	}
+}
+
 // endAttempt returns the outcome of an attempt of a stream that was sent and failed.
 func (p *Proxy) endAttempt(ctx context.Context, j *job, dest destination, begun bool, err error) outcome {
 	p.exemptLostAttempt(j, dest)
@@ -232,10 +238,9 @@
 	switch {
 	case errors.As(err, &callerLeft):
 		return outcomeCallerLeft
-	case errors.Is(cause, stall.ErrLost), errors.Is(cause, stall.ErrStalled), errors.Is(cause, stall.ErrSilent), errors.Is(cause, errPartBlocked):
-		return p.handleEndedStream(j, dest, cause)
-	case errors.Is(cause, errUnreached):
-		return p.handleSendError(ctx, j, dest, err)
+	case errors.Is(cause, errPartBlocked):
+		j.mayHaveRun, j.cause = true, cause.Error()
+		return outcomeFailed
 	case cause != nil:
 		return p.callerLeftOr(ctx, outcomeFailed)
 	}
@@ -257,38 +262,21 @@
 	return p.callerLeftOr(ctx, outcomeFailed)
 }
 
-// handleEndedStream returns the outcome of an attempt that this host has ended.
-func (p *Proxy) handleEndedStream(j *job, dest destination, cause error) outcome {
-	j.mayHaveRun, j.cause = true, cause.Error()
-	switch {
-	case errors.Is(cause, stall.ErrLost):
-		p.paths.Failed(dest.instance, p.now())
-	case errors.Is(cause, stall.ErrSilent):
-		p.paths.Failed(dest.instance, p.now())
-		return outcomeDeadConnection
-	}
-	return outcomeFailed
-}
-
 // handleNonStream handles a response that is not a stream of events. It forwards
 // an error response unchanged, unless events were sent before, or it is a server
 // error and the job can be retried.
-func (p *Proxy) handleNonStream(ctx context.Context, j *job, dest destination, response *upstream.Response, client *delivery) outcome {
+func (p *Proxy) handleNonStream(ctx context.Context, runner *contender, j *job, dest destination, response *upstream.Response, client *delivery) outcome {
 	buffered, err := bufferResponse(response)
 	if err != nil {
 		return p.handleStreamError(ctx, j, dest, err)
 	}
 	buffered, result := p.checkResponse(ctx, j, dest, buffered)
-	if result != outcomeDone || client.started || buffered.status == http.StatusOK ||
+	if result != outcomeDone || buffered.status == http.StatusOK ||
 		(buffered.status >= http.StatusInternalServerError && p.mayRepeat(ctx, j)) {
 		buffered.discard()
 		return outcomeFailed
 	}
-	if err := writeResponse(client.writer, buffered); err != nil {
-		j.cause = err.Error()
-		return outcomeBrokenOff
-	}
-	return outcomeDone
+	return client.refuse(runner, j, buffered)
 }
 
 // copyEvents forwards complete events until the response ends. It calls progress
@@ -296,10 +284,11 @@
 // buffered. Comments and empty events are forwarded, but a stream that sends
 // nothing else makes no progress. A resumed stream must be a series of events and
 // is forwarded from the event after the last one sent; whether one that ends
-// before it is complete cannot be known.
-func (p *Proxy) copyEvents(response *upstream.Response, client *delivery, progress func()) error {
+// before it is complete cannot be known. `from` is what had been sent when the request
+// was.
+func (p *Proxy) copyEvents(runner *contender, response *upstream.Response, client *delivery, from position, progress func(sent position)) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
-	order := eventOrder{last: client.lastEventID, resumes: client.started}
+	order := eventOrder{last: from.lastEventID, resumes: from.started}
 	if order.resumes && !isEventStream(response) {
 		return errStreamGap
 	}
@@ -309,7 +298,7 @@
 		case errors.Is(err, io.EOF) && order.resumes:
 			return errStreamGap
 		case err != nil:
-			return p.finishStream(client, response, event, err)
+			return p.finishStream(runner, client, response, event, err)
 		}
 		id := eventID(event)
 		carriesData := id != "" || hasData(event)
@@ -319,17 +308,13 @@
 		if order.resumes {
 			continue
 		}
-		if err := client.write(response, event); err != nil {
+		piece := piece{bytes: event, id: id, carriesData: carriesData, flush: !hasBufferedEvent(reader)}
+		sent, err := client.deliver(runner, response, piece)
+		if err != nil {
 			return err
 		}
 		if carriesData {
-			client.count(id)
-			progress()
-		}
-		if !hasBufferedEvent(reader) {
-			if err := client.flush(); err != nil {
-				return err
-			}
+			progress(sent)
 		}
 	}
 }
@@ -362,61 +347,14 @@
 // finishStream handles a read error at the end of a response. It returns nil if
 // the response ended after a complete event. One without a length ends with its
 // connection, so that without any event it may have broken off.
-func (p *Proxy) finishStream(client *delivery, response *upstream.Response, rest []byte, err error) error {
+func (p *Proxy) finishStream(runner *contender, client *delivery, response *upstream.Response, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
-	if len(bytes.TrimSpace(rest)) > 0 || (client.events == 0 && response.EndsWithConnection()) {
+	if len(bytes.TrimSpace(rest)) > 0 || (client.sent().events == 0 && response.EndsWithConnection()) {
 		return io.ErrUnexpectedEOF
 	}
-	return client.write(response, rest)
-}
-
-// write sends data to the caller, preceded by the status and headers of the
-// response if nothing was sent yet.
-func (d *delivery) write(response *upstream.Response, data []byte) error {
-	if !d.started {
-		d.started = true
-		copyResponseHeader(d.writer.Header(), response.Header)
-		d.writer.WriteHeader(response.StatusCode)
-	}
-	if _, err := d.writer.Write(data); err != nil {
-		return &callerLeftError{cause: err}
-	}
-	return nil
-}
-
-// count records an event with data that was written, and its identifier, if any.
-func (d *delivery) count(id string) {
-	d.events++
-	if id == "" {
-		d.unnumbered = true
-		return
-	}
-	d.lastEventID = id
-}
-
-// flush sends buffered data to the caller.
-func (d *delivery) flush() error {
-	if err := d.control.Flush(); err != nil {
-		return &callerLeftError{cause: err}
-	}
-	return nil
-}
-
-// callerLeftError is returned if writing to the caller fails.
-type callerLeftError struct {
-	cause error
-}
-
-// Error returns the message of the cause with its context.
-func (c *callerLeftError) Error() string {
-	return "writing to the caller: " + c.cause.Error()
-}
-
-// Unwrap returns the cause.
-func (c *callerLeftError) Unwrap() error {
-	return c.cause
+	return client.finish(runner, response, rest)
 }
 
 // isBlankLine reports whether a line, which includes its line break, ends an
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -184,7 +184,7 @@
 
 // WriteHeader begins the answer.
 func (w takenOverWriter) WriteHeader(status int) {
-	w.Header().Set(sendsHeader, strconv.Itoa(w.job.sends))
+	w.Header().Set(sendsHeader, strconv.FormatInt(w.job.statedSends.Load(), 10))
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -38,7 +38,7 @@
 	inspectionJitterPerHost = 12 * time.Millisecond
 	maxInspectionJitter     = 400 * time.Millisecond
 	// stallTimeout is how long a group whose members respond may make no
-	// progress before its streams are cancelled. Callers give up after a pause
+	// progress before its streams are suspected. Callers give up after a pause
 	// of 2 s.
 	stallTimeout = 1200 * time.Millisecond
 	// silentStreamTimeout is how long a stream may have no event while its group
@@ -77,7 +77,8 @@
 // Inspector requests reports from the members of a group.
 type Inspector func(ctx context.Context, group *roster.Group) Inspection
 
-// Causes with which streams are cancelled.
+// Causes for which streams are suspected. None of them proves that a stream does not go
+// on: an instance may stand still for a second or so.
 var (
 	ErrLost    = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "a member of the group does not respond")
 	ErrStalled = flamingodoor.Errorf(flamingodoor.CodeEndpointFailed, "the group makes no progress")
@@ -93,7 +94,7 @@
 	return func(m *Monitor) { m.silent = silent }
 }
 
-// Monitor cancels the streams of groups and connections that make no progress.
+// Monitor suspects the streams of groups and connections that make no progress.
 // It is safe for concurrent use.
 type Monitor struct {
 	inspect Inspector
@@ -119,7 +120,7 @@
 	headLoadRead     time.Time     // end of the latest inspection
 	headLoadChanged  time.Time     // when an inspection last found that the head's load had changed
 	inspecting       bool
-	cancelled        bool    // all streams are cancelled and no other has begun since
+	suspected        bool    // all streams are suspected; none has begun or had an event since
 	slowdown         float64 // of the slowest member at the latest inspection
 }
 
@@ -134,7 +135,7 @@
 type Watch struct {
 	monitor   *Monitor
 	group     *groupState
-	cancel    context.CancelCauseFunc
+	suspect   func(cause error)
 	expected  time.Duration
 	lastEvent time.Time // start of the watch before the first event
 	hasEvents bool
@@ -154,9 +155,9 @@
 }
 
 // Begin starts to follow a stream of the group. `expected` is the usual time
-// between two events of a full engine. `cancel` is called with the cause when the
-// monitor ends the stream.
-func (m *Monitor) Begin(group *roster.Group, expected time.Duration, cancel context.CancelCauseFunc) *Watch {
+// between two events of a full engine. `suspect` is called with the cause when the stream
+// seems not to go on. It must not block.
+func (m *Monitor) Begin(group *roster.Group, expected time.Duration, suspect func(cause error)) *Watch {
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -165,14 +166,14 @@
 		state = &groupState{group: group, watches: make(map[*Watch]struct{}), progress: now, slowdown: 1, inspectionDelay: m.jitter()}
 		m.groups[group.Key()] = state
 	}
-	watch := &Watch{monitor: m, group: state, cancel: cancel, expected: expected, lastEvent: now}
+	watch := &Watch{monitor: m, group: state, suspect: suspect, expected: expected, lastEvent: now}
 	if len(state.watches) == 0 {
 		// An idle group made no progress because it had no requests of this
 		// host.
 		state.progress = now
 	}
 	state.watches[watch] = struct{}{}
-	state.cancelled = false
+	state.suspected = false
 	return watch
 }
 
@@ -185,7 +186,8 @@
 	if w.hasEvents {
 		m.recordGap(w.group.group.Head().ID, now.Sub(w.lastEvent), w.expected, now)
 	}
-	w.hasEvents, w.lastEvent, w.group.progress, w.group.cleanInspections = true, now, now, 0
+	w.hasEvents, w.lastEvent = true, now
+	w.group.progress, w.group.cleanInspections, w.group.suspected = now, 0, false
 }
 
 // End stops following the stream.
@@ -234,7 +236,7 @@
 	}
 }
 
-// Scan checks all groups for stalls once, and cancels streams or starts
+// Scan checks all groups for stalls once, and suspects streams or starts
 // inspections.
 func (m *Monitor) Scan(ctx context.Context) {
 	now := m.now()
@@ -251,10 +253,10 @@
 	}
 }
 
-// scanGroup checks one group. It cancels streams that make no progress or starts
+// scanGroup checks one group. It suspects streams that make no progress or starts
 // an inspection of a group that sends no events.
 func (m *Monitor) scanGroup(ctx context.Context, state *groupState, now time.Time) {
-	if state.cancelled {
+	if state.suspected {
 		return
 	}
 	silence := now.Sub(state.progress)
@@ -264,7 +266,7 @@
 		waiting = waiting || idle > silenceThreshold
 		hasEvents = hasEvents || watch.hasEvents
 		if watch.hasEvents && idle > m.scaleBySlowdown(state, silentStreamTimeout) && silence < silenceThreshold {
-			watch.cancel(ErrSilent)
+			watch.suspect(ErrSilent)
 		}
 	}
 	limit := m.silenceLimit(state, hasEvents)
@@ -279,7 +281,7 @@
 		return
 	}
 	if m.isStalled(state, silence, now) {
-		m.cancelAll(state, ErrStalled)
+		m.suspectAll(state, ErrStalled)
 		m.stalled(state.group.Key())
 		return
 	}
@@ -330,7 +332,7 @@
 	return time.Duration(max(1, min(state.slowdown, slowFactor)) * float64(usual))
 }
 
-// runInspection inspects the group and cancels its streams if a member is lost.
+// runInspection inspects the group and suspects its streams if a member is lost.
 func (m *Monitor) runInspection(ctx context.Context, state *groupState) {
 	ctx, cancel := context.WithTimeout(ctx, inspectionTimeout)
 	defer cancel()
@@ -348,7 +350,7 @@
 	state.cleanInspections++
 	if len(result.Lost) > 0 {
 		state.cleanInspections = 0
-		m.cancelAll(state, ErrLost)
+		m.suspectAll(state, ErrLost)
 	}
 }
 
@@ -367,20 +369,19 @@
 	return time.Duration(rand.Float64() * float64(longest)) //nolint:gosec // need not be unpredictable
 }
 
-// CancelGroup cancels all streams of a group that another host found lost or
+// SuspectGroup suspects all streams of a group that another host found lost or
 // stalled.
-func (m *Monitor) CancelGroup(key roster.GroupKey, cause error) {
+func (m *Monitor) SuspectGroup(key roster.GroupKey, cause error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if state, ok := m.groups[key]; ok {
-		m.cancelAll(state, cause)
+		m.suspectAll(state, cause)
 	}
 }
 
-// cancelAll cancels all streams of a group.
-func (m *Monitor) cancelAll(state *groupState, cause error) {
-	state.cancelled = true
+func (m *Monitor) suspectAll(state *groupState, cause error) {
+	state.suspected = true
 	for watch := range state.watches {
-		watch.cancel(cause)
+		watch.suspect(cause)
 	}
 }
