Limit the loads of weights also after a restart of all hosts

Cause: a leader took the time for that before the first request of all, in which loads are not limited, whenever neither it nor a peer that it knew had requests: after a restart of all hosts, and for a new leader that hears no peer. Beside it, joins of models that load in less than 4 s passed by the limit, and a load no longer counted once its instance had left the list. Ruled out: bunches of late orders, which the number of concurrent loads bounds.

Change: the time before the first request exists in the first start alone and ends for good with any request at any host, which hosts tell each other in an optional field. Joins need weights after it, and loads count for the time of the limit whatever became of them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	StopGrace   time.Duration  // longest duration of a stop
 	Limits      proxy.Limits
 	ElectionTTL time.Duration // lease of the leader, raised to minElectionLease if it is shorter
+	FirstStart  bool          // no host has run before
 }
 
 // Platform provides access to the platform's services and to the instances.
@@ -195,6 +196,9 @@
 	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
+	if !settings.FirstStart {
+		g.shared.requestsReceived.Store(true)
+	}
 	feeds := exchange.Feeds{
 		Registrations: platform.Followers.Registrations(&Instances{Roster: g.roster, changed: g.tracker.Wake}, g.shareRegistrations),
 		Configuration: platform.Followers.Configuration(g.catalogue, g.shareConfiguration),
@@ -208,7 +212,7 @@
 		Refresher:        platform.Followers,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere, NoneConnects: g.exchanger.NoneConnects, Stranded: g.paths.Stranded,
 		HasSoundPeer: func() bool { return g.exchanger.HasPeer(time.Now()) }, StandsForElection: g.standsForElection,
-		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noDemand, Logger: logger,
+		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noRequestsYet, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy)
 	platform.Restores.OnRestore(g.onRestore)
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -48,6 +49,9 @@
 // messages and applies those of the peers.
 type sharedState struct {
 	gateway *Gateway
+	// requestsReceived is set for good once any host has, or may have, received a
+	// request, also one that was refused and before a restart.
+	requestsReceived atomic.Bool
 
 	mu      sync.Mutex
 	demands map[string]peerDemand // by identifier of the host
@@ -92,6 +96,7 @@
 // the peers.
 func (s *sharedState) Describe(request *exchangev1.ShareRequest, now time.Time) {
 	request.Stranded = s.gateway.paths.Stranded()
+	request.RequestsReceived = !s.noRequestsYet()
 	s.describeUses(request, now)
 	for key, rate := range s.gateway.demand.Rates(now) {
 		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
@@ -156,6 +161,9 @@
 	g.crashTracker.Merge(request.GetStrikes(), now)
 	g.parts.merge(request, now)
 	s.applyRateLimits(request, now)
+	if request.GetRequestsReceived() || len(request.GetDemands()) > 0 {
+		s.requestsReceived.Store(true)
+	}
 	s.applyDemand(request, now)
 	s.applyLosses(request, now)
 }
@@ -296,6 +304,12 @@
 	return total
 }
 
+// noRequestsYet reports whether no host has received a request since the first start of
+// the whole system, as far as this host knows.
+func (s *sharedState) noRequestsYet() bool {
+	return !s.requestsReceived.Load() && !s.gateway.proxy.RequestsReceived()
+}
+
 // noDemand reports whether, as far as this host knows, no host has received a
 // request for any model.
 func (s *sharedState) noDemand() bool {
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -218,14 +218,15 @@
 }
 
 // joinDelays returns how long an instance takes to join a group, by model.
-// Models for which it takes longer than maxJoinDelay are absent: usually those
-// whose weights it would first have to load under traffic.
+// Models for which it takes longer than maxJoinDelay are absent, and under traffic those
+// whose weights it would first have to load: such a join would pass by the limits of the
+// weight store.
 func (p *Planner) joinDelays(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
 	state := p.stateOf(instance)
 	preTraffic := p.NoRequestsYet()
 	delays := make(map[string]time.Duration, len(engine.Models))
 	for _, model := range engine.Models {
-		delay := model.LoadTime
+		var delay time.Duration
 		switch {
 		case state.lastModel == model.ID || (instance.Membership.Group != "" && instance.Membership.ModelID == model.ID):
 			delay = rejoinDelay
@@ -235,6 +236,8 @@
 			delay = state.stagingDeadline.Sub(now) + model.WarmTime
 		case preTraffic:
 			delay = model.LoadTime / preTrafficLoadDivisor
+		default:
+			continue
 		}
 		if delay <= maxJoinDelay {
 			delays[model.ID] = delay
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -125,7 +125,8 @@
 	// Demand returns the demand for a model at all hosts, in engine seconds per
 	// second.
 	Demand func(service, modelID string) float64
-	// NoRequestsYet reports whether no host has received a request yet.
+	// NoRequestsYet reports whether no host has received a request since the first start
+	// of the whole system. Until then, loads of weights are short and not limited.
 	NoRequestsYet func() bool
 	Logger        log.Logger
 }
@@ -163,6 +164,7 @@
 	silences       map[string]*silence                       // by instance ID, of instances that are marked as lost
 	awaited        map[roster.GroupKey]bool                  // groups that would serve but for silent members
 	activeLoads    map[string]flamingodoor.WeightLoad        // by instance ID
+	loadStarts     []time.Time                               // of the latest loads, also of those that have ended
 	endedLoads     []string                                  // instances whose ended loads are still in the load store
 	wasLeading     bool
 	steppedAt      time.Time // of the latest step
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -97,6 +97,7 @@
 			continue
 		}
 		p.activeLoads[load.InstanceID] = load
+		p.loadStarts = append(p.loadStarts, load.StartedAt)
 		p.states[load.InstanceID] = &instanceState{
 			startedAt: load.InstanceStartedAt, sequence: -1, stagingModel: load.ModelID, stagingDeadline: load.Deadline,
 		}
@@ -337,19 +338,21 @@
 // weight store, and records it as active if so. More concurrent loads would only
 // make each take longer.
 func (p *Planner) admitLoad(engine *flamingodoor.EngineSpec, target stageTarget, now time.Time) bool {
-	recent := 0
-	for _, load := range p.activeLoads {
-		if now.Sub(load.StartedAt) < time.Second {
-			recent++
-		}
+	rate := engine.LoadsPerSecond
+	if rate <= 0 {
+		rate = 1
 	}
+	// An order may take up to orderTimeout to arrive, and the ones after it less.
+	window := time.Duration(max(1, 1/rate)*float64(time.Second)) + orderTimeout
+	p.loadStarts = slices.DeleteFunc(p.loadStarts, func(begun time.Time) bool { return now.Sub(begun) >= window })
 	limit := max(1, engine.MaxConcurrentLoads)
 	if !target.idle {
 		limit /= memberLoadDivisor
 	}
-	if len(p.activeLoads) >= limit || float64(recent+1) > max(1, engine.LoadsPerSecond) {
+	if len(p.activeLoads) >= limit || float64(len(p.loadStarts)+1) > max(1, rate) {
 		return false
 	}
+	p.loadStarts = append(p.loadStarts, now)
 	p.activeLoads[target.instance.ID] = flamingodoor.WeightLoad{
 		InstanceID: target.instance.ID, InstanceStartedAt: target.instance.StartedAt, ModelID: target.modelID,
 		StartedAt: now, Deadline: now.Add(loadTime(engine, target.modelID) + completionMargin),
--- a/internal/planner/stage_test.go
+++ b/internal/planner/stage_test.go
@@ -82,6 +82,58 @@
 	assert.Assert(t, h.fleet.OpenGroups(large) > 1)
 }
 
+// assertCeiling checks the loads that began so far: at most 1.1 times what the weight
+// store supports within 5 s, and 3 more.
+func (h *harness) assertCeiling(spec *flamingodoor.EngineSpec) {
+	h.t.Helper()
+	const window = 5 * time.Second
+	limit := 1.1*spec.LoadsPerSecond*window.Seconds() + 3
+	most := h.fleet.MostLoads(start, window)
+	assert.Assert(h.t, most > 0)
+	assert.Assert(h.t, float64(most) <= limit, "%d loads began within %s, %.1f are allowed", most, window, limit)
+}
+
+// Guards against more loads than the weight store supports: instances joined groups of
+// models whose weights they did not have, which load them, because that takes less than
+// the longest delay of a join.
+func TestJoinsDoNotPassByTheLimitOfLoads(t *testing.T) {
+	spec := engineSpec()
+	spec.LoadsPerSecond, spec.MaxConcurrentLoads = 1, 2
+	for i := range spec.Models {
+		spec.Models[i].LoadTime = 3 * time.Second
+	}
+	h := newHarnessWith(t, spec)
+	for _, domain := range []string{"d0", "d1", "d2", "d3"} {
+		h.add(domain, 9)
+	}
+	h.run(20*time.Second, h.startLeader())
+	h.assertCeiling(spec)
+	assert.Assert(t, h.fleet.OpenGroups(large)+h.fleet.OpenGroups(small) > 0)
+}
+
+// Guards against more loads than the weight store supports, because a load no longer
+// counted once its instance had left, although it had begun in the same second.
+func TestLoadsOfInstancesThatLeaveCountTowardsTheLimit(t *testing.T) {
+	spec := engineSpec()
+	spec.LoadsPerSecond = 1
+	h := newHarnessWith(t, spec)
+	for _, domain := range []string{"d0", "d1", "d2", "d3"} {
+		h.add(domain, 9)
+	}
+	counts, unlisted := h.countStageOrders(), make(map[string]bool)
+	leader := h.startLeader()
+	for range 50 {
+		h.run(stepTime, leader)
+		for id := range counts {
+			if !unlisted[id] {
+				unlisted[id] = true
+				h.fleet.SetUnlisted(id, true)
+			}
+		}
+	}
+	h.assertCeiling(spec)
+}
+
 // domainOf returns the fabric domain of an instance. It reads the roster because
 // it is called while the fleet's lock is held.
 func (h *harness) domainOf(id string) string {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -97,8 +97,9 @@
 	sharersSet  atomic.Bool  // SetSharers was called
 	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
 	stopping    atomic.Bool
-	requests    running // in flight
-	unanswered  running // attempts at instances that may be repeated
+	received    atomic.Bool // a request
+	requests    running     // in flight
+	unanswered  running     // attempts at instances that may be repeated
 	inFlight    sync.WaitGroup
 
 	mu               sync.Mutex
@@ -283,6 +284,12 @@
 	p.requests.end(errStopping)
 }
 
+// RequestsReceived reports whether this host has received a request, also one that it
+// refused.
+func (p *Proxy) RequestsReceived() bool {
+	return p.received.Load()
+}
+
 // Ready reports whether this host has loaded the configuration, the blocked
 // parts and the registrations, may still accept keys, and is not stopping.
 func (p *Proxy) Ready() bool {
@@ -306,6 +313,9 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Done()
 	received := p.now()
+	if !p.received.Load() {
+		p.received.Store(true) // not each time: all processors share it
+	}
 	if p.stopping.Load() {
 		announceClose(writer)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -32,7 +32,8 @@
 	headReadsFail bool
 	violations    []string
 	hooks         Hooks
-	preTraffic    bool // before the first request
+	preTraffic    bool        // before the first request
+	loads         []time.Time // when loads from the weight store began, in order
 }
 
 // Hooks inject failures of orders.
@@ -272,6 +273,23 @@
 	return slices.Clone(f.violations)
 }
 
+// MostLoads returns the largest number of loads from the weight store that began within
+// a window after the given time.
+func (f *Fleet) MostLoads(after time.Time, window time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most, first := 0, 0
+	for last, begun := range f.loads {
+		for f.loads[first].Before(after) || begun.Sub(f.loads[first]) > window {
+			if first++; first > last {
+				break
+			}
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
 // OpenGroups returns the number of open groups of a model whose members all run.
 func (f *Fleet) OpenGroups(modelID string) int {
 	f.mu.Lock()
@@ -389,6 +407,9 @@
 			return flamingodoor.OrderResultConflict
 		}
 		i.staging, i.stagedAt = order.ModelID, f.now.Add(f.loadTime(order.ModelID))
+		if !slices.Contains(i.StagedModels, order.ModelID) {
+			f.loads = append(f.loads, f.now)
+		}
 	case flamingodoor.OrderKindClose:
 		return flamingodoor.OrderResultConflict
 	}
@@ -410,6 +431,8 @@
 		delay = model.WarmTime
 	case i.staging == order.ModelID:
 		delay = i.stagedAt.Sub(f.now) + model.WarmTime
+	default:
+		f.loads = append(f.loads, f.now)
 	}
 	i.highestEpoch = order.Epoch
 	i.members = order.Members
