Take no part of the retry burst before the other hosts are known

Hosts share a burst of retries. Until a host had read the list of hosts, it used all of it: six hosts that start while the list cannot be read made 240 retries of 240 requests, where 148 are allowed for all together (BUDGET).

Cause: the number of hosts was one until it was known.

Change: without the list there is no part of the burst, only the ratio to the requests of the host itself.

Test: TestHostsThatDoNotKnowTheOthersDoNotUseTheirRetries, 240 retries before, 148 allowed.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -373,5 +373,5 @@
 // host's rate. On average a report is half the report delay old.
 func (p *Proxy) unreportedRequests(j *job, now time.Time) float64 {
 	age := time.Duration(p.reportDelay.Load()) / 2
-	return p.arrivalRates.perSecond(j.key(), now) * float64(p.hostCount.Load()) * age.Seconds()
+	return p.arrivalRates.perSecond(j.key(), now) * float64(max(1, p.hostCount.Load())) * age.Seconds()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,7 +93,7 @@
 	uptime          func() time.Time // of confirmations
 	random          func() float64
 
-	hostCount   atomic.Int64 // entry hosts that share the limits
+	hostCount   atomic.Int64 // entry hosts that share the limits; 0 if not known
 	sharersSet  atomic.Bool  // SetSharers was called
 	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
 	stopping    atomic.Bool
@@ -172,9 +172,9 @@
 	Logger       log.Logger
 }
 
-// New returns a proxy. Until SetHosts is called, it computes its retry budget as
-// if it were the only host, and sends no requests to cold instances of services
-// with a ColdRate or to instances that stated a rate limit.
+// New returns a proxy. Until SetHosts is called, it makes no retries beyond the ratio to
+// its requests, because it does not know its part of the burst, and sends no requests to
+// cold instances of services with a ColdRate or to instances that stated a rate limit.
 func New(parts Parts, options ...Option) *Proxy {
 	divider := share.NewDivider(parts.HostID)
 	p := &Proxy{
@@ -191,7 +191,6 @@
 		option(p)
 	}
 	p.limits.Store(&parts.Limits)
-	p.hostCount.Store(1)
 	return p
 }
 
@@ -244,7 +243,11 @@
 const budgetSafetyFactor = 0.8
 
 func (p *Proxy) budgetFloor() int {
-	return int(budgetSafetyFactor * p.limits.Load().RetryBurst / float64(p.hostCount.Load()))
+	hosts := p.hostCount.Load()
+	if hosts == 0 {
+		return 0
+	}
+	return int(budgetSafetyFactor * p.limits.Load().RetryBurst / float64(hosts))
 }
 
 func (p *Proxy) retryBudget(service string) *admission.RetryBudget {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -108,6 +108,14 @@
 }
 
 func newHost(tb testing.TB, id string, options ...proxy.Option) *setup {
+	tb.Helper()
+	s := newStartingHost(tb, id, options...)
+	s.proxy.SetHosts([]string{id}, 0)
+	return s
+}
+
+// newStartingHost returns a host that does not know yet which other hosts there are.
+func newStartingHost(tb testing.TB, id string, options ...proxy.Option) *setup {
 	tb.Helper()
 	s := &setup{t: tb, paths: &pathState{}, demand: proxy.NewDemand(), roster: roster.New(), tracker: balance.New(), parts: newPartTracker(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
 	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
