Close the connections of callers that leave instead of returning

Cause: on a cancelled context the proxy returned from the handler, and net/http completes the answer of a handler that returns. Ruled out: an answer of an instance (the request never reached one).

Change: the connection is aborted. A caller that closes its sending side counts as one that has left; docs/platform.md says so.

--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -102,8 +102,7 @@
 		p.release(dest)
 		switch {
 		case result == outcomeCallerLeft:
-			p.recordFinished(j, "caller_left", 0, 0)
-			return
+			p.abortLeft(j, 0)
 		case result == outcomeDone && (dest.peer != nil || response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
 			p.deliver(ctx, writer, j, response)
 			return
@@ -157,7 +156,7 @@
 	stopping := errors.Is(context.Cause(ctx), errStopping)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		p.recordFinished(j, "caller_left", 0, 0)
+		p.abortLeft(j, 0)
 	case stopping && j.forwardedBy != "" && !j.mayHaveRun:
 		p.decline(writer, j, "stopping")
 	case stopping && j.forwardedBy != "" && j.repeatable():
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -46,7 +46,7 @@
 	case result == outcomeDone:
 		p.recordFinished(j, "answered", http.StatusOK, client.events)
 	case result == outcomeCallerLeft:
-		p.recordFinished(j, "caller_left", 0, client.events)
+		p.abortLeft(j, client.events)
 	case result == outcomeBrokenOff:
 		p.abortStream(j, client)
 	default:
@@ -118,6 +118,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// abortLeft closes the connection of a caller that has closed it, or its sending side, by
+// a panic. If the handler returned, the server would complete the answer, which a caller
+// that still reads would take for that of its request.
+func (p *Proxy) abortLeft(j *job, events int) {
+	p.recordFinished(j, "caller_left", 0, events)
+	panic(http.ErrAbortHandler)
+}
+
 // streamAttempt sends the job to an instance, or to a peer, and forwards its events.
 // `suspect` is called if they seem not to go on.
 func (p *Proxy) streamAttempt(runner *contender, j *job, dest destination, client *delivery, suspect func(cause error)) outcome {
