Keep the statement of received requests in messages with feeds

Messages from the leader, which carry registrations and the position of the configuration, left out that some host has received a request.

Cause: copyCommon lists the fields that it copies, and the new one was missing. Test: TestMessagesWithFeedsStateThatThereWereRequests failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -300,7 +300,7 @@
 		HostId: message.GetHostId(), StartedMs: message.GetStartedMs(), Sequence: message.GetSequence(), Uses: message.GetUses(),
 		Losses: message.GetLosses(), Demands: message.GetDemands(), Strikes: message.GetStrikes(), Leaving: message.GetLeaving(),
 		PartCrashes: message.GetPartCrashes(), PartsBegun: message.GetPartsBegun(), BlockedParts: message.GetBlockedParts(),
-		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(),
+		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(), RequestsReceived: message.GetRequestsReceived(),
 		Address: message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
 	}
 }
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -251,3 +251,19 @@
 		}
 	})
 }
+
+// Guards against a statement that messages with feeds leave out: those of the leader to
+// the hosts that it passes the registrations on to. Without it, a host may load weights as
+// before the first request.
+func TestMessagesWithFeedsStateThatThereWereRequests(t *testing.T) {
+	hosts := startHosts(t, 2)
+	eventually(t, "no messages", func() bool { return hosts[1].messageCount() > 2 }) // the first has no feeds
+	hosts[1].mu.Lock()
+	hosts[1].requestsReceived = false
+	hosts[1].mu.Unlock()
+	eventually(t, "messages with feeds lack the statement", func() bool {
+		hosts[1].mu.Lock()
+		defer hosts[1].mu.Unlock()
+		return hosts[1].requestsReceived
+	})
+}
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -29,17 +29,20 @@
 	registrations registrations
 	strandedPeers atomic.Int32 // times that peers became stranded
 
-	mu            sync.Mutex
-	paths         paths
-	confirmed     time.Time // received from the leader, or set by the test
-	next          int64
-	received      int
-	uses          int32            // this host's requests in flight, all at one instance
-	usesByPeer    map[string]int32 // latest uses by sender
-	needsCopy     bool             // lacks records that it cannot read
-	copiesOnly    bool             // moves its position only by records that it copied, not by ObservePosition
-	copied        flamingodoor.RecordBatch
-	deferredUntil time.Time // when this host may read again
+	mu               sync.Mutex
+	paths            paths
+	confirmed        time.Time // received from the leader, or set by the test
+	next             int64
+	received         int
+	requestsReceived bool             // a message said so; the leader's do
+	uses             int32            // this host's requests in flight, all at one instance
+	usesByPeer       map[string]int32 // latest uses by sender
+	needsCopy        bool             // lacks records that it cannot read
+	version          int64
+	copyVersion      int64 // of the configuration in copies that it receives
+	copiesOnly       bool  // moves its position only by records that it copied, not by ObservePosition
+	copied           flamingodoor.RecordBatch
+	deferredUntil    time.Time // when this host may read again
 }
 
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
@@ -62,7 +65,7 @@
 func (h *host) Describe(request *exchangev1.ShareRequest, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	request.Stranded = h.paths.stranded
+	request.Stranded, request.RequestsReceived = h.paths.stranded, h.leads
 	if h.uses > 0 {
 		request.Uses = []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: h.uses}}
 	}
@@ -90,6 +93,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.received++
+	h.requestsReceived = h.requestsReceived || request.GetRequestsReceived()
 	if h.usesByPeer == nil {
 		h.usesByPeer = make(map[string]int32)
 	}
@@ -165,9 +169,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.copied, h.needsCopy = records, false
+	h.version = max(h.version, h.copyVersion)
 	h.next = max(h.next, records.Next)
 }
 
+func (h *host) Version() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
 func (h *host) position() (int64, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
