Ask the peers for a newer configuration than the store shows

Cause: a position says how far a host has read, not what it knows: after a restore, peers at the same position hold a newer version. Ruled out: the other hosts, which refuse the key all the while.

Change: answers between hosts state the version and the position (optional fields, ignored by older hosts). A change that is merely not read yet refuses nothing.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -121,6 +121,7 @@
 	calls         sync.WaitGroup
 	copying       atomic.Bool // a configuration is being copied
 	announced     atomic.Bool // this host is in the platform's list of hosts
+	consulted     atomic.Bool // the peers were asked for the version of the configuration
 	announceAgain chan struct{}
 
 	mu              sync.Mutex
@@ -129,6 +130,7 @@
 	sequence        uint64
 	leaving         bool
 	answeredAt      time.Time // when a peer last answered a message
+	newest          peerConfiguration
 	newlyStranded   bool      // a peer became stranded and onStranded was not called yet
 	sharersChanged  bool      // onSharers was not called yet
 	strandedAt      time.Time // the latest message that says that this host is stranded
@@ -153,6 +155,7 @@
 	leftAt       time.Time                 // arrival of that announcement
 	stranded     bool                      // no instance answers it, as of its latest message
 	answeredAt   time.Time                 // arrival of its latest response to a message
+	failed       bool                      // a message to it was not answered
 	sharesAgain  time.Time                 // until then it uses no part of the divided limits
 	knowsSound   bool                      // the message that it answered last says that this host is not stranded
 	started      int64                     // process start in Unix milliseconds, as in its latest message
@@ -251,9 +254,11 @@
 	}
 	e.notifyStranded()
 	e.applyFeeds(context.WithoutCancel(ctx), request.Msg, now)
-	return connect.NewResponse(&exchangev1.ShareResponse{
-		RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock(),
-	}), nil
+	response := &exchangev1.ShareResponse{RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock()}
+	if next, _, known := e.feeds.Configuration.Position(); known {
+		response.ConfigurationNext, response.ConfigurationVersion = next, e.feeds.Configuration.Version()
+	}
+	return connect.NewResponse(response), nil
 }
 
 // acceptMessage records the sender's state and reports whether the message is
@@ -436,6 +441,9 @@
 		}
 		e.addPeer(host)
 	}
-	e.directoryLoaded = true
+	if !e.directoryLoaded {
+		e.directoryLoaded = true
+		e.SendNow()
+	}
 	return nil
 }
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -63,9 +63,13 @@
 	response, err := to.client.Share(ctx, connect.NewRequest(request))
 	if err != nil {
 		_ = level.Debug(e.logger).Log("event", "share_failed", "peer", to.ID, "err", err)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		to.failed = true
 		return
 	}
 	e.recordAnswered(to, request.GetStranded())
+	e.compareConfiguration(context.WithoutCancel(ctx), to.ID, response.Msg)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
--- a/internal/proxy/halfclose_test.go
+++ b/internal/proxy/halfclose_test.go
@@ -49,12 +49,15 @@
 		endpoint      func(http.ResponseWriter, *http.Request)
 		full          bool // no slot is free
 	}{
-		"posting":                    {"/post/x", "plain", waiting, false},
-		"idempotent":                 {"/read/x", "plain", waiting, false},
-		"posting that waits":         {"/post/x", "plain", waiting, true},
-		"stream that waits":          {"/stream/x", "llm", waiting, true},
-		"stream before first event":  {"/stream/x", "llm", waiting, false},
-		"stream after a first event": {"/stream/x", "llm", func(writer http.ResponseWriter, request *http.Request) { events(1, 0)(writer, request); waiting(writer, request) }, false},
+		"posting":                   {"/post/x", "plain", waiting, false},
+		"idempotent":                {"/read/x", "plain", waiting, false},
+		"posting that waits":        {"/post/x", "plain", waiting, true},
+		"stream that waits":         {"/stream/x", "llm", waiting, true},
+		"stream before first event": {"/stream/x", "llm", waiting, false},
+		"stream after a first event": {"/stream/x", "llm", func(writer http.ResponseWriter, request *http.Request) {
+			events(1, 0)(writer, request)
+			waiting(writer, request)
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSetup(t)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -87,11 +87,13 @@
 	demand          *Demand
 	observer        Observer
 	onLeaving       func(instanceID string, startedAt time.Time)
-	onLimited       func()
-	logger          log.Logger
-	now             func() time.Time
-	uptime          func() time.Time // of confirmations
-	random          func() float64
+	// configurationConfirmed reports whether no peer has a newer configuration.
+	configurationConfirmed func() bool
+	onLimited              func()
+	logger                 log.Logger
+	now                    func() time.Time
+	uptime                 func() time.Time // of confirmations
+	random                 func() float64
 
 	hostCount   atomic.Int64 // entry hosts that share the limits; 0 if not known
 	sharersSet  atomic.Bool  // SetSharers was called
@@ -153,6 +155,12 @@
 	return func(p *Proxy) { p.onLimited = onLimited }
 }
 
+// WithConfigurationCheck sets the function that reports whether no peer is known to have
+// a newer configuration. Without it, none is.
+func WithConfigurationCheck(confirmed func() bool) Option {
+	return func(p *Proxy) { p.configurationConfirmed = confirmed }
+}
+
 // Parts are the dependencies and settings of a Proxy.
 type Parts struct {
 	Headers      Headers
@@ -182,7 +190,7 @@
 		roster: parts.Roster, tracker: parts.Tracker, pool: parts.Pool, monitor: parts.Monitor,
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
-		observer: noObserver{}, onLeaving: func(string, time.Time) {}, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
+		observer: noObserver{}, onLeaving: func(string, time.Time) {}, configurationConfirmed: func() bool { return true }, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
 		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
@@ -300,9 +308,10 @@
 }
 
 // keysConfirmed reports whether the configuration is recent enough to accept
-// keys: a key that was revoked since is rejected within Limits.RevokeWithin.
+// keys: a key that was revoked since is rejected within Limits.RevokeWithin, and no
+// peer is known to have a newer one.
 func (p *Proxy) keysConfirmed() bool {
-	return p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin - revokeMargin))
+	return p.configurationConfirmed() && p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin-revokeMargin))
 }
 
 // ServeHTTP authorises a request and proxies it to an instance, or to a peer if
--- a/serving.go
+++ b/serving.go
@@ -206,8 +206,11 @@
 	// read.
 	Snapshot() (RecordBatch, bool)
 	// Restore applies the snapshot of another host, unless this host already
-	// has all its records.
+	// has all its records. If it has read as far, it applies a newer configuration,
+	// which the platform's store has lost.
 	Restore(records RecordBatch)
+	// Version returns that of the newest configuration, or 0 before the first.
+	Version() int64
 }
 
 // InstanceNotice is what an instance states about itself in the head of a
