Bound the memory of the bodies of requests in flight

Cause: each body was read in whole before anything bounded their number, and copied to be sent; the garbage collector knew no limit. Ruled out: responses (buffered up to 256 KiB) and requests of peers (counted already).

Change: room is reserved before a body is read, a third of the memory for large ones and an eighth for those up to 64 KiB; without room the request is refused unread. No copy for the instance.

--- a/internal/proxy/halfclose_test.go
+++ b/internal/proxy/halfclose_test.go
@@ -15,8 +15,8 @@
 )
 
 // closeSending sends a request on a connection of its own, waits, closes the sending side
-// and returns the answer.
-func (s *setup) closeSending(path string, wait time.Duration) (response *http.Response, body string, err error) {
+// and returns the answer. Its status is 0 if the connection was closed without one.
+func (s *setup) closeSending(path string, wait time.Duration) reply {
 	s.t.Helper()
 	connection, err := net.Dial("tcp", s.front.Listener.Addr().String())
 	assert.NilError(s.t, err)
@@ -29,13 +29,13 @@
 	sending, ok := connection.(*net.TCPConn)
 	assert.Assert(s.t, ok)
 	assert.NilError(s.t, sending.CloseWrite())
-	response, err = http.ReadResponse(bufio.NewReader(connection), nil)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
-		return nil, "", err
+		return reply{err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	all, err := io.ReadAll(response.Body)
-	return response, string(all), err
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
 }
 
 // Guards against "200 OK" without a signature for a request that never ran, and against
@@ -76,12 +76,12 @@
 				instance.Slots = 0
 			}
 			s.register(instance)
-			response, body, err := s.closeSending(test.path, 150*time.Millisecond)
-			if response == nil {
+			got := s.closeSending(test.path, 150*time.Millisecond)
+			if got.status == 0 {
 				return // the connection was closed
 			}
-			assert.Equal(t, response.Header.Get(headers.Signature), "sig", "status %d, body %q", response.StatusCode, body)
-			assert.Assert(t, err != nil, "the answer looks complete: status %d, body %q", response.StatusCode, body)
+			assert.Equal(t, got.header.Get(headers.Signature), "sig", "status %d, body %q", got.status, got.body)
+			assert.Assert(t, got.err != nil, "the answer looks complete: status %d, body %q", got.status, got.body)
 		})
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -81,6 +81,7 @@
 	peers           flamingodoor.PeerSelector
 	peerPool        *upstream.Pool
 	takeovers       takeovers
+	bodies          bodies
 	forwards        forwardCounts
 	hostID          string
 	unbegun         unbegunAttempts
@@ -195,6 +196,7 @@
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
+	p.bodies.setMemory(defaultMemoryBytes)
 	for _, option := range options {
 		option(p)
 	}
@@ -350,11 +352,12 @@
 		p.reject(writer, request, status, reason, shortRetryAfter)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, bodyLimit(index)))
+	body, release, err := p.readBody(writer, request, from, index)
 	if err != nil {
 		p.rejectBody(writer, request, err)
 		return
 	}
+	defer release()
 	j := p.newJob(request, from, index, route, workspace, body, received)
 	if p.crashTracker.Blocked(j.fingerprint, received) {
 		p.refuse(writer, j, http.StatusServiceUnavailable, "crashes_endpoints", 0)
@@ -422,10 +425,14 @@
 	return nil, nil, http.StatusUnauthorized, "unknown_key"
 }
 
-// rejectBody responds to a request whose body cannot be read.
+// rejectBody responds to a request whose body cannot be read, or for which there is no room.
 func (p *Proxy) rejectBody(writer http.ResponseWriter, request *http.Request, err error) {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.Is(err, errBodiesFull):
+		p.reject(writer, request, http.StatusServiceUnavailable, "bodies_full", shortRetryAfter)
+		return
+	case errors.As(err, &large):
 		p.reject(writer, request, http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return
 	}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -85,12 +85,14 @@
 	t.bytes -= takeoverBytes + bodyCopies*body
 }
 
-// WithMemory sets the memory of the host in bytes, of which a part is for the requests
-// of peers. It changes nothing if the memory is not known.
+// WithMemory sets the memory of the host in bytes, of which parts are for the requests
+// of peers and for the bodies of callers' requests. It changes nothing if the memory is
+// not known.
 func WithMemory(bytes int64) Option {
 	return func(p *Proxy) {
 		if bytes > 0 {
 			p.takeovers.limit = bytes / takeoverMemoryDivisor
+			p.bodies.setMemory(bytes)
 		}
 	}
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -117,7 +117,10 @@
 	} else {
 		e.writeResult = make(chan error, 1)
 		go func() {
-			_, err := e.conn.Write(append(header, e.call.Body...))
+			_, err := e.conn.Write(header)
+			if err == nil {
+				_, err = e.conn.Write(e.call.Body) // not copied: it may be large
+			}
 			e.writeResult <- err
 		}()
 	}
