--- a/internal/proxy/delivery.go
+++ b/internal/proxy/delivery.go
@@ -22,18 +22,18 @@
 	unnumbered  bool   // an event without an identifier was sent
 }
 
-// delivery writes a stream to the caller and records what was sent. Several contenders
+// delivery writes a stream to the caller and records what was sent. Several runners
 // may have attempts under way; the first that has the next event goes on with the
 // stream, and the others end. It is safe for concurrent use.
 type delivery struct {
-	ctx     context.Context //nolint:containedctx // of the request, from which those of the contenders are derived
+	ctx     context.Context //nolint:containedctx // of the request, from which those of the runners are derived
 	writer  http.ResponseWriter
 	control *http.ResponseController
 
-	mu         sync.Mutex
-	contenders []*contender // whose attempts may go on with the stream
-	owner      *contender   // that wrote last
-	finished   bool         // the response is complete
+	mu       sync.Mutex
+	runners  []*streamRunner // whose attempts may go on with the stream
+	owner    *streamRunner   // that wrote last
+	finished bool            // the response is complete
 	position
 }
 
@@ -41,8 +41,8 @@
 	return &delivery{ctx: ctx, writer: writer, control: http.NewResponseController(writer), position: position{lastEventID: lastEventID}}
 }
 
-// contender makes one attempt after the other at a stream, in one goroutine.
-type contender struct {
+// streamRunner makes one attempt after the other at a stream, in one goroutine.
+type streamRunner struct {
 	ctx context.Context //nolint:containedctx // of its attempts
 	end context.CancelCauseFunc
 }
@@ -55,28 +55,28 @@
 	flush       bool // no other piece is at hand
 }
 
-// enter adds a contender, which is removed by the returned function.
-func (d *delivery) enter() (entrant *contender, leave func()) {
+// enter adds a streamRunner, which is removed by the returned function.
+func (d *delivery) enter() (entrant *streamRunner, leave func()) {
 	ctx, end := context.WithCancelCause(d.ctx)
-	entrant = &contender{ctx: ctx, end: end}
+	entrant = &streamRunner{ctx: ctx, end: end}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.contenders = append(d.contenders, entrant)
+	d.runners = append(d.runners, entrant)
 	return entrant, func() {
 		end(nil)
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if index := slices.Index(d.contenders, entrant); index >= 0 {
-			d.contenders = slices.Delete(d.contenders, index, index+1)
+		if index := slices.Index(d.runners, entrant); index >= 0 {
+			d.runners = slices.Delete(d.runners, index, index+1)
 		}
 	}
 }
 
-// superseded reports whether another contender goes on with the stream.
-func (d *delivery) superseded(runner *contender) bool {
+// superseded reports whether another streamRunner goes on with the stream.
+func (d *delivery) superseded(runner *streamRunner) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !slices.Contains(d.contenders, runner)
+	return !slices.Contains(d.runners, runner)
 }
 
 // sent returns what the caller has been sent.
@@ -86,24 +86,24 @@
 	return d.position
 }
 
-// claim gives the stream to a contender and ends the others. It is called with the lock
+// claim gives the stream to a streamRunner and ends the others. It is called with the lock
 // held.
-func (d *delivery) claim(runner *contender) error {
-	if d.finished || !slices.Contains(d.contenders, runner) {
+func (d *delivery) claim(runner *streamRunner) error {
+	if d.finished || !slices.Contains(d.runners, runner) {
 		return errSuperseded
 	}
-	for _, other := range d.contenders {
+	for _, other := range d.runners {
 		if other != runner {
 			other.end(errSuperseded)
 		}
 	}
-	d.contenders, d.owner = append(d.contenders[:0], runner), runner
+	d.runners, d.owner = append(d.runners[:0], runner), runner
 	return nil
 }
 
-// deliver sends a piece to the caller. A comment does not decide between contenders: only
+// deliver sends a piece to the caller. A comment does not decide between runners: only
 // the one that wrote last, or the first of all, sends comments.
-func (d *delivery) deliver(runner *contender, response *upstream.Response, piece piece) (position, error) {
+func (d *delivery) deliver(runner *streamRunner, response *upstream.Response, piece piece) (position, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if piece.carriesData {
@@ -130,7 +130,7 @@
 }
 
 // finish sends what follows the last event.
-func (d *delivery) finish(runner *contender, response *upstream.Response, rest []byte) error {
+func (d *delivery) finish(runner *streamRunner, response *upstream.Response, rest []byte) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.claim(runner); err != nil {
@@ -140,15 +140,15 @@
 	return d.write(response, rest)
 }
 
-// first reports whether a contender is the one that began first. It is called with the
+// first reports whether a streamRunner is the one that began first. It is called with the
 // lock held.
-func (d *delivery) first(runner *contender) bool {
-	return len(d.contenders) > 0 && d.contenders[0] == runner
+func (d *delivery) first(runner *streamRunner) bool {
+	return len(d.runners) > 0 && d.runners[0] == runner
 }
 
 // refuse sends a response that is no stream, unless a part of one was sent. Only that of
-// the first contender counts.
-func (d *delivery) refuse(runner *contender, j *job, response bufferedResponse) outcome {
+// the first streamRunner counts.
+func (d *delivery) refuse(runner *streamRunner, j *job, response bufferedResponse) outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.started || !d.first(runner) || d.claim(runner) != nil {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -213,7 +213,7 @@
 }
 
 // streamFromPeer sends the job to a peer and forwards its events.
-func (p *Proxy) streamFromPeer(runner *contender, j *job, peer flamingodoor.EntryPeer, client *delivery, suspect func(cause error)) outcome {
+func (p *Proxy) streamFromPeer(runner *streamRunner, j *job, peer flamingodoor.EntryPeer, client *delivery, suspect func(cause error)) outcome {
 	ctx, ranBefore, from := runner.ctx, j.mayHaveRun, client.sent()
 	response, result := p.sendToPeer(ctx, j, peer, from.lastEventID)
 	if result != outcomeDone {
@@ -258,7 +258,7 @@
 
 // deliverRefusal forwards a peer's response that is no stream, unless events were
 // sent before or it states only for the peer that the request has not run.
-func (p *Proxy) deliverRefusal(runner *contender, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
+func (p *Proxy) deliverRefusal(runner *streamRunner, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
 	buffered, err := bufferResponse(response)
 	if err != nil {
 		return p.handlePeerError(runner.ctx, j, peer, err)
--- a/internal/proxy/contest_test.go
+++ b/internal/proxy/hedge_test.go
@@ -75,22 +75,22 @@
 	}
 }
 
-// contested is a host with a stream at an instance that stands still.
-type contested struct {
+// hedged is a host with a stream at an instance that stands still.
+type hedged struct {
 	*setup
 
 	replies chan reply
 }
 
-// contest sends a stream that the first of the instances serves, and suspects its group
+// hedge sends a stream that the first of the instances serves, and suspects its group
 // when it stands still.
-func contest(t *testing.T, s *setup, first *standstill, others ...flamingodoor.Instance) contested {
+func hedge(t *testing.T, s *setup, first *standstill, others ...flamingodoor.Instance) hedged {
 	t.Helper()
 	for i := range others {
 		others[i].DataCentre = "dc-b" // local instances come first
 	}
 	s.register(append(others, first.instance("i-1", "llm"))...)
-	c := contested{setup: s, replies: make(chan reply, 1)}
+	c := hedged{setup: s, replies: make(chan reply, 1)}
 	go func() {
 		c.replies <- s.send("/stream/x", func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "6000") })
 	}()
@@ -112,7 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Run("no other instance", func(t *testing.T) {
 				first := newStandstill(t, silentAfter, false)
-				c := contest(t, newSetup(t), first)
+				c := hedge(t, newSetup(t), first)
 				time.Sleep(300 * time.Millisecond)
 				close(first.goOn)
 				c.assertComplete(t)
@@ -120,7 +120,7 @@
 			t.Run("no retry budget", func(t *testing.T) {
 				s, first, other := newSetup(t), newStandstill(t, silentAfter, false), newEndpoint(t, events(lastEvent, 0))
 				s.proxy.SetLimits(proxy.Limits{RevokeWithin: 5 * time.Second})
-				c := contest(t, s, first, other.instance("i-2", "llm"))
+				c := hedge(t, s, first, other.instance("i-2", "llm"))
 				time.Sleep(100 * time.Millisecond)
 				close(first.goOn)
 				c.assertComplete(t)
@@ -133,7 +133,7 @@
 				changed.Routes = []flamingodoor.Route{route("/stream/", flamingodoor.RouteKindStreaming, "llm", 2)}
 				changed.Routes[0].Resumable = false
 				s.catalogue.Configure(&changed)
-				c := contest(t, s, first, other.instance("i-2", "llm"))
+				c := hedge(t, s, first, other.instance("i-2", "llm"))
 				time.Sleep(100 * time.Millisecond)
 				close(first.goOn)
 				c.assertComplete(t)
@@ -141,7 +141,7 @@
 			})
 			t.Run("other instance stands still too", func(t *testing.T) {
 				first, other := newStandstill(t, silentAfter, false), newStandstill(t, 0, false)
-				c := contest(t, newSetup(t), first, other.instance("i-2", "llm"))
+				c := hedge(t, newSetup(t), first, other.instance("i-2", "llm"))
 				await(t, other.reached, "second attempt")
 				c.suspect("i-2")
 				close(first.goOn)
@@ -150,7 +150,7 @@
 			})
 			t.Run("other instance breaks off", func(t *testing.T) {
 				first, other := newStandstill(t, silentAfter, false), newStandstill(t, 0, true)
-				c := contest(t, newSetup(t), first, other.instance("i-2", "llm"))
+				c := hedge(t, newSetup(t), first, other.instance("i-2", "llm"))
 				close(other.goOn)
 				await(t, other.reached, "second attempt")
 				time.Sleep(100 * time.Millisecond)
@@ -162,7 +162,7 @@
 }
 
 // assertComplete checks that the caller received all events, each once.
-func (c contested) assertComplete(t *testing.T) {
+func (c hedged) assertComplete(t *testing.T) {
 	t.Helper()
 	got := <-c.replies
 	assert.NilError(t, got.err)
@@ -176,7 +176,7 @@
 	for name, silentAfter := range map[string]int{"before the first event": 0, "midway": 3} {
 		t.Run(name, func(t *testing.T) {
 			first, other := newStandstill(t, silentAfter, false), newEndpoint(t, events(lastEvent, 0))
-			c := contest(t, newSetup(t), first, other.instance("i-2", "llm"))
+			c := hedge(t, newSetup(t), first, other.instance("i-2", "llm"))
 			c.assertComplete(t)
 			await(t, first.left, "end of the first attempt")
 			assert.Equal(t, other.runs.Load(), int64(1))
@@ -189,7 +189,7 @@
 	for name, silentAfter := range map[string]int{"before the first event": 0, "midway": 3} {
 		t.Run(name, func(t *testing.T) {
 			first, other := newStandstill(t, silentAfter, true), newStandstill(t, 0, false)
-			c := contest(t, newSetup(t), first, other.instance("i-2", "llm"))
+			c := hedge(t, newSetup(t), first, other.instance("i-2", "llm"))
 			await(t, other.reached, "second attempt")
 			close(first.goOn)
 			time.Sleep(100 * time.Millisecond)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -56,15 +56,15 @@
 
 // runStream makes attempts until one ends the stream or no other is allowed. Its error
 // is that of acquire, if there is no slot for the next attempt.
-func (p *Proxy) runStream(runner *contender, j *job, client *delivery, until time.Time) (outcome, error) {
+func (p *Proxy) runStream(runner *streamRunner, j *job, client *delivery, until time.Time) (outcome, error) {
 	for {
 		dest, err := p.acquire(runner.ctx, j, until)
 		if err != nil {
 			return outcomeFailed, err
 		}
 		eventsBefore := client.sent().events
-		contest := p.newContest(j, dest, client)
-		result := contest.decide(j, p.streamAttempt(runner, j, dest, client, contest.suspect))
+		hedge := p.newHedge(j, dest, client)
+		result := hedge.decide(j, p.streamAttempt(runner, j, dest, client, hedge.suspect))
 		p.release(dest)
 		sent := client.sent()
 		j.responseStarted = sent.started || j.responseStarted
@@ -128,7 +128,7 @@
 
 // streamAttempt sends the job to an instance, or to a peer, and forwards its events.
 // `suspect` is called if they seem not to go on.
-func (p *Proxy) streamAttempt(runner *contender, j *job, dest destination, client *delivery, suspect func(cause error)) outcome {
+func (p *Proxy) streamAttempt(runner *streamRunner, j *job, dest destination, client *delivery, suspect func(cause error)) outcome {
 	if dest.peer != nil {
 		return p.streamFromPeer(runner, j, *dest.peer, client, suspect)
 	}
@@ -273,7 +273,7 @@
 // handleNonStream handles a response that is not a stream of events. It forwards
 // an error response unchanged, unless events were sent before, or it is a server
 // error and the job can be retried.
-func (p *Proxy) handleNonStream(ctx context.Context, runner *contender, j *job, dest destination, response *upstream.Response, client *delivery) outcome {
+func (p *Proxy) handleNonStream(ctx context.Context, runner *streamRunner, j *job, dest destination, response *upstream.Response, client *delivery) outcome {
 	buffered, err := bufferResponse(response)
 	if err != nil {
 		return p.handleStreamError(ctx, j, dest, err)
@@ -294,7 +294,7 @@
 // is forwarded from the event after the last one sent; whether one that ends
 // before it is complete cannot be known. `from` is what had been sent when the request
 // was.
-func (p *Proxy) copyEvents(runner *contender, response *upstream.Response, client *delivery, from position, progress func(sent position)) error {
+func (p *Proxy) copyEvents(runner *streamRunner, response *upstream.Response, client *delivery, from position, progress func(sent position)) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	order := eventOrder{last: from.lastEventID, resumes: from.started}
 	if order.resumes && !isEventStream(response) {
@@ -355,7 +355,7 @@
 // finishStream handles a read error at the end of a response. It returns nil if
 // the response ended after a complete event. One without a length ends with its
 // connection, so that without any event it may have broken off.
-func (p *Proxy) finishStream(runner *contender, client *delivery, response *upstream.Response, rest []byte, err error) error {
+func (p *Proxy) finishStream(runner *streamRunner, client *delivery, response *upstream.Response, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) {
 		return err
 	}
