Serve a request whose first byte arrives with the answer before it when a stop begins

Cause: while a handler runs, http.Server reads one byte ahead. If that is the first byte of the next request, the connection counts as waiting for a request once the answer is finished, and the rest of the head gets the deadline of a wait.

Such a request is never passed on, so that this is not the fault of the record.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -17,6 +17,9 @@
 	firstRequestTime = 400 * time.Millisecond
 	// lastLookTime is how long the last read of an idle connection waits.
 	lastLookTime = 20 * time.Millisecond
+	// readAheadBytes is the size of the reads by which http.Server notices, while a
+	// handler runs, that the caller has left. All others are larger.
+	readAheadBytes = 1
 	// closedPollInterval is the time between two checks for open connections.
 	closedPollInterval = 10 * time.Millisecond
 )
@@ -56,7 +59,7 @@
 	case http.StateIdle:
 		caller.awaitRequest()
 	case http.StateActive:
-		caller.received()
+		caller.received(false)
 	case http.StateClosed, http.StateHijacked:
 		c.remove(caller)
 	}
@@ -105,6 +108,7 @@
 	idle      idleState
 	closing   bool
 	answered  bool      // since it began to close
+	readAhead bool      // a byte of the next request was read while one was answered
 	deadline  time.Time // of reads, as the server set it
 }
 
@@ -126,7 +130,7 @@
 		n, err = c.Conn.Read(buffer)
 	}
 	if n > 0 {
-		c.received()
+		c.received(len(buffer) == readAheadBytes)
 	}
 	return n, err
 }
@@ -180,21 +184,24 @@
 	_ = c.applyDeadline() // fails only if the connection is closed
 }
 
-// awaitRequest notes that a request was answered and another may follow.
+// awaitRequest notes that a request was answered and another may follow, of which the
+// server may have the first byte.
 func (c *callerConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = true
+	c.waiting, c.readAhead = !c.readAhead, false
 	c.waitUntil = time.Now()
 	c.idle = idleBegun
 	c.answered = c.closing
 }
 
-// received notes that a request has begun to arrive.
-func (c *callerConn) received() {
+// received notes that bytes of a request have arrived, which the server may have read
+// while it answers the request before.
+func (c *callerConn) received(readAhead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waiting {
+		c.readAhead = readAhead
 		return
 	}
 	c.waiting = false
