Repeat a request after a dead connection although its instance is full at first

Callers saw: a stream of a model with one group was refused with 502 after 1.1 s of its 4 s. Its attempt had been on a connection that transferred nothing more. The repeat at the same instance was refused as full (503, not run), because the other hosts repeated their requests there at the same moment. That refusal excluded the only instance of the model, so that acquire found none and the request, which may have run, got 502.

Why it was not seen before is not shown.

Change: the refusal of a repeat after a dead connection does not exclude the instance, as often as the route allows instances; the pause of a full instance and the retry budget hold as before. The exemption lasts until the repeat has reached the instance, also if another instance failed meanwhile. A job whose attempts are used up is sent to no other instance and to no peer.

--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -181,11 +181,11 @@
 	return chosen, time.Time{}, nil
 }
 
-// pick reserves a slot at the best of the candidates. The instance of a dead connection
-// comes first, so that the job reaches no more instances than needed.
+// pick reserves a slot at the best of the candidates. The instance at which the job may
+// be repeated comes first, so that the job reaches no more instances than needed.
 func (p *Proxy) pick(j *job, set *candidateSet, now time.Time) (id string, ok bool) {
 	unreported := p.unreportedRequests(j, now)
-	again := slices.IndexFunc(set.candidates, func(candidate balance.Candidate) bool { return candidate.ID == j.deadInstance })
+	again := slices.IndexFunc(set.candidates, func(candidate balance.Candidate) bool { return candidate.ID == j.repeatAt })
 	if again >= 0 {
 		if id, ok := p.tracker.Pick(set.candidates[again:again+1], unreported, now); ok {
 			return id, true
@@ -316,7 +316,7 @@
 		set.unreachable++
 		return
 	}
-	if j.failedInstances[instance.ID] {
+	if j.failed(dest) || (j.repeatAt != "" && instance.ID != j.repeatAt && j.exhausted()) {
 		return
 	}
 	if until, held := p.holds.Until(instance.ID, instance.StartedAt, now); held {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -65,6 +65,7 @@
 	outcomeCallerLeft                        // the caller closed its connection
 	outcomeBrokenOff                         // the response broke off after a part of it was sent to the caller
 	outcomeDeadConnection                    // the connection transfers nothing more; the endpoint may have run the request and may be tried again
+	outcomeFull                              // the endpoint did not run the request and may be tried again
 )
 
 // final reports whether the outcome ends the request.
@@ -72,6 +73,11 @@
 	return o == outcomeDone || o == outcomeCallerLeft || o == outcomeBrokenOff
 }
 
+// sameAgain reports whether the next attempt may be at the same destination.
+func (o outcome) sameAgain() bool {
+	return o == outcomeDeadConnection || o == outcomeFull
+}
+
 // bufferedResponse is a response of an endpoint.
 type bufferedResponse struct {
 	status int
@@ -113,10 +119,14 @@
 			p.respondFailed(ctx, writer, j)
 			return
 		}
-		if result != outcomeDeadConnection {
+		wait := j.route.LatencyObjective / waitDivisor
+		if result == outcomeFull {
+			wait = max(wait, 2*fullPause) // the instance is paused meanwhile
+		}
+		if !result.sameAgain() {
 			j.exclude(dest)
 		}
-		j.waitUntil = p.now().Add(j.route.LatencyObjective / waitDivisor)
+		j.waitUntil = p.now().Add(wait)
 	}
 }
 
@@ -138,7 +148,7 @@
 	if (j.suspected && p.partTracker.Suspected(j.parts)) || p.partTracker.Blocked(j.parts, now) {
 		return false
 	}
-	if j.sends-j.exemptSends >= j.route.MaxAttempts {
+	if j.exhausted() && j.repeatAt == "" {
 		return false
 	}
 	return p.grantRetry(j, now) || (j.forwardedBy == "" && (j.responseStarted || p.paths.Stranded()))
@@ -221,8 +231,7 @@
 	}
 	if p.notRun(response) {
 		defer func() { _ = response.Body.Close() }()
-		p.recordNotRun(j, dest, response)
-		return bufferedResponse{}, outcomeNotRun
+		return bufferedResponse{}, p.recordNotRun(j, dest, response)
 	}
 	j.mayHaveRun = true
 	buffered, err := bufferResponse(response)
@@ -292,9 +301,11 @@
 	return response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(p.headers.NotRun) != ""
 }
 
-// recordNotRun logs an attempt that the endpoint did not run and pauses the
-// instance.
-func (p *Proxy) recordNotRun(j *job, dest destination, response *upstream.Response) {
+// recordNotRun logs an attempt that the endpoint did not run, pauses the instance and
+// returns the outcome. A repeat after a dead connection that a full instance refuses is
+// tried again, as often as the route allows instances: the caller cannot be told that the
+// request has not run, and there may be no other instance.
+func (p *Proxy) recordNotRun(j *job, dest destination, response *upstream.Response) outcome {
 	j.cause = "not_run_" + strconv.Itoa(response.StatusCode)
 	_ = level.Info(p.logger).Log("event", "attempt_not_run", "request", j.id, "instance", dest.instance.ID,
 		"status", response.StatusCode, "fault_instance", response.Header.Get(p.headers.FaultInstance))
@@ -303,6 +314,12 @@
 	if err := intake.Discard(response.Body, maxDiscardedBytes); err != nil {
 		_ = level.Debug(p.logger).Log("event", "answer_cut", "request", j.id, "err", err)
 	}
+	if response.StatusCode == http.StatusMisdirectedRequest || !j.repeated || j.refusals >= j.route.MaxAttempts {
+		return outcomeNotRun
+	}
+	j.refusals++
+	j.repeatAt = dest.instance.ID
+	return outcomeFull
 }
 
 // send forwards the request to an instance. Headers carry the time left, the
@@ -342,12 +359,7 @@
 	}
 	var failure *upstream.CallError
 	if err == nil || (errors.As(err, &failure) && failure.Sent) {
-		j.countSend()
-		j.retryGranted = false
-		if dest.instance.ID == j.deadInstance {
-			j.exemptSends++
-		}
-		j.deadInstance = ""
+		j.countSend(dest)
 	}
 	return response, err
 }
@@ -386,7 +398,7 @@
 func (p *Proxy) recordDeadConnection(ctx context.Context, j *job, dest destination, err error) outcome {
 	j.cause = "dead_connection"
 	if !upstream.TimedOut(err) {
-		j.deadInstance = dest.instance.ID // it answers on other connections
+		j.repeatAt = dest.instance.ID // it answers on other connections
 	}
 	_ = level.Info(p.logger).Log("event", "connection_dead", "request", j.id, "instance", dest.instance.ID, "err", err)
 	return p.callerLeftOr(ctx, outcomeDeadConnection)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -97,7 +97,7 @@
 // acquirePeer returns a peer for a job that this host cannot serve. A job that came
 // from another host is not forwarded again.
 func (p *Proxy) acquirePeer(j *job, now time.Time) (destination, error) {
-	if j.forwardedBy != "" || j.declines >= maxDeclines {
+	if j.forwardedBy != "" || j.declines >= maxDeclines || j.exhausted() {
 		return destination{}, errNoPath
 	}
 	peer, ok := p.peers.NextPeer(j.failedPeers, now)
@@ -166,6 +166,14 @@
 	p.tracker.Release(dest.instance.ID)
 }
 
+// failed reports whether the job is not to try a destination again.
+func (j *job) failed(dest destination) bool {
+	if dest.peer == nil {
+		return j.failedInstances[dest.instance.ID]
+	}
+	return j.failedPeers[dest.peer.ID]
+}
+
 // exclude makes the job try other destinations.
 func (j *job) exclude(dest destination) {
 	if dest.peer == nil {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -65,8 +65,10 @@
 	// State of the attempts.
 	sends           int             // attempts that may have reached an endpoint
 	statedSends     *atomic.Int64   // sends of this job and its copies; nil unless forwardedBy is set
-	exemptSends     int             // sends that MaxAttempts does not count: to instances that are gone, and again to one after a dead connection
-	deadInstance    string          // whose connection transferred nothing more at the latest attempt; tried again first
+	exemptSends     int             // sends that MaxAttempts does not count: to instances that are gone, and again to one in repeatAt
+	repeatAt        string          // instance whose connection transferred nothing more, until the job is sent there again; tried first
+	repeated        bool            // the latest send was to the instance in repeatAt
+	refusals        int             // of such sends, by a full instance
 	retryGranted    bool            // the retry budget has granted the next send
 	responseStarted bool            // the caller has received a part of the response
 	mayHaveRun      bool            // an endpoint may have run the request
@@ -102,13 +104,30 @@
 }
 
 // countSend counts an attempt that may have reached an endpoint.
-func (j *job) countSend() {
-	j.sends++
+func (j *job) countSend(dest destination) {
+	j.countAttempt(dest)
 	if j.statedSends != nil {
 		j.statedSends.Add(1)
 	}
 }
 
+// countAttempt counts an attempt that the job or a copy of it has under way.
+func (j *job) countAttempt(dest destination) {
+	j.sends++
+	j.retryGranted = false
+	j.repeated = dest.peer == nil && dest.instance.ID == j.repeatAt
+	if j.repeated {
+		j.exemptSends++
+		j.repeatAt = ""
+	}
+}
+
+// exhausted reports whether the job may reach no instance beyond those that it was sent
+// to. A repeat after a dead connection reaches none.
+func (j *job) exhausted() bool {
+	return j.sends > 0 && j.sends-j.exemptSends >= j.route.MaxAttempts
+}
+
 // key returns the service and model that the job requests.
 func (j *job) key() DemandKey {
 	return DemandKey{Service: j.service.Name, Model: j.model}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -71,7 +71,7 @@
 		if result.final() || client.superseded(runner) || !p.mayResume(runner.ctx, j, sent) {
 			return result, nil
 		}
-		if result != outcomeDeadConnection {
+		if !result.sameAgain() {
 			j.exclude(dest)
 		}
 		if dest.peer != nil && sent.events > eventsBefore {
@@ -155,8 +155,7 @@
 	}
 	if p.notRun(response) {
 		defer func() { _ = response.Body.Close() }()
-		p.recordNotRun(j, dest, response)
-		return outcomeNotRun
+		return p.recordNotRun(j, dest, response)
 	}
 	j.mayHaveRun = true
 	if response.StatusCode != http.StatusOK || response.Header.Get(p.headers.Signature) == "" {
