Let a backup not use up the repeat after a dead connection

Callers would see: a stream refused with 502 although the instance of its dead connection is sound.

Cause: a backup that begins while the first attempt is under way excludes the instance of that attempt and counts as an attempt. When the connection is then found dead, the job adopts both: the sound instance stays excluded, and with two attempts none is left for the repeat there, which is exempt.

Change: if the attempt ends on a dead connection, or was refused as full, what only the suspicion excluded is no longer excluded. A backup counts the attempt beside it as the job does, exemptions included, and what it knows of a dead connection is adopted. The backup and the repeat each take a grant of the retry budget, and the request reaches no more instances than its route allows.

--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -21,16 +21,18 @@
 	dest         destination // of the attempt
 	client       *delivery
 	eventsBefore int           // sent to the caller before the attempt
-	sendsBefore  int           // sends of the job before the attempt
-	exemptBefore int           // exempt ones of these
 	over         chan struct{} // closed when the attempt has ended
 
 	mu      sync.Mutex
 	base    job     // before the attempt, or after the latest backup
 	started bool    // there was a backup
+	sends   int     // of the job and the attempt, before the first backup
+	exempt  int     // exempt ones of these
 	backup  *backup // under way
 	ended   bool    // the attempt has ended
 	decided bool    // with the stream
+	// excluded is whether only the suspicion keeps the job from the destination.
+	excluded bool
 }
 
 // backup makes the backup attempts of a hedge.
@@ -43,7 +45,7 @@
 
 // newHedge returns the hedge of the next attempt of a job, which has no backup yet.
 func (p *Proxy) newHedge(j *job, dest destination, client *delivery) *hedge {
-	return &hedge{proxy: p, dest: dest, client: client, eventsBefore: client.sent().events, sendsBefore: j.sends, exemptBefore: j.exemptSends, over: make(chan struct{}), base: *j}
+	return &hedge{proxy: p, dest: dest, client: client, eventsBefore: client.sent().events, over: make(chan struct{}), base: *j}
 }
 
 // suspect begins a backup attempt if the job may be repeated and none is under way.
@@ -56,8 +58,8 @@
 	h.backup = &backup{job: h.base.copy(), done: make(chan struct{})}
 	if !h.started {
 		h.started = true
-		h.backup.job.sends++ // the first attempt
-		h.backup.job.retryGranted = false
+		h.backup.job.countAttempt(h.dest)
+		h.sends, h.exempt = h.backup.job.sends, h.backup.job.exemptSends
 	}
 	go h.run(h.backup, cause)
 }
@@ -91,6 +93,7 @@
 		h.proxy.paths.Failed(h.dest.instance, h.proxy.now())
 	}
 	if !errors.Is(cause, stall.ErrSilent) {
+		h.excluded = h.excluded || !j.failed(h.dest)
 		j.exclude(h.dest)
 	}
 	if h.dest.peer != nil && sent.events > h.eventsBefore {
@@ -149,6 +152,10 @@
 		last = &h.backup.job
 	}
 	h.adopt(j, last)
+	if result.sameAgain() && h.excluded {
+		// The silence was that of the connection, or the instance has answered since.
+		delete(j.failedInstances, h.dest.instance.ID)
+	}
 	if result.final() || h.backup == nil {
 		return result
 	}
@@ -158,11 +165,15 @@
 
 // adopt adds to the state of a job what backups did for it.
 func (h *hedge) adopt(j, last *job) {
-	sends := last.sends - h.sendsBefore - 1 // without the attempt
+	sends := last.sends - h.sends
 	j.sends += sends
-	j.exemptSends += last.exemptSends - h.exemptBefore
+	j.exemptSends += last.exemptSends - h.exempt
 	j.mayHaveRun = j.mayHaveRun || sends > 0
 	j.suspected = j.suspected || last.suspected
 	j.retryGranted = j.retryGranted || last.retryGranted
+	j.refusals = max(j.refusals, last.refusals)
+	if h.dest.peer != nil || j.repeatAt != h.dest.instance.ID {
+		j.repeatAt = last.repeatAt
+	}
 	j.failedInstances, j.failedPeers, j.brokenPeers, j.declines = last.failedInstances, last.failedPeers, last.brokenPeers, last.declines
 }
--- a/internal/proxy/refusals_test.go
+++ b/internal/proxy/refusals_test.go
@@ -79,3 +79,52 @@
 		})
 	}
 }
+
+// Guards against streams refused with 502 because the backup of an attempt on a dead
+// connection counts for it: the suspicion excluded the instance, which is sound, and the
+// backup used the attempt that is exempt. No request reaches more instances than its
+// route allows, which are two.
+func TestRepeatAfterADeadConnectionWithABackup(t *testing.T) {
+	t.Parallel()
+	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, test := range []struct {
+		name     string
+		other    func(http.ResponseWriter, *http.Request) // nil if there is no other instance
+		refusals int64                                    // of the instance with the dead connection
+		status   int
+		runs     [3]int64 // requests that the instances received, the third registered late
+	}{
+		{"no other instance", nil, 0, http.StatusOK, [3]int64{2, 0, 0}},
+		{"backup breaks", broken, 0, http.StatusOK, [3]int64{2, 1, 0}},
+		{"backup breaks, then full", broken, 1, http.StatusOK, [3]int64{3, 1, 0}},
+		{"backup breaks, then full for good", broken, 100, http.StatusBadGateway, [3]int64{4, 1, 0}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s, first, third := newSetup(t), filling(t, test.refusals), newEndpoint(t, signed("id: 1\ndata: x\n\n"))
+			s.answers.Store(true)
+			instance, cut := behindCut(t, first, "llm")
+			s.register(instance)
+			assert.Equal(t, s.send("/stream/x").status, http.StatusOK)
+			time.Sleep(transitTime) // the connection becomes idle
+			cut.SilenceOpen()
+			instances, runs := []flamingodoor.Instance{instance}, func() int64 { return 0 }
+			if test.other != nil {
+				second := newEndpoint(t, test.other)
+				instances, runs = append(instances, second.instance("i-2", "llm")), second.runs.Load
+				instances[1].DataCentre = "dc-b"
+			}
+			s.register(instances...)
+			replies := make(chan reply, 1)
+			go func() { replies <- s.send("/stream/x", again) }()
+			time.Sleep(transitTime)
+			s.suspect("i-1")
+			time.Sleep(transitTime)
+			if test.other != nil {
+				s.register(append(instances, third.instance("i-3", "llm"))...)
+			}
+			assert.Equal(t, (<-replies).status, test.status)
+			assert.Equal(t, [3]int64{first.runs.Load(), runs(), third.runs.Load()}, test.runs)
+		})
+	}
+}
