Send no more requests to an instance whose connections break after they are sent

Callers of a host whose path to a group was reset got 502 for each request of that model, while peers served it.

Cause: a host marks an instance as unreachable if a request is provably unsent. With a path that resets connections after the accept, most fail only once the request is sent. The host then probes the process to find out whether it has crashed, gets no answer ("unbegun_without_crash"), and goes on: 13 such findings of one head in 1.7 s, until a dial happens to fail and the mark is set, after which nothing fails. The probe now sets the mark, so that the request goes to a peer if it may be repeated, and the next ones do at once.

Buffered requests without parts of a prompt are not probed for, so that the same may hold for them: not shown.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -115,10 +115,18 @@
 }
 
 // hasEnded reports whether the process of an instance has ended. All requests that
-// end there at the same time share the probes.
+// end there at the same time share the probes. An instance that does not answer them
+// gets no requests of this host: its connections may break only after a request is sent.
 func (t *partTracker) hasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
 	ended, _, _ := t.probes.Do(reach.ProcessKey(instance), func() (any, error) {
-		ended := t.gateway.proxy.MayProbe(instance) && t.gateway.prober.HasEnded(ctx, instance)
+		ended, answers := false, true
+		if t.gateway.proxy.MayProbe(instance) {
+			ended, answers = t.gateway.prober.HasEnded(ctx, instance)
+		}
+		if now := time.Now(); !answers && t.gateway.roster.MarkUnreachable(instance.ID, instance.StartedAt, now) {
+			t.gateway.roster.Publish(now)
+			t.gateway.tracker.Wake()
+		}
 		if !ended {
 			_ = level.Info(t.gateway.logger).Log("event", "unbegun_without_crash", "instance", instance.ID)
 		}
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -163,21 +163,22 @@
 // HasEnded reports whether the process of an instance has ended: its port is
 // closed, or another process answers there. Silence does not show that. The port
 // may take a moment to close. A partition can refuse connections as well, so
-// witnesses have to confirm that.
-func (p *Prober) HasEnded(ctx context.Context, instance flamingodoor.Instance) bool {
+// witnesses have to confirm that. It also reports whether the process answers this host.
+func (p *Prober) HasEnded(ctx context.Context, instance flamingodoor.Instance) (ended, answers bool) {
 	ctx, cancel := context.WithTimeout(ctx, memberProbeTimeout)
 	defer cancel()
 	for range probeAttempts {
 		report, err := p.requestReport(ctx, instance)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return p.confirm(ctx, instance) && !p.paths.Stranded()
+			return p.confirm(ctx, instance) && !p.paths.Stranded(), false
 		case err == nil:
-			return !sameProcess(report, instance)
+			same := sameProcess(report, instance)
+			return !same, same
 		}
 		pause(ctx, closingTime)
 	}
-	return false
+	return false, false
 }
 
 func pause(ctx context.Context, duration time.Duration) {
--- a/internal/reach/prober_test.go
+++ b/internal/reach/prober_test.go
@@ -189,7 +189,9 @@
 				assert.Assert(t, time.Since(begun) <= test.within, "took %s", time.Since(begun))
 				assert.Equal(t, finding.Lost, test.lost)
 				assert.Equal(t, finding.Answers, test.seen(0, member) == answers)
-				assert.Equal(t, f.probers[0].HasEnded(t.Context(), f.instances[member]), test.ended)
+				ended, reached := f.probers[0].HasEnded(t.Context(), f.instances[member])
+				assert.Equal(t, ended, test.ended)
+				assert.Equal(t, reached, finding.Answers)
 			})
 		})
 	}
