Take no request after an answer of the stop, also if its first byte was read ahead

Cause: since a connection whose next first byte was read while the handler ran does not wait for a request. That also holds after an answer of the stop, after which no request is taken: the byte comes in the moment between the last write of the answer and the return of the handler.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -185,11 +185,11 @@
 }
 
 // awaitRequest notes that a request was answered and another may follow, of which the
-// server may have the first byte.
+// server may have the first byte. After an answer of the stop, it is too late for one.
 func (c *callerConn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.readAhead = !c.readAhead, false
+	c.waiting, c.readAhead = c.closing || !c.readAhead, false
 	c.waitUntil = time.Now()
 	c.idle = idleBegun
 	c.answered = c.closing
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -299,30 +299,46 @@
 // connection: it comes late, and the end of the grace period cuts it.
 func TestStopTakesNoRequestAfterTheLastAnswer(t *testing.T) {
 	t.Parallel()
-	begun, release := make(chan string, 2), make(chan struct{})
-	front := gateway.NewFrontServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
-		begun <- request.Header.Get(stopHeader)
-		<-release
-	}))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = front.Serve(listener) }()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	assert.NilError(t, err)
-	defer func() { _ = caller.Close() }()
-	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nX-Request: first\r\n\r\n")
-	assert.NilError(t, err)
-	assert.Equal(t, <-begun, "first")
-	stopped := make(chan error, 1)
-	go func() { stopped <- front.Shutdown(t.Context()) }()
-	time.Sleep(4 * lastAccept)
-	close(release)
-	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
-	assert.NilError(t, err)
-	assert.NilError(t, response.Body.Close())
-	_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nX-Request: second\r\n\r\n")
-	assert.NilError(t, <-stopped)
-	assert.Equal(t, len(begun), 0)
+	for _, each := range []struct {
+		name  string
+		pause time.Duration // between the answer and the handler's return
+	}{
+		{"handler has returned", 0},
+		{"first byte is read before the handler returns", lastAccept},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
+			begun, release := make(chan string, 2), make(chan struct{})
+			front := gateway.NewFrontServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				begun <- request.Header.Get(stopHeader)
+				<-release
+				if each.pause > 0 {
+					writer.Header().Set("Content-Length", "0")
+					assert.Check(t, http.NewResponseController(writer).Flush())
+					time.Sleep(each.pause)
+				}
+			}))
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = front.Serve(listener) }()
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = caller.Close() }()
+			_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nX-Request: first\r\n\r\n")
+			assert.NilError(t, err)
+			assert.Equal(t, <-begun, "first")
+			stopped := make(chan error, 1)
+			go func() { stopped <- front.Shutdown(t.Context()) }()
+			time.Sleep(4 * lastAccept)
+			close(release)
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nX-Request: second\r\n\r\n")
+			assert.NilError(t, <-stopped)
+			assert.Equal(t, len(begun), 0)
+		})
+	}
 }
 
 // Guards against an error 400 for a request of which the first half came together
