Decline a forwarded request that only other hosts' paths can serve

A host that does not reach an instance sends the request to a peer. If that peer is in the same cut, and the instances that it does reach ask for no requests, it refused with 503, which is passed on as final, though a third host serves the request.

Such a peer now declines, as it does when it reaches no instance, so that the first host asks the next one, eight at most. It does not count the request, which counts where it is served. Postings that the instance of the peer itself refuses, and candidates at capacity, are as before.

The new case of TestRequestsOfAStrandedHostAreForwarded gets 503 before. The marker for an unreachable instance in these tests loses a parameter that was always the same. go test -race ./internal/proxy passes.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -122,7 +122,9 @@
 }
 
 // acquireElsewhere returns a peer for a job without a candidate if only the paths of
-// this host exclude instances, or else the reason why there is no candidate.
+// this host exclude instances, or else the reason why there is no candidate. A job of
+// another host may be served where these paths are sound, whatever the other instances
+// of this host ask for.
 func (p *Proxy) acquireElsewhere(j *job, set *candidateSet, now time.Time) (destination, time.Time, error) {
 	reason := set.emptyError()
 	if set.unreachable > 0 {
@@ -130,6 +132,9 @@
 		if err == nil {
 			return dest, time.Time{}, nil
 		}
+		if j.forwardedBy != "" {
+			return destination{}, time.Time{}, err // it counts where it is served
+		}
 		if errors.Is(reason, errNoInstance) {
 			reason = err
 		}
--- a/internal/proxy/forward_rules_test.go
+++ b/internal/proxy/forward_rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/balance"
 )
 
 // configure replaces the configuration by a changed one.
@@ -179,7 +181,7 @@
 			signed("done")(writer, request)
 		}).instance("i-1", "plain")
 		if each.refuses {
-			instance = f.unreachable("plain")
+			instance = f.unreachable()
 		}
 		if each.marked {
 			f.roster.MarkUnreachable(instance.ID, instance.StartedAt, time.Now())
@@ -190,3 +192,17 @@
 		assert.Assert(t, time.Since(sentAt) < 500*time.Millisecond, "answered after %s", time.Since(sentAt))
 	}
 }
+
+// unreachable returns an instance that this host has marked as unreachable.
+func (s *setup) unreachable() flamingodoor.Instance {
+	instance := flamingodoor.Instance{ID: "i-9", Service: "plain", DataCentre: "dc-a", Slots: 2, StartedAt: time.Unix(1_800_000_000, 0), Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	s.roster.MarkUnreachable(instance.ID, instance.StartedAt, time.Now())
+	return instance
+}
+
+func (s *setup) fill(id string) {
+	for range 2 {
+		_, ok := s.tracker.Pick([]balance.Candidate{{ID: id, Capacity: 2, OwnLimit: 2}}, 0, time.Now())
+		assert.Assert(s.t, ok)
+	}
+}
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -19,7 +19,6 @@
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor"
-	"flamingodoor.example/flamingodoor/internal/balance"
 	"flamingodoor.example/flamingodoor/internal/proxy"
 )
 
@@ -125,7 +124,7 @@
 		{name: "answered", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "done", runs: "1 0"},
 		{name: "only the instances are unreachable", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", prepare: func(f *fleet) {
 			f.paths.stranded.Store(false)
-			f.register(f.unreachable("plain"))
+			f.register(f.unreachable())
 		}},
 		{name: "forged headers of a caller", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", change: func(request *http.Request) {
 			for _, name := range []string{"Entry-Forwarded-By", "Entry-Forwarded-To", "Entry-Caller-Retry", "Entry-Counted", "Entry-Stream-Begun", "Entry-Last-Choice"} {
@@ -156,7 +155,13 @@
 		{name: "declined", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: stranded(0)},
 		{name: "stream declined", path: "/stream/x", handlers: handlers(events(6, 0), events(6, 0)), status: 200, body: allEvents(6), runs: "0 1", prepare: stranded(0)},
 		{name: "declined by a peer that does not reach its instance", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) {
-			f.peers[0].register(f.peers[0].unreachable("plain"))
+			f.peers[0].register(f.peers[0].unreachable())
+		}},
+		{name: "declined by a peer that does not reach one instance while the other asks for no requests", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) {
+			held := newEndpoint(f.t, refusing("0.2")).instance("i-3", "plain")
+			f.peers[0].register(held)
+			f.peers[0].send("/post/x", func(*http.Request) {})
+			f.peers[0].register(held, f.peers[0].unreachable())
 		}},
 		{name: "declined by a peer that stops", path: "/post/x", handlers: handlers(signed("done"), signed("other")), status: 200, body: "other", runs: "0 1", prepare: func(f *fleet) { f.peers[0].proxy.Stop() }},
 		{name: "only peers that stop", path: "/post/x", handlers: handlers(signed("done")), status: 200, body: "done", runs: "1", prepare: func(f *fleet) {
@@ -243,20 +248,6 @@
 	return each
 }
 
-// unreachable returns an instance that this host has marked as unreachable.
-func (s *setup) unreachable(service string) flamingodoor.Instance {
-	instance := flamingodoor.Instance{ID: "i-9", Service: service, DataCentre: "dc-a", Slots: 2, StartedAt: time.Unix(1_800_000_000, 0), Address: netip.MustParseAddrPort("127.0.0.1:1")}
-	s.roster.MarkUnreachable(instance.ID, instance.StartedAt, time.Now())
-	return instance
-}
-
-func (s *setup) fill(id string) {
-	for range 2 {
-		_, ok := s.tracker.Pick([]balance.Candidate{{ID: id, Capacity: 2, OwnLimit: 2}}, 0, time.Now())
-		assert.Assert(s.t, ok)
-	}
-}
-
 // revoke replaces the configuration by one without the caller's key.
 func (s *setup) revoke() {
 	configuration := *s.catalogue.Index().Catalogue
