Use a larger part of the retry burst only after the window of the budget

Cause: a new process took its part of the burst at once, although the process before it had used the same part within the window. A host whose peers announce their stop takes over their parts in the same way (read in the code, not run).

Change: a part that grows, also from none at a start, holds once the window of the budget has passed (admission.Burst); a smaller one holds at once. Only a host that is alone at the first start of the system uses its part from the beginning. All budgets of a host take the part when they grant a retry.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,7 +193,7 @@
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
 		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes), proxy.WithConfigurationCheck(func() bool { return g.exchanger.ConfigurationConfirmed() }))
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes), proxy.WithFirstStart(settings.FirstStart), proxy.WithConfigurationCheck(func() bool { return g.exchanger.ConfigurationConfirmed() }))
 	platform.Instances.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	if !settings.FirstStart {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -157,7 +157,13 @@
 // grantRetry reports whether the retry budget has granted the next send, if the job
 // was sent before.
 func (p *Proxy) grantRetry(j *job, now time.Time) bool {
-	j.retryGranted = j.retryGranted || j.sends == 0 || p.retryBudget(j.service.Name).TryRetry(now)
+	if j.retryGranted || j.sends == 0 {
+		j.retryGranted = true
+		return true
+	}
+	budget := p.retryBudget(j.service.Name)
+	budget.SetFloor(p.burst.Part(now))
+	j.retryGranted = budget.TryRetry(now)
 	return j.retryGranted
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,6 +96,8 @@
 	uptime                 func() time.Time // of confirmations
 	random                 func() float64
 
+	firstStart  bool // no host has run before
+	burst       admission.Burst
 	hostCount   atomic.Int64 // entry hosts that share the limits; 0 if not known
 	sharersSet  atomic.Bool  // SetSharers was called
 	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
@@ -162,6 +164,12 @@
 	return func(p *Proxy) { p.configurationConfirmed = confirmed }
 }
 
+// WithFirstStart states that no host has run before. If this host is the only one, it uses
+// its part of the retry burst from the start on.
+func WithFirstStart(first bool) Option {
+	return func(p *Proxy) { p.firstStart = first }
+}
+
 // Parts are the dependencies and settings of a Proxy.
 type Parts struct {
 	Headers      Headers
@@ -181,9 +189,10 @@
 	Logger       log.Logger
 }
 
-// New returns a proxy. Until SetHosts is called, it makes no retries beyond the ratio to
-// its requests, because it does not know its part of the burst, and sends no requests to
-// cold instances of services with a ColdRate or to instances that stated a rate limit.
+// New returns a proxy. Until SetHosts is called, and for the window of the retry budget after
+// a start that is not the first, it makes no retries beyond the ratio to its requests. Until
+// SetHosts is called, it sends no requests to cold instances of services with a ColdRate or
+// to instances that stated a rate limit.
 func New(parts Parts, options ...Option) *Proxy {
 	divider := share.NewDivider(parts.HostID)
 	p := &Proxy{
@@ -201,6 +210,9 @@
 		option(p)
 	}
 	p.limits.Store(&parts.Limits)
+	if !p.firstStart {
+		p.burst.SetPart(0, p.now())
+	}
 	return p
 }
 
@@ -209,11 +221,10 @@
 func (noObserver) RequestFinished(string, string)   {}
 func (noObserver) FirstToken(string, time.Duration) {}
 
-// SetLimits replaces the limits. The floors of existing retry budgets change at
-// once; their ratios stay.
+// SetLimits replaces the limits. The ratios of existing retry budgets stay.
 func (p *Proxy) SetLimits(limits Limits) {
 	p.limits.Store(&limits)
-	p.updateBudgetFloors()
+	p.divideBurst()
 }
 
 // SetHosts sets the entry hosts among which the limits are divided, and how long
@@ -224,10 +235,14 @@
 		p.divider.SetHosts(hosts)
 	}
 	count := max(1, len(hosts))
-	if p.hostCount.Swap(int64(count)) == int64(count) {
+	before := p.hostCount.Swap(int64(count))
+	if before == int64(count) {
 		return
 	}
-	p.updateBudgetFloors()
+	if before == 0 && count > 1 && p.firstStart {
+		p.burst.SetPart(0, p.now()) // a host that is alone may have used the burst
+	}
+	p.divideBurst()
 }
 
 // SetSharers sets those of the entry hosts among which the limits on instances are
@@ -239,25 +254,15 @@
 	p.divider.SetHosts(sharers)
 }
 
-// updateBudgetFloors divides the retry burst among the current hosts.
-func (p *Proxy) updateBudgetFloors() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, budget := range p.budgets {
-		budget.SetFloor(p.budgetFloor())
-	}
-}
-
 // budgetSafetyFactor reduces this host's part of the retry limits, because hosts
 // may disagree on the number of hosts.
 const budgetSafetyFactor = 0.8
 
-func (p *Proxy) budgetFloor() int {
-	hosts := p.hostCount.Load()
-	if hosts == 0 {
-		return 0
+// divideBurst divides the retry burst among the current hosts, once they are known.
+func (p *Proxy) divideBurst() {
+	if hosts := p.hostCount.Load(); hosts > 0 {
+		p.burst.SetPart(int(budgetSafetyFactor*p.limits.Load().RetryBurst/float64(hosts)), p.now())
 	}
-	return int(budgetSafetyFactor * p.limits.Load().RetryBurst / float64(hosts))
 }
 
 func (p *Proxy) retryBudget(service string) *admission.RetryBudget {
@@ -265,7 +270,7 @@
 	defer p.mu.Unlock()
 	budget, ok := p.budgets[service]
 	if !ok {
-		budget = admission.NewRetryBudget(budgetSafetyFactor*p.limits.Load().RetryRatio, p.budgetFloor())
+		budget = admission.NewRetryBudget(budgetSafetyFactor*p.limits.Load().RetryRatio, 0)
 		p.budgets[service] = budget
 	}
 	return budget
