--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -18,7 +18,8 @@
 	// lastLookTime is how long the last read of an idle connection waits.
 	lastLookTime = 20 * time.Millisecond
 	// readAheadBytes is the size of the reads by which http.Server notices, while a
-	// handler runs, that the caller has left. All others are larger.
+	// handler runs, that the caller has left. Others are larger, but for those at a limit
+	// of the head, before the handler.
 	readAheadBytes = 1
 	// closedPollInterval is the time between two checks for open connections.
 	closedPollInterval = 10 * time.Millisecond
