--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"strings"
 	"sync"
@@ -320,7 +319,7 @@
 func formatParts(parts []flamingodoor.PromptPart) string {
 	names := make([]string, 0, len(parts))
 	for _, part := range parts {
-		names = append(names, fmt.Sprintf("%016x", uint64(part)))
+		names = append(names, part.String())
 	}
 	return strings.Join(names, ",")
 }
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -20,8 +20,8 @@
 	// have caused them is not repeated.
 	partSuspectThreshold = 2
 	// maxBlockedSize limits how many parts that only ever occurred together are
-	// blocked together.
-	maxBlockedSize = 64
+	// blocked together. One of them stands for the whole request.
+	maxBlockedSize = 65
 	// settleTime is how long after its latest crash a part becomes blocked. By then
 	// all hosts have reported their requests in flight at the crash. A host that
 	// had no request with the part in flight there waits for othersSettleTime, so
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -167,7 +168,7 @@
 	case errors.Is(err, errNoRetry):
 		p.respondFailed(ctx, writer, j)
 	case errors.Is(err, errPartBlocked):
-		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
+		p.refuse(writer, j, http.StatusServiceUnavailable, cmp.Or(p.blockedReason(j, p.now()), partBlockedReason), 0)
 	case errors.Is(err, errNoPath) && j.forwardedBy != "":
 		p.decline(writer, j, "no_path")
 	case errors.Is(err, errNoPath):
@@ -377,7 +378,7 @@
 // missing, ended early or cannot be used.
 func (p *Proxy) handleBrokenResponse(ctx context.Context, j *job, dest destination, err error) outcome {
 	j.cause = "broken"
-	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "instance", dest.instance.ID,
+	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "fingerprint", j.wholeRequest(), "instance", dest.instance.ID,
 		"cause", context.Cause(ctx), "err", err)
 	if context.Cause(ctx) == nil && isConnectionError(err) {
 		p.paths.Failed(dest.instance, p.now())
--- /dev/null
+++ b/internal/proxy/crashing_test.go
@@ -0,0 +1,73 @@
+package proxy_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against sending a request that crashes the instances that run it to one after
+// the other: crashes were recorded for streams only (rule BUDGET on the day
+// crashing-reads of the Kivuko deployment, seed 1).
+func TestRequestsThatCrashInstancesAreRefused(t *testing.T) {
+	const mostRuns = 3
+	for _, path := range []string{"/read/", "/post/", "/post2/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSetup(t)
+			var deadlyRuns atomic.Int64
+			crashing := func(writer http.ResponseWriter, request *http.Request) {
+				if strings.HasSuffix(request.URL.Path, "/deadly") {
+					deadlyRuns.Add(1)
+					panic(http.ErrAbortHandler)
+				}
+				events(3, 0)(writer, request)
+			}
+			first, second := newEndpoint(t, crashing), newEndpoint(t, crashing)
+			service := "plain"
+			if path == "/stream/" {
+				service = "llm"
+			}
+			s.register(first.instance("i-1", service), second.instance("i-2", service))
+			var statuses []int
+			for range 2 * mostRuns {
+				s.send(path + "sound") // leaves a connection for the next request
+				statuses = append(statuses, s.send(path+"deadly").status)
+			}
+			runs := deadlyRuns.Load()
+			assert.Check(t, runs <= mostRuns, "%d runs, statuses %v", runs, statuses)
+			assert.Equal(t, statuses[mostRuns], http.StatusServiceUnavailable)
+			assert.Equal(t, s.send(path+"deadly").body, `{"error":"crashes_endpoints"}`)
+			assert.Equal(t, s.send(path+"sound").body, allEvents(3))
+		})
+	}
+}
+
+// Guards against refusing a sound request that callers repeat often and that was in
+// flight at several crashes: one that has been answered crashes no instance.
+func TestAnsweredRequestIsNotRefused(t *testing.T) {
+	for _, path := range []string{"/read/", "/post/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSetup(t)
+			requests := 0
+			e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+				if requests++; requests%3 != 0 {
+					panic(http.ErrAbortHandler) // another request has crashed the instance
+				}
+				events(3, 0)(writer, request)
+			})
+			service := "plain"
+			if path == "/stream/" {
+				service = "llm"
+			}
+			s.register(e.instance("i-1", service))
+			for range 4 {
+				assert.Equal(t, s.send(path+"sound").status, http.StatusBadGateway)
+				assert.Equal(t, s.send(path+"sound").status, http.StatusBadGateway)
+				assert.Equal(t, s.send(path+"sound").status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -55,7 +55,7 @@
 	body            []byte
 	lastEventID     string // as sent by the caller
 	fingerprint     flamingodoor.Fingerprint
-	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share
+	parts           []flamingodoor.PromptPart // parts of the prompt that other requests may share, and the whole request
 	priority        int                       // 0 to 9, 0 is the most urgent
 	authorization   string                    // credentials of the caller
 	brokenPeers     []string                  // of failedPeers, those that broke off after some events
@@ -209,7 +209,7 @@
 	}
 	j.waitUntil = received.Add(min(route.LatencyObjective, j.deadline.Sub(received)) / waitDivisor)
 	j.fingerprint = fingerprint(j)
-	j.parts = promptParts(j.service.Name, request.Header.Values(p.headers.PromptParts))
+	j.parts = append(promptParts(j.service.Name, request.Header.Values(p.headers.PromptParts)), wholeRequest(j.fingerprint))
 	return j
 }
 
--- a/internal/proxy/parts.go
+++ b/internal/proxy/parts.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"strings"
 	"sync"
+	"time"
 
 	"flamingodoor.example/flamingodoor"
 )
@@ -14,11 +15,41 @@
 // requests share come first.
 const maxPromptParts = 64
 
-// partBlockedReason is the error of a request that is refused because of a part
-// of its prompt.
-const partBlockedReason = "prompt_crashes_endpoints"
+// Errors of requests that are refused because they, or parts of their prompts, crash
+// instances.
+const (
+	requestBlockedReason = "crashes_endpoints"
+	partBlockedReason    = "prompt_crashes_endpoints"
+)
+
+var errPartBlocked = flamingodoor.Errorf(flamingodoor.CodePoisonRequest, "the request or a part of its prompt crashes instances")
+
+// wholeRequest returns the part that stands for a whole request: repeats of the request
+// share it, and no other request has it.
+func wholeRequest(fingerprint flamingodoor.Fingerprint) flamingodoor.PromptPart {
+	return flamingodoor.PromptPart(binary.BigEndian.Uint64(fingerprint[:]))
+}
+
+// wholeRequest returns the part that stands for the whole request, which is the last one,
+// as log lines about parts name it.
+func (j *job) wholeRequest() string {
+	return j.parts[len(j.parts)-1].String()
+}
 
-var errPartBlocked = flamingodoor.Errorf(flamingodoor.CodePoisonRequest, "a part of the prompt crashes instances")
+// blockedReason returns why a job crashes instances, or "" if it is not known to. The
+// whole request is the last of its parts.
+func (p *Proxy) blockedReason(j *job, now time.Time) string {
+	switch {
+	case p.crashTracker.Blocked(j.fingerprint, now):
+		return requestBlockedReason
+	case !p.partTracker.Blocked(j.parts, now):
+		return ""
+	case p.partTracker.Blocked(j.parts[:len(j.parts)-1], now):
+		return partBlockedReason
+	default:
+		return requestBlockedReason
+	}
+}
 
 // promptParts returns the parts in a comma-separated list of ID:TOKENS entries,
 // without the last, which no other request has. Parts of different services
@@ -35,8 +66,8 @@
 	return parts
 }
 
-// unbegunAttempts holds the attempts with parts whose responses have not begun. It
-// is safe for concurrent use.
+// unbegunAttempts holds the attempts at streams whose responses have not begun. It is
+// safe for concurrent use.
 type unbegunAttempts struct {
 	mu       sync.Mutex
 	attempts map[*unbegunAttempt]struct{}
@@ -49,9 +80,6 @@
 
 // add holds an attempt until the returned function is called.
 func (u *unbegunAttempts) add(parts []flamingodoor.PromptPart, cancel context.CancelCauseFunc) (remove func()) {
-	if len(parts) == 0 {
-		return func() {}
-	}
 	attempt := &unbegunAttempt{parts: parts, cancel: cancel}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -79,15 +107,13 @@
 // reportBegun reports that an endpoint began to respond to the job.
 func (p *Proxy) reportBegun(j *job) {
 	j.suspected = false
-	if len(j.parts) > 0 {
-		p.partTracker.ReportBegun(j.parts)
-	}
+	p.partTracker.ReportBegun(j.parts)
 }
 
 // reportUnbegun reports an attempt that was sent and ended before the response
 // began, unless this host or the caller ended it although the endpoint answers.
 func (p *Proxy) reportUnbegun(ctx context.Context, j *job, dest destination) {
-	if len(j.parts) == 0 || context.Cause(ctx) != nil {
+	if context.Cause(ctx) != nil {
 		return
 	}
 	j.suspected = true
--- a/internal/proxy/parts_test.go
+++ b/internal/proxy/parts_test.go
@@ -141,7 +141,7 @@
 	go func() { replies <- s.send("/stream/b", withParts("dead:5,b:1")) }()
 	<-waiting
 	s.parts.blockAll.Store(true)
-	s.proxy.EndUnbegun(func(parts []flamingodoor.PromptPart) bool { return len(parts) == 1 })
+	s.proxy.EndUnbegun(func(parts []flamingodoor.PromptPart) bool { return len(parts) == 2 }) // the deadly part and the whole request
 	<-ended
 	got := <-replies
 	assert.Equal(t, got.status, http.StatusBadGateway)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -364,12 +364,8 @@
 	}
 	defer release()
 	j := p.newJob(request, from, index, route, workspace, body, received)
-	if p.crashTracker.Blocked(j.fingerprint, received) {
-		p.refuse(writer, j, http.StatusServiceUnavailable, "crashes_endpoints", 0)
-		return
-	}
-	if p.partTracker.Blocked(j.parts, received) {
-		p.refuse(writer, j, http.StatusServiceUnavailable, partBlockedReason, 0)
+	if reason := p.blockedReason(j, received); reason != "" {
+		p.refuse(writer, j, http.StatusServiceUnavailable, reason, 0)
 		return
 	}
 	ctx, end := context.WithCancelCause(request.Context())
--- a/serving.go
+++ b/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -316,9 +317,15 @@
 	Load(ctx context.Context) ([]WeightLoad, error)
 }
 
-// PromptPart identifies a part of the prompts of a service. Requests share parts.
+// PromptPart identifies a part of the prompts of a service, which requests share, or a
+// whole request, which only its repeats share.
 type PromptPart uint64
 
+// String returns the part as 16 hexadecimal digits.
+func (p PromptPart) String() string {
+	return fmt.Sprintf("%016x", uint64(p))
+}
+
 // BlockedParts are parts of prompts that crash the instances which begin a
 // response to a request with all of them.
 type BlockedParts struct {
