--- a/internal/exchange/batch_test.go
+++ b/internal/exchange/batch_test.go
@@ -36,6 +36,8 @@
 	f.applied = append(f.applied, batch)
 }
 
+func (f *follower) ObservePosition(int64) {}
+
 func (f *follower) CatchUpTo(next int64) { f.catchUps = append(f.catchUps, next) }
 
 func newFollower() *follower {
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -32,6 +32,20 @@
 	assert.Assert(t, confirmed.After(confirmedByLeader.Add(-2*time.Second)))
 }
 
+// Guards against a host that does not know since when the others read a restored store:
+// each host, the leader too, learns how far its peers have read.
+func TestHostsLearnHowFarTheirPeersHaveRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var observed [2]atomic.Int64
+		startDeployment(t, newMemory(), len(observed), func(i int) *registrations {
+			return &registrations{onCatchUp: func(int64) {}, onObserve: observed[i].Store}
+		})
+		eventually(t, "a host does not know the position of the other", func() bool {
+			return observed[0].Load() == 1 && observed[1].Load() == 1
+		})
+	})
+}
+
 // A peer that accepts messages and never answers must not delay the messages to
 // other peers.
 func TestSilentPeerDelaysNoOther(t *testing.T) {
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -191,6 +191,7 @@
 	onCatchUp  func(next int64)
 	onApply    func(batch flamingodoor.RecordBatch)
 	onValidity func(asOf, until time.Time)
+	onObserve  func(next int64)
 	asOf       time.Time // time of the read that is passed on; now if it is zero
 }
 
@@ -200,6 +201,12 @@
 	return flamingodoor.RecordBatch{From: from, Next: from + int64(len(r.batch)), Records: r.batch}, true
 }
 
+func (r registrations) ObservePosition(next int64) {
+	if r.onObserve != nil {
+		r.onObserve(next)
+	}
+}
+
 func (r registrations) AsOf() time.Time {
 	if r.asOf.IsZero() {
 		return time.Now()
--- a/internal/exchange/round.go
+++ b/internal/exchange/round.go
@@ -69,6 +69,7 @@
 		return
 	}
 	e.recordAnswered(to, request.GetStranded())
+	e.feeds.Registrations.ObservePosition(response.Msg.GetRegistrationsNext())
 	e.compareConfiguration(context.WithoutCancel(ctx), to.ID, response.Msg)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/serving.go
+++ b/serving.go
@@ -180,6 +180,8 @@
 	// CatchUpTo makes this host read the list at once if it lacks records
 	// before the position.
 	CatchUpTo(next int64)
+	// ObservePosition records that another host has read the list up to the position.
+	ObservePosition(next int64)
 }
 
 // ConfigurationFeed shares how far a host has read the operators'
