--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -255,8 +255,8 @@
 	e.notifyStranded()
 	e.applyFeeds(context.WithoutCancel(ctx), request.Msg, now)
 	response := &exchangev1.ShareResponse{RegistrationsNext: e.feeds.Registrations.NextOffset(), Clock: e.ownClock()}
-	if next, _, known := e.feeds.Configuration.Position(); known {
-		response.ConfigurationNext, response.ConfigurationVersion = next, e.feeds.Configuration.Version()
+	if next, confirmed, known := e.feeds.Configuration.Position(); known {
+		response.ConfigurationNext, response.ConfigurationVersion, response.ConfigurationAgeMs = next, e.feeds.Configuration.Version(), e.ageOf(confirmed)
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -18,6 +18,10 @@
 	// for batches that compress to half or less. The hosts read larger batches
 	// from the store, whose network has more capacity.
 	feedBytesPerMbit = 25_000
+	// oldConfirmation is the age from which a host gets the confirmation of the
+	// configuration from any peer whose own is younger: about the age at which it would
+	// read the store itself.
+	oldConfirmation = time.Second
 	// narrowestLinkMbps is assumed for hosts that do not state their link.
 	narrowestLinkMbps = 20
 )
@@ -131,11 +135,12 @@
 	summary := round.summaries[to.ID]
 	duty, isTarget := round.feeds.targets[to.ID]
 	hasFeeds := response != nil && (isTarget || round.feeds.leads)
-	if !hasFeeds && summary == nil {
+	configuration := e.configurationFor(response, hasFeeds)
+	if !hasFeeds && summary == nil && configuration == nil {
 		return round.request
 	}
 	message := copyCommon(round.request)
-	message.Summary = summary
+	message.Summary, message.Configuration = summary, configuration
 	if !hasFeeds {
 		return message
 	}
@@ -143,15 +148,31 @@
 	if isTarget {
 		message.Registrations = e.registrationsSince(response.GetRegistrationsNext(), round.batches, maxBytes)
 	}
-	if next, confirmed, ok := e.feeds.Configuration.Position(); ok {
-		message.Configuration = &exchangev1.Configuration{
-			Next: next, Clock: response.GetClock(),
-			AgeMs: max(0, e.uptime().Sub(confirmed).Milliseconds()) + 1, // rounded up to a whole millisecond
-		}
-	}
 	return message
 }
 
+// configurationFor returns how far this host has read the configuration, for a peer that
+// gets its feeds or that knows less. The peer may be refused by the platform's store while
+// no host leads.
+func (e *Exchanger) configurationFor(response *exchangev1.ShareResponse, hasFeeds bool) *exchangev1.Configuration {
+	next, confirmed, ok := e.feeds.Configuration.Position()
+	if !ok || response == nil {
+		return nil
+	}
+	age := e.ageOf(confirmed)
+	peerAge := response.GetConfigurationAgeMs()
+	isLater := next > response.GetConfigurationNext() || (peerAge > oldConfirmation.Milliseconds() && age < peerAge)
+	if !hasFeeds && (peerAge == 0 || !isLater) {
+		return nil
+	}
+	return &exchangev1.Configuration{Next: next, Clock: response.GetClock(), AgeMs: age}
+}
+
+// ageOf returns the time since a confirmation in milliseconds, rounded up.
+func (e *Exchanger) ageOf(confirmed time.Time) int64 {
+	return max(0, e.uptime().Sub(confirmed).Milliseconds()) + 1
+}
+
 // registrationsSince returns the registrations for a peer that needs them from a
 // position on. A peer that needs more than this host keeps reads them itself.
 func (e *Exchanger) registrationsSince(from int64, batches *encodedBatches, maxBytes int) *exchangev1.RecordBatch {
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -46,6 +46,45 @@
 	})
 }
 
+// Guards against hosts that refuse all keys although another one knows the configuration
+// to be fresh: the store refuses them, and no host leads (rule RECOVER on the day
+// two-halves of the Kivuko deployment, seeds 1 and 2).
+func TestAnyHostConfirmsTheConfigurationOfAnOlderOne(t *testing.T) {
+	const age = 3 * time.Second
+	for _, test := range []struct {
+		name           string
+		next, peerNext int64
+		peerAge        time.Duration
+		wantNext       int64
+		wantYounger    bool
+	}{
+		{name: "younger confirmation", next: 9, peerNext: 9, peerAge: 0, wantNext: 9, wantYounger: true},
+		{name: "more records", next: 9, peerNext: 12, peerAge: age, wantNext: 12},
+		{name: "older confirmation", next: 9, peerNext: 9, peerAge: 2 * age, wantNext: 9},
+		{name: "fewer records", next: 9, peerNext: 7, peerAge: 2 * age, wantNext: 9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hosts := startDeployment(t, newMemory(), 2, func(int) *registrations { return &registrations{onCatchUp: func(int64) {}} })
+				begun := time.Now()
+				for i, state := range []struct {
+					next int64
+					age  time.Duration
+				}{{test.next, age}, {test.peerNext, test.peerAge}} {
+					hosts[i].mu.Lock()
+					hosts[i].leads, hosts[i].next, hosts[i].confirmed = false, state.next, begun.Add(-state.age)
+					hosts[i].mu.Unlock()
+				}
+				time.Sleep(2 * time.Second)
+				next, confirmed := hosts[0].position()
+				assert.Equal(t, next, test.wantNext)
+				assert.Equal(t, confirmed.After(begun.Add(-age)), test.wantYounger)
+				assert.Assert(t, !confirmed.After(begun.Add(-test.peerAge)) || !test.wantYounger, "confirmed later than at the peer")
+			})
+		})
+	}
+}
+
 // A peer that accepts messages and never answers must not delay the messages to
 // other peers.
 func TestSilentPeerDelaysNoOther(t *testing.T) {
