--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -111,7 +111,7 @@
 		case result == outcomeCallerLeft:
 			p.abortLeft(j, 0)
 		case result == outcomeDone && (dest.peer != nil || response.status < http.StatusInternalServerError || !p.mayRepeat(ctx, j)):
-			p.deliver(ctx, writer, j, response)
+			p.deliver(ctx, writer, j, dest, response)
 			return
 		case result == outcomeDone:
 			// An error response to a repeatable request is retried elsewhere.
@@ -412,7 +412,7 @@
 // deliver sends a response to the caller. It streams what is not buffered, and
 // closes the caller's connection if that breaks off, so that the response does
 // not look complete.
-func (p *Proxy) deliver(ctx context.Context, writer http.ResponseWriter, j *job, response bufferedResponse) {
+func (p *Proxy) deliver(ctx context.Context, writer http.ResponseWriter, j *job, dest destination, response bufferedResponse) {
 	err := writeResponse(writer, response)
 	if err == nil {
 		p.recordFinished(j, "answered", response.status, 0)
@@ -420,6 +420,9 @@
 	}
 	j.cause = err.Error()
 	_ = level.Info(p.logger).Log("event", "answer_broken_off", "request", j.id, "instance", j.target, "cause", context.Cause(ctx), "err", err)
+	if dest.peer == nil && context.Cause(ctx) == nil && isConnectionError(err) {
+		p.crashTracker.ReportCrash(ctx, j.fingerprint, dest.instance.ID)
+	}
 	p.recordFinished(j, "broken_off", response.status, 0)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/proxy/crashing_test.go
+++ b/internal/proxy/crashing_test.go
@@ -1,7 +1,9 @@
 package proxy_test
 
 import (
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -71,3 +73,21 @@
 		})
 	}
 }
+
+// Guards against forgetting a request whose answer breaks off after a part of it has
+// reached the caller: the instance that sent it may have crashed.
+func TestLongAnswersThatBreakOffAreCounted(t *testing.T) {
+	const mostRuns = 3
+	s := newSetup(t)
+	e := newEndpoint(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(headers.Signature, "sig")
+		_, _ = io.WriteString(writer, strings.Repeat("x", 1<<20))
+		panic(http.ErrAbortHandler)
+	})
+	for run := range 2 * mostRuns {
+		s.register(e.instance("i-"+strconv.Itoa(run), "plain")) // each run ends a process
+		got := s.send("/read/deadly")
+		assert.Assert(t, got.status == http.StatusServiceUnavailable || got.err != nil, "the answer looks complete")
+	}
+	assert.Assert(t, e.runs.Load() <= mostRuns, "%d runs", e.runs.Load())
+}
