--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -68,8 +68,13 @@
 // New starts a proxy on a free port of the given address. It opens no connections
 // to the target after the context has ended.
 func New(ctx context.Context, listen netip.Addr, target netip.AddrPort, options ...Option) (*Proxy, error) {
+	return NewAt(ctx, netip.AddrPortFrom(listen, 0), target, options...)
+}
+
+// NewAt starts a proxy as New does, at the given address and port.
+func NewAt(ctx context.Context, listen, target netip.AddrPort, options ...Option) (*Proxy, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", netip.AddrPortFrom(listen, 0).String())
+	listener, err := config.Listen(ctx, "tcp", listen.String())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,8 +121,9 @@
 // state about themselves in their responses.
 type InstanceClient interface {
 	flamingodoor.InstanceClient
-	// Health requests the health check of a plain service.
-	Health(ctx context.Context, address netip.AddrPort, path string) error
+	// Health requests the health check of an instance of a plain service, and reports
+	// whether it answers rather than another at its address.
+	Health(ctx context.Context, instance flamingodoor.Instance, path string) (answers bool, err error)
 	// Observe sets the function that gets these statements. It is called before
 	// the first request.
 	Observe(observe func(notice flamingodoor.InstanceNotice))
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -47,11 +47,20 @@
 	return reach.NewProber(g.paths, g.report, confirm, g.settings.DataCentre, g.logger)
 }
 
+// otherInstanceID stands for an instance that answers at the address of another and does
+// not name itself.
+const otherInstanceID = "another instance"
+
 // report asks an instance for its report. Plain services have none and are asked for
 // their health. An open connection alone proves no path: a proxy may accept it.
 func (g *Gateway) report(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
 	if path, ok := g.healthPath(instance.ID); ok {
-		return flamingodoor.InstanceReport{}, g.platform.Instances.Health(ctx, instance.Address, path)
+		answers, err := g.platform.Instances.Health(ctx, instance, path)
+		var report flamingodoor.InstanceReport
+		if err == nil && (!answers || g.roster.View().Replaced(instance)) {
+			report.ID = otherInstanceID
+		}
+		return report, err
 	}
 	return g.platform.Instances.Report(ctx, instance.Address)
 }
--- a/internal/reach/prober.go
+++ b/internal/reach/prober.go
@@ -157,6 +157,9 @@
 }
 
 func sameProcess(report flamingodoor.InstanceReport, instance flamingodoor.Instance) bool {
+	if report.ID != "" && report.ID != instance.ID {
+		return false
+	}
 	return report.StartedAt.IsZero() || instance.StartedAt.IsZero() || report.StartedAt.Equal(instance.StartedAt)
 }
 
--- a/internal/reach/prober_test.go
+++ b/internal/reach/prober_test.go
@@ -27,6 +27,7 @@
 	answers behaviour = iota
 	silent
 	refuses
+	answersAsAnother // instance, which has taken the address
 )
 
 // fleet is three hosts and the instances of a deployment. The first host asks the
@@ -56,6 +57,8 @@
 		switch f.seen(host, int(instance.Address.Addr().As4()[3])) {
 		case answers:
 			return flamingodoor.InstanceReport{}, nil
+		case answersAsAnother:
+			return flamingodoor.InstanceReport{Instance: flamingodoor.Instance{ID: "another"}}, nil
 		case refuses:
 			return flamingodoor.InstanceReport{}, syscall.ECONNREFUSED
 		default:
@@ -161,7 +164,13 @@
 		within time.Duration
 	}{
 		"crashed process": {atAll(refuses), true, true, time.Millisecond},
-		"dead machine":    {atAll(silent), true, false, 320 * time.Millisecond},
+		"replaced process": {func(_, instance int) behaviour {
+			if instance == member {
+				return answersAsAnother
+			}
+			return answers
+		}, true, true, time.Millisecond},
+		"dead machine": {atAll(silent), true, false, 320 * time.Millisecond},
 		"crashed rack": {func(_, instance int) behaviour {
 			if instance < 4 {
 				return refuses
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -98,6 +98,17 @@
 	return ok && lost.startedAt.Equal(instance.StartedAt) && now.Before(lost.deadline)
 }
 
+// Replaced reports whether another instance has started later at the address of an
+// instance, so that an answer from there is not known to be that of the instance.
+func (v *View) Replaced(instance flamingodoor.Instance) bool {
+	for _, entry := range v.Entries {
+		if entry.Address == instance.Address && entry.ID != instance.ID && entry.StartedAt.After(instance.StartedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Stalled reports whether the group is marked as making no progress.
 func (v *View) Stalled(key GroupKey, now time.Time) bool {
 	deadline, ok := v.stalledGroups[key]
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -311,3 +312,30 @@
 		r.Publish(start)
 	}
 }
+
+// Guards against taking the answer of a later process at the same address for that of an
+// instance that has crashed (rule BUDGET on the day crashing-reads-stranded of the Kivuko
+// deployment, seed 3).
+func TestLaterInstanceAtAnAddressReplacesTheEarlierOne(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	crashed := flamingodoor.Instance{ID: "crashed", Service: "plain", Address: address, StartedAt: start}
+	next := flamingodoor.Instance{ID: "next", Service: "plain", Address: address, StartedAt: start.Add(time.Second)}
+	other := flamingodoor.Instance{ID: "other", Service: "plain", Address: netip.MustParseAddrPort("10.0.0.2:80"), StartedAt: start.Add(time.Second)}
+	for name, test := range map[string]struct {
+		listed []flamingodoor.Instance
+		want   bool
+	}{
+		"alone":                       {[]flamingodoor.Instance{crashed, other}, false},
+		"both listed":                 {[]flamingodoor.Instance{crashed, next}, true},
+		"the earlier one has expired": {[]flamingodoor.Instance{next}, true},
+		"the later one is not listed": {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			r.Replace(test.listed, start)
+			r.Publish(start)
+			assert.Equal(t, r.View().Replaced(crashed), test.want)
+			assert.Assert(t, !r.View().Replaced(next))
+		})
+	}
+}
