--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -378,7 +378,7 @@
 // missing, ended early or cannot be used.
 func (p *Proxy) handleBrokenResponse(ctx context.Context, j *job, dest destination, err error) outcome {
 	j.cause = "broken"
-	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "fingerprint", j.wholeRequest(), "instance", dest.instance.ID,
+	_ = level.Info(p.logger).Log("event", "attempt_broken", "request", j.id, "fingerprint", j.wholeRequestName(), "instance", dest.instance.ID,
 		"cause", context.Cause(ctx), "err", err)
 	if context.Cause(ctx) == nil && isConnectionError(err) {
 		p.paths.Failed(dest.instance, p.now())
--- a/internal/proxy/crashing_test.go
+++ b/internal/proxy/crashing_test.go
@@ -33,7 +33,7 @@
 				service = "llm"
 			}
 			s.register(first.instance("i-1", service), second.instance("i-2", service))
-			var statuses []int
+			statuses := make([]int, 0, 2*mostRuns)
 			for range 2 * mostRuns {
 				s.send(path + "sound") // leaves a connection for the next request
 				statuses = append(statuses, s.send(path+"deadly").status)
--- a/internal/proxy/parts.go
+++ b/internal/proxy/parts.go
@@ -30,9 +30,9 @@
 	return flamingodoor.PromptPart(binary.BigEndian.Uint64(fingerprint[:]))
 }
 
-// wholeRequest returns the part that stands for the whole request, which is the last one,
+// wholeRequestName returns the name of the last part, which stands for the whole request,
 // as log lines about parts name it.
-func (j *job) wholeRequest() string {
+func (j *job) wholeRequestName() string {
 	return j.parts[len(j.parts)-1].String()
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -182,7 +182,7 @@
 	if err == nil {
 		return outcomeDone
 	}
-	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "fingerprint", j.wholeRequest(), "instance", dest.instance.ID,
+	_ = level.Info(p.logger).Log("event", "stream_broken", "request", j.id, "fingerprint", j.wholeRequestName(), "instance", dest.instance.ID,
 		"last_event", client.sent().lastEventID, "begun", begun, "cause", context.Cause(ctx), "err", err, "after_ms", p.now().Sub(sentAt).Milliseconds())
 	return p.endAttempt(ctx, j, dest, begun, err)
 }
