--- a/internal/proxy/crashing_test.go
+++ b/internal/proxy/crashing_test.go
@@ -53,9 +53,9 @@
 	for _, path := range []string{"/read/", "/post/", "/stream/"} {
 		t.Run(path, func(t *testing.T) {
 			s := newSetup(t)
-			requests := 0
+			var requests atomic.Int64
 			e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
-				if requests++; requests%3 != 0 {
+				if requests.Add(1)%3 != 0 {
 					panic(http.ErrAbortHandler) // another request has crashed the instance
 				}
 				events(3, 0)(writer, request)
