--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -31,6 +31,7 @@
 					"staged", strings.Join(instance.StagedModels, "+"), "group", instance.Membership.Group, "delays", fmt.Sprint(p.joinDelays(service.Engine, instance, now)))
 			}
 		}
+		p.logDomains(service, view, domains, now)
 		for _, model := range service.Engine.Models {
 			_ = level.Info(p.Logger).Log("event", "fleet", "service", service.Name, "model", model.ID, "groups", counts[model.ID],
 				"work", p.Demand(service.Name, model.ID), "listed", len(view.ByService[service.Name]),
@@ -58,3 +59,54 @@
 	}
 	return count
 }
+
+// domainSummary is what a fabric domain has for groups of one model.
+type domainSummary struct {
+	groups  int // that serve
+	ready   int // free instances that can join a group within maxJoinDelay
+	members int // members of groups of other models that hold the weights
+	loads   int // under way
+}
+
+// logDomains logs, for each fabric domain with instances and each model, what there is
+// for groups of the model: it tells a lack of instances from a lack of weights.
+func (p *Planner) logDomains(service flamingodoor.ServiceSpec, view *roster.View, freeByDomain [][]flamingodoor.Instance, now time.Time) {
+	free := make(map[string]int)
+	summaries := make(map[domainModel]*domainSummary)
+	summary := func(domain, modelID string) *domainSummary {
+		key := domainModel{domain, modelID}
+		if summaries[key] == nil {
+			summaries[key] = &domainSummary{}
+		}
+		return summaries[key]
+	}
+	for _, domain := range freeByDomain {
+		for _, instance := range domain {
+			free[instance.FabricDomain]++
+			for modelID := range p.joinDelays(service.Engine, instance, now) {
+				summary(instance.FabricDomain, modelID).ready++
+			}
+		}
+	}
+	for key, groups := range p.servingGroups(service.Name, view, now) {
+		summary(key.domain, key.modelID).groups += len(groups)
+		for _, group := range groups {
+			for _, member := range group.Members {
+				for modelID := range p.weightsHeld(service.Engine, member.Instance, now) {
+					if modelID != key.modelID {
+						summary(key.domain, modelID).members++
+					}
+				}
+			}
+		}
+	}
+	for id, load := range p.activeLoads {
+		if entry, ok := view.Entries[id]; ok {
+			summary(entry.FabricDomain, load.ModelID).loads++
+		}
+	}
+	for key, found := range summaries {
+		_ = level.Info(p.Logger).Log("event", "domain", "service", service.Name, "domain", key.domain, "model", key.modelID, "free", free[key.domain],
+			"groups", found.groups, "ready", found.ready, "members", found.members, "loads", found.loads)
+	}
+}
