--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"flamingodoor.example/flamingodoor/internal/planner"
+	"flamingodoor.example/flamingodoor/internal/roster"
 )
 
 const (
@@ -151,3 +152,33 @@
 		})
 	}
 }
+
+// Guards against survivors of a large group that stay free for the time of a load: they
+// had been ordered to leave, and the next leader no longer knew their last model.
+func TestNextLeaderKnowsTheModelsOfInstancesThatLeft(t *testing.T) {
+	for name, restarted := range map[string]bool{"host_that_ran_before": false, "host_that_has_just_started": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.demand = map[string]float64{large: 4}
+			h.add("d0", 4, large)
+			leader := h.startLeader()
+			h.run(3*time.Second, leader)
+			members := h.fleet.GroupMembers(h.openHead())
+			h.loseInstance(members[3])
+			h.fleet.SetUnlisted(members[3], true)
+			h.run(3*time.Second, leader)
+			for _, instance := range h.fleet.Listed() {
+				if instance.ID == members[0] {
+					assert.Equal(t, instance.Membership.Group, "", "the head has left")
+				}
+			}
+			if restarted {
+				h.roster = roster.New()
+			}
+			h.fleet.DropWeights()
+			h.add("d0", 1, large)
+			h.run(8*time.Second, h.startLeader())
+			assert.Equal(t, h.fleet.OpenGroups(large), 1)
+		})
+	}
+}
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -223,12 +224,13 @@
 // weight store.
 func (p *Planner) joinDelays(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
 	state := p.stateOf(instance)
+	lastModel := p.lastModel(instance)
 	preTraffic := p.NoRequestsYet()
 	delays := make(map[string]time.Duration, len(engine.Models))
 	for _, model := range engine.Models {
 		var delay time.Duration
 		switch {
-		case state.lastModel == model.ID || (instance.Membership.Group != "" && instance.Membership.ModelID == model.ID):
+		case lastModel == model.ID:
 			delay = rejoinDelay
 		case slices.Contains(instance.StagedModels, model.ID):
 			delay = model.WarmTime
@@ -248,11 +250,23 @@
 
 // candidate returns the instance as input to the choice of groups.
 func (p *Planner) candidate(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) formation.Candidate {
-	lastModel := p.stateOf(instance).lastModel
+	return formation.Candidate{ID: instance.ID, LastModel: p.lastModel(instance), Delays: p.joinDelays(engine, instance, now)}
+}
+
+// lastModel returns the model of the last group of an instance, or "" if it is not
+// known: from its registration, the orders of this leader, what this host has seen
+// before the instance left, or the head store.
+func (p *Planner) lastModel(instance flamingodoor.Instance) string {
 	if instance.Membership.Group != "" {
-		lastModel = instance.Membership.ModelID
+		return instance.Membership.ModelID
+	}
+	if ordered := p.stateOf(instance).lastModel; ordered != "" || instance.LastModel != "" {
+		return cmp.Or(ordered, instance.LastModel)
+	}
+	if head, ok := p.formerHeads[instance.ID]; ok && head.StartedAt.Equal(instance.StartedAt) {
+		return head.Membership.ModelID
 	}
-	return formation.Candidate{ID: instance.ID, LastModel: lastModel, Delays: p.joinDelays(engine, instance, now)}
+	return ""
 }
 
 // claim appends the plan to the epoch log and returns the claimed epoch. On a
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -157,6 +157,7 @@
 	impairedSince  map[roster.GroupKey]time.Time             // when a group was found incomplete, without a head or with a leaving member
 	retiring       map[roster.GroupKey]time.Time             // when a group was retired
 	inheritedHeads map[roster.GroupKey]flamingodoor.Instance // of groups formed before this host became leader
+	formerHeads    map[string]flamingodoor.Instance          // by instance ID, with the last group that they led before this host became leader
 	listedSince    time.Time                                 // when this host first had a list of instances
 	restoredAt     time.Time                                 // when the platform's store was last restored
 	storeMayLack   bool                                      // whether the restored store may lack heads and loads that this host knows
@@ -395,14 +396,16 @@
 func (p *Planner) readHeads(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	p.inheritedHeads = nil
+	p.inheritedHeads, p.formerHeads = nil, nil
 	heads, err := p.Heads.Load(ctx)
 	if err != nil {
 		_ = level.Warn(p.Logger).Log("event", "heads_unknown", "err", err)
 		return
 	}
 	p.inheritedHeads = make(map[roster.GroupKey]flamingodoor.Instance, len(heads))
+	p.formerHeads = make(map[string]flamingodoor.Instance, len(heads))
 	for _, head := range heads {
+		p.formerHeads[head.ID] = head
 		p.inheritedHeads[roster.GroupKey{Name: head.Membership.Group, Epoch: head.Membership.Epoch}] = head
 	}
 }
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -313,9 +313,9 @@
 // the first request.
 func (p *Planner) weightsHeld(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, now time.Time) map[string]time.Duration {
 	held := p.joinDelays(engine, instance, now)
-	state := p.stateOf(instance)
+	lastModel := p.lastModel(instance)
 	for _, model := range engine.Models {
-		if state.lastModel != model.ID && instance.Membership.ModelID != model.ID && !slices.Contains(instance.StagedModels, model.ID) {
+		if lastModel != model.ID && !slices.Contains(instance.StagedModels, model.ID) {
 			delete(held, model.ID)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -223,11 +223,28 @@
 	if ok && !known.Listed {
 		r.unlisted--
 	}
+	instance.LastModel = lastModel(known, instance)
 	r.entries[instance.ID] = &Entry{Instance: instance, Listed: true}
 	r.dirty = true
 	return true
 }
 
+// lastModel returns the model of the last group in which the process of a registration
+// was ready. The registration does not show it any more once the process has left. known
+// is the entry of the instance before; it may be nil.
+func lastModel(known *Entry, instance flamingodoor.Instance) string {
+	membership := instance.Membership
+	sameProcess := known != nil && known.StartedAt.Equal(instance.StartedAt)
+	switch {
+	case membership.Group != "" && membership.State != flamingodoor.MembershipStateJoining:
+		return membership.ModelID
+	case !sameProcess, membership.Group != "" && membership.ModelID != known.LastModel:
+		return ""
+	default:
+		return known.LastModel
+	}
+}
+
 // sameRegistration reports whether the registrations have no relevant
 // difference. Times until which an instance is cold are recomputed at each read,
 // so differences of less than 100 ms are ignored.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -339,3 +339,33 @@
 		})
 	}
 }
+
+// Guards against instances that count as lacking the weights of the group that they have
+// just left.
+func TestLastModelOutlivesTheMembership(t *testing.T) {
+	joining, other := member(0), member(0)
+	joining.Membership.State, joining.Membership.ModelID = flamingodoor.MembershipStateJoining, "n"
+	other.Membership.ModelID = "n"
+	free, restarted := member(0), member(0)
+	free.Membership, restarted.Membership = flamingodoor.Membership{}, flamingodoor.Membership{}
+	restarted.StartedAt = start.Add(time.Second)
+	for name, test := range map[string]struct {
+		history []flamingodoor.Instance
+		want    string
+	}{
+		"left":                  {[]flamingodoor.Instance{member(0), free}, "m"},
+		"never in a group":      {[]flamingodoor.Instance{free}, ""},
+		"other group":           {[]flamingodoor.Instance{member(0), other, free}, "n"},
+		"join that ended early": {[]flamingodoor.Instance{member(0), joining, free}, ""},
+		"restarted":             {[]flamingodoor.Instance{member(0), restarted}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			for _, registration := range test.history {
+				r.Upsert(registration)
+			}
+			r.Publish(start)
+			assert.Equal(t, r.View().Entries[free.ID].LastModel, test.want)
+		})
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -239,6 +239,15 @@
 	f.instances[id].unlisted = unlisted
 }
 
+// DropWeights removes the staged weights from all machines.
+func (f *Fleet) DropWeights() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range f.instances {
+		i.StagedModels = nil
+	}
+}
+
 // SetLeaving marks an instance as leaving.
 func (f *Fleet) SetLeaving(id string) {
 	f.mu.Lock()
--- a/serving.go
+++ b/serving.go
@@ -55,6 +55,9 @@
 	ColdUntil    time.Time // the instance is cold, and ServiceSpec.ColdRate applies, before this time
 	StagedModels []string  // IDs of the models whose weights are on its machine
 	Membership   Membership
+	// LastModel is the model of the last group in which this process was ready, or "" if
+	// this host has not seen one. The process can rejoin a group of it without weights.
+	LastModel string
 }
 
 // InstanceReport is the state that an instance returns when it is queried
