--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +154,19 @@
 	}
 }
 
+// Guards against small groups that can never make way for a large one: their members
+// did not hold the weights of the large model, because it had enough groups before the
+// first request.
+func TestMembersHoldTheWeightsOfAllModelsAtTheFirstRequest(t *testing.T) {
+	o, _ := newOutage(t, 8, 24)
+	for _, instance := range o.fleet.Listed() {
+		for _, model := range engineSpec().Models {
+			holds := instance.Membership.ModelID == model.ID || slices.Contains(instance.StagedModels, model.ID)
+			assert.Assert(t, holds || instance.Membership.Group == "", "%s: %v", model.ID, instance)
+		}
+	}
+}
+
 // Guards against survivors of a large group that stay free for the time of a load: they
 // had been ordered to leave, and the next leader no longer knew their last model.
 func TestNextLeaderKnowsTheModelsOfInstancesThatLeft(t *testing.T) {
--- a/internal/planner/stage.go
+++ b/internal/planner/stage.go
@@ -217,7 +217,8 @@
 
 // memberTargets returns loads for members of groups that lack the weights of a
 // model other than that of their group, and for idle instances that can only
-// form a group together with such members.
+// form a group together with such members. Before the first request, when loads are
+// cheap and the demand is not known, that is every model.
 func (p *Planner) memberTargets(service flamingodoor.ServiceSpec, view *roster.View, idle map[string]flamingodoor.Instance, chosen []stageTarget, models []formation.Model, now time.Time) []stageTarget {
 	needed, ok := neediestModel(models)
 	if !ok {
@@ -233,7 +234,7 @@
 			continue
 		}
 		modelID, lacks := p.missingModel(service.Engine, entry.Instance, needed, now)
-		if lacks && (modelID == needed || formation.Worthwhile(models, modelID)) {
+		if lacks && (modelID == needed || p.NoRequestsYet() || formation.Worthwhile(models, modelID)) {
 			targets = append(targets, stageTarget{instance: entry.Instance, modelID: modelID})
 		}
 	}
