--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -1,5 +1,5 @@
-// Package formation decides which replica groups to form from the free
-// instances of each fabric domain. It weighs the demand for each model against
+// Package formation decides which replica groups to form from the instances of
+// each fabric domain that are free or will soon be. It weighs the demand for each model against
 // the groups that already serve it.
 package formation
 
@@ -56,6 +56,7 @@
 	ID        string
 	LastModel string                   // model of its last group, which it can rejoin without loading weights
 	Delays    map[string]time.Duration // time to join a group, by model; a model that it cannot join soon is absent
+	Busy      bool                     // it still has to leave its group; Delays contain the time until then
 }
 
 // Group is a group to form. Its first member is the head.
@@ -64,6 +65,7 @@
 	Members      []string
 	Delay        time.Duration // until the slowest member is ready
 	ModelChanges int           // members whose last group had another model
+	Waits        bool          // a member is busy: the group can be formed only later
 }
 
 // ServedShare returns the fraction of the demand that a number of groups can
@@ -277,6 +279,7 @@
 		taken[member.ID] = true
 		group.Members = append(group.Members, member.ID)
 		group.Delay = max(group.Delay, member.Delays[model.ID])
+		group.Waits = group.Waits || member.Busy
 		if member.LastModel != "" && member.LastModel != model.ID {
 			group.ModelChanges++
 		}
--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -196,3 +196,38 @@
 		})
 	}
 }
+
+// A large group loses a member in a domain without free instances. Guards against its
+// survivors becoming small groups: a small group of the domain retires, and they wait
+// for its members.
+func TestSurvivorsWaitForTheMembersOfARetiredGroup(t *testing.T) {
+	for name, leaderChanges := range map[string]bool{"one_leader": false, "leader_changes": true} {
+		t.Run(name, func(t *testing.T) {
+			spec := engineSpec()
+			spec.Models[0].InstancesPerGroup = 8
+			h := newHarnessWith(t, spec)
+			h.noRequestsYet = true
+			h.fleet.SetPreTraffic(true)
+			h.add("d0", 8+3*3)
+			leader := h.startLeader()
+			h.run(14*time.Second, leader)
+			h.noRequestsYet = false
+			h.fleet.SetPreTraffic(false)
+			h.demand = map[string]float64{large: 2, small: 1}
+			assert.Equal(t, h.fleet.OpenGroups(large), 1)
+			assert.Equal(t, h.fleet.OpenGroups(small), 3)
+			lost := h.fleet.GroupMembers(h.openHead())[5]
+			h.loseInstance(lost)
+			h.fleet.SetUnlisted(lost, true)
+			for range 40 {
+				h.run(stepTime, leader)
+				if leaderChanges && len(h.retired) > 0 {
+					leader, leaderChanges = h.startLeader(), false
+				}
+			}
+			h.run(4*time.Second, leader)
+			assert.Equal(t, h.fleet.OpenGroups(large), 1)
+			assert.Assert(t, h.fleet.OpenGroups(small) >= 2, "%d", h.fleet.OpenGroups(small))
+		})
+	}
+}
--- a/internal/planner/dissolve.go
+++ b/internal/planner/dissolve.go
@@ -23,7 +23,8 @@
 	// orderedAt holds the latest order to leave of each instance, by ID: of the head
 	// and, once the planner has given up on it, of the others.
 	orderedAt map[string]time.Time
-	retired   bool // all hosts were told to send nothing more to the head
+	since     time.Time // when the group began to end
+	retired   bool      // all hosts were told to send nothing more to the head
 
 	mu        sync.Mutex
 	headLeft  bool
@@ -83,7 +84,7 @@
 
 // startDissolution marks a group as ending for the given reason.
 func (p *Planner) startDissolution(key roster.GroupKey, reason string) {
-	p.dissolving[key] = &dissolution{orderedAt: make(map[string]time.Time), left: make(map[string]time.Time)}
+	p.dissolving[key] = &dissolution{since: p.now(), orderedAt: make(map[string]time.Time), left: make(map[string]time.Time)}
 	_ = level.Info(p.Logger).Log("event", "group_ends", "group", key.Name, "epoch", key.Epoch, "reason", reason)
 }
 
--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -90,20 +91,20 @@
 func (p *Planner) proposeGroups(ctx context.Context, service flamingodoor.ServiceSpec, view *roster.View, now time.Time) []proposedGroup {
 	counts := p.countGroups(view, service.Name, now)
 	models := p.formationModels(service, counts, len(view.ByService[service.Name]))
-	domains := groupByDomain(p.freeInstances(view, service.Name, now))
-	candidates := make([][]formation.Candidate, len(domains))
 	byID := make(map[string]flamingodoor.Instance)
-	for i, domain := range domains {
-		for _, instance := range domain {
-			byID[instance.ID] = instance
-			candidates[i] = append(candidates[i], p.candidate(service.Engine, instance, now))
-		}
+	for _, instance := range p.freeInstances(view, service.Name, now) {
+		byID[instance.ID] = instance
 	}
 	var proposals []proposedGroup
-	for _, groups := range formation.Plan(candidates, models) {
+	for _, groups := range formation.Plan(p.candidates(service, view, now).lists(), models) {
 		for _, group := range groups {
-			proposals = append(proposals, newProposedGroup(service, group, byID))
 			counts[group.ModelID]++
+			if group.Waits {
+				// Its free members stay free until the others have left their groups.
+				withhold(byID, group)
+				continue
+			}
+			proposals = append(proposals, newProposedGroup(service, group, byID))
 		}
 	}
 	if len(proposals) > 0 {
@@ -118,6 +119,13 @@
 	return proposals
 }
 
+// withhold removes the members of a group from the free instances.
+func withhold(free map[string]flamingodoor.Instance, group formation.Group) {
+	for _, id := range group.Members {
+		delete(free, id)
+	}
+}
+
 // newProposedGroup returns the proposal for a group and removes its members
 // from the free instances.
 func newProposedGroup(service flamingodoor.ServiceSpec, group formation.Group, free map[string]flamingodoor.Instance) proposedGroup {
@@ -129,8 +137,8 @@
 	}
 	for _, id := range group.Members {
 		proposal.instances = append(proposal.instances, free[id])
-		delete(free, id)
 	}
+	withhold(free, group)
 	return proposal
 }
 
@@ -165,14 +173,83 @@
 	busy := p.busyMembers(view)
 	var free []flamingodoor.Instance
 	for _, entry := range view.ByService[service] {
-		if busy[entry.ID] || entry.Leaving || entry.FabricDomain == "" || !p.reaches(view, entry.Instance, now) || p.Catalogue.Evacuated(entry.DataCentre) {
-			continue
+		if !busy[entry.ID] && p.mayJoin(view, entry, now) {
+			free = append(free, entry.Instance)
 		}
-		free = append(free, entry.Instance)
 	}
 	return free
 }
 
+// mayJoin reports whether an instance may join a group once it is free.
+func (p *Planner) mayJoin(view *roster.View, entry *roster.Entry, now time.Time) bool {
+	return !entry.Leaving && entry.FabricDomain != "" && p.reaches(view, entry.Instance, now) && !p.Catalogue.Evacuated(entry.DataCentre)
+}
+
+// domainCandidates holds the candidates of each fabric domain, by name.
+type domainCandidates map[string][]formation.Candidate
+
+// lists returns the candidates of each domain, in the order of the domain names.
+func (d domainCandidates) lists() [][]formation.Candidate {
+	lists := make([][]formation.Candidate, 0, len(d))
+	for _, domain := range slices.Sorted(maps.Keys(d)) {
+		lists = append(lists, d[domain])
+	}
+	return lists
+}
+
+// candidates returns the free instances of a service and those whose group ends or
+// retires: a group of many members forms of instances that come free one after the
+// other.
+func (p *Planner) candidates(service flamingodoor.ServiceSpec, view *roster.View, now time.Time) domainCandidates {
+	found := make(domainCandidates)
+	for _, instance := range p.freeInstances(view, service.Name, now) {
+		found[instance.FabricDomain] = append(found[instance.FabricDomain], p.candidate(service.Engine, instance, now))
+	}
+	for _, group := range view.Groups {
+		wait, ends := p.timeToRelease(group.Key(), now)
+		if group.Service != service.Name || !ends {
+			continue
+		}
+		for _, member := range group.Members {
+			if p.awaitsRelease(group, member) && member.Listed && p.mayJoin(view, &member, now) {
+				found[member.FabricDomain] = append(found[member.FabricDomain], p.busyCandidate(service.Engine, member.Instance, wait, now))
+			}
+		}
+	}
+	return found
+}
+
+// timeToRelease returns the time until the members of a group that ends or retires are
+// expected to be free, and whether they can be counted on: a group whose head may still
+// serve keeps its members for an unknown time.
+func (p *Planner) timeToRelease(key roster.GroupKey, now time.Time) (wait time.Duration, ends bool) {
+	if ending := p.dissolving[key]; ending != nil {
+		return releaseTime, now.Sub(ending.since) < releaseTimeout
+	}
+	since, ok := p.retiring[key]
+	if !ok {
+		return 0, false
+	}
+	return max(0, drainTimeout-now.Sub(since)) + releaseTime, true
+}
+
+// awaitsRelease reports whether a member of a group is not free yet.
+func (p *Planner) awaitsRelease(group *roster.Group, member roster.Entry) bool {
+	ending := p.dissolving[group.Key()]
+	return member.ID != "" && (ending == nil || !ending.released(member.Instance))
+}
+
+// busyCandidate returns an instance that has to leave its group first as input to the
+// choice of groups.
+func (p *Planner) busyCandidate(engine *flamingodoor.EngineSpec, instance flamingodoor.Instance, wait time.Duration, now time.Time) formation.Candidate {
+	candidate := p.candidate(engine, instance, now)
+	candidate.Busy = true
+	for modelID := range candidate.Delays {
+		candidate.Delays[modelID] += wait
+	}
+	return candidate
+}
+
 // reaches reports whether orders to an instance are likely to arrive: it is marked
 // neither as lost nor as unreachable from this host, and has answered its latest order.
 func (p *Planner) reaches(view *roster.View, instance flamingodoor.Instance, now time.Time) bool {
--- a/internal/planner/groups.go
+++ b/internal/planner/groups.go
@@ -168,7 +168,7 @@
 		return p.leavingReason(group, key, now)
 	case members.complete && open:
 		delete(p.impairedSince, key)
-		return p.retirementReason(group, key, now)
+		return p.retirementReason(view, group, key, now)
 	case open:
 		// The group opened when all members were ready, so one has left since.
 		return "member_gone"
@@ -182,8 +182,12 @@
 // retirementReason returns the reason to dissolve a retiring group, and an empty
 // string while it still drains. Draining takes at least a quarter of
 // drainTimeout, until the group's requests have finished or drainTimeout is over.
-func (p *Planner) retirementReason(group *roster.Group, key roster.GroupKey, now time.Time) string {
+func (p *Planner) retirementReason(view *roster.View, group *roster.Group, key roster.GroupKey, now time.Time) string {
 	since, ok := p.retiring[key]
+	if !ok && view.Retiring(key, now) {
+		// An earlier leader retired the group, and no host sends to it.
+		p.retiring[key], since, ok = now, now, true
+	}
 	if !ok {
 		return ""
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -48,6 +48,12 @@
 	// drainTimeout is how long a group may finish its running requests when a
 	// member leaves or the group is retired.
 	drainTimeout = 1800 * time.Millisecond
+	// releaseTime is how long the instances of a group that ends usually take to be
+	// free.
+	releaseTime = 500 * time.Millisecond
+	// releaseTimeout is how long other instances are withheld for those of a group that
+	// ends. A head that may still serve can keep its members longer.
+	releaseTimeout = 3 * time.Second
 	// reportLag is the maximum age of the values in an instance's report.
 	reportLag = 300 * time.Millisecond
 	// stageRetryDelay is the time between two attempts to load weights onto a
--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -15,25 +15,30 @@
 
 const (
 	// rebalanceInterval is the minimum time between two checks for groups to
-	// retire, so that the effect of one retirement is visible before the next.
+	// retire.
 	rebalanceInterval = 700 * time.Millisecond
 	// minRebalanceGain is the minimum gain of a retirement, in the engine seconds
 	// per second of formation.Value. It is well above the work lost while a group
 	// changes its model.
 	minRebalanceGain = 0.25
+	// retirementCost is charged for each retired group, in the same unit: what the group
+	// could have served until its members are free, over the time in which a new group
+	// pays back its formation.
+	retirementCost = 0.08
 )
 
 // retirement is a set of groups of one model and domain to retire, so that their
 // instances can form groups of another model.
 type retirement struct {
+	domain string
 	groups []*roster.Group
 	gain   float64 // increase of formation.Value, in engine seconds per second
 }
 
-// rebalance retires the groups whose instances, together with the idle ones of
-// their domain, would add most value in groups of another model.
+// rebalance retires groups whose instances, together with the other candidates of their
+// domain, would add more value in groups of another model.
 func (p *Planner) rebalance(index *catalogue.Index, view *roster.View, now time.Time) {
-	if len(p.pending) > 0 || len(p.retiring) > 0 || now.Sub(p.rebalancedAt) < rebalanceInterval || p.NoRequestsYet() {
+	if now.Sub(p.rebalancedAt) < rebalanceInterval || p.NoRequestsYet() {
 		return
 	}
 	p.rebalancedAt = now
@@ -41,50 +46,88 @@
 		if service.Engine == nil {
 			continue
 		}
-		best := p.bestRetirement(service, view, now)
-		for _, group := range best.groups {
-			p.retiring[group.Key()] = now
-			p.Retire(group.Key())
-			_ = level.Info(p.Logger).Log("event", "group_retires", "group", group.Name, "epoch", group.Epoch,
-				"model", group.ModelID, "groups", len(best.groups), "gain", best.gain)
+		for balance := p.newBalance(service, view, now); ; {
+			best := balance.bestRetirement()
+			if len(best.groups) == 0 {
+				break
+			}
+			balance.retire(best)
+			for _, group := range best.groups {
+				p.retiring[group.Key()] = now
+				p.Retire(group.Key())
+				_ = level.Info(p.Logger).Log("event", "group_retires", "group", group.Name, "epoch", group.Epoch,
+					"model", group.ModelID, "groups", len(best.groups), "gain", best.gain)
+			}
 		}
 	}
 }
 
+// balance is the state of a service from which groups to retire are chosen. Groups that
+// form, and those that are expected to form of the candidates, count as serving.
+type balance struct {
+	planner    *Planner
+	engine     *flamingodoor.EngineSpec
+	now        time.Time
+	candidates domainCandidates
+	planned    map[string][]formation.Group // by domain
+	serving    map[domainModel][]*roster.Group
+	counted    []formation.Model // without the planned groups
+	expected   []formation.Model // with them
+	settled    map[string]bool   // domains that retire groups already
+	largest    int               // members of the largest group
+}
+
+func (p *Planner) newBalance(service flamingodoor.ServiceSpec, view *roster.View, now time.Time) *balance {
+	b := &balance{
+		planner: p, engine: service.Engine, now: now, candidates: p.candidates(service, view, now),
+		planned: make(map[string][]formation.Group), serving: p.servingGroups(service.Name, view, now), settled: make(map[string]bool),
+		counted: p.formationModels(service, p.countGroups(view, service.Name, now), len(view.ByService[service.Name])),
+	}
+	for _, model := range b.counted {
+		b.largest = max(b.largest, model.Size)
+	}
+	b.expected = b.counted
+	for _, groups := range formation.Plan(b.candidates.lists(), b.counted) {
+		for _, group := range groups {
+			domain := view.Entries[group.Members[0]].FabricDomain
+			b.planned[domain] = append(b.planned[domain], group)
+		}
+		b.expected = formation.WithGroups(b.expected, groups)
+	}
+	for _, group := range view.Groups {
+		if _, retires := p.retiring[group.Key()]; retires {
+			b.settled[group.FabricDomain] = true
+		}
+	}
+	return b
+}
+
 // bestRetirement evaluates the groups of each model in each domain, first one at
 // a time and then combined until they have enough members for a group of any
 // model. It returns the set with the largest gain above minRebalanceGain, or no
 // groups.
-func (p *Planner) bestRetirement(service flamingodoor.ServiceSpec, view *roster.View, now time.Time) retirement {
-	counts := p.countGroups(view, service.Name, now)
-	models := p.formationModels(service, counts, len(view.ByService[service.Name]))
-	free := make(map[string][]formation.Candidate)
-	for _, instance := range p.freeInstances(view, service.Name, now) {
-		free[instance.FabricDomain] = append(free[instance.FabricDomain], p.candidate(service.Engine, instance, now))
-	}
-	largestSize := 0
-	for _, model := range models {
-		largestSize = max(largestSize, model.Size)
-	}
+func (b *balance) bestRetirement() retirement {
 	best := retirement{gain: minRebalanceGain}
-	for key, groups := range p.servingGroups(service.Name, view, now) {
+	for key, groups := range b.serving {
+		if b.settled[key.domain] {
+			continue
+		}
 		singles := make([]retirement, 0, len(groups))
 		for _, group := range groups {
-			alone := []*roster.Group{group}
-			singles = append(singles, retirement{groups: alone, gain: p.retirementGain(service.Engine, alone, free[key.domain], models, now)})
+			singles = append(singles, b.evaluate(key.domain, []*roster.Group{group}))
 		}
 		slices.SortStableFunc(singles, func(a, b retirement) int { return cmp.Compare(b.gain, a.gain) })
 		var combined []*roster.Group
 		for _, single := range singles {
 			combined = append(combined, single.groups...)
-			gain := single.gain
+			option := single
 			if len(combined) > 1 {
-				gain = p.retirementGain(service.Engine, combined, free[key.domain], models, now)
+				option = b.evaluate(key.domain, slices.Clone(combined))
 			}
-			if gain > best.gain {
-				best = retirement{groups: slices.Clone(combined), gain: gain}
+			if option.gain > best.gain {
+				best = option
 			}
-			if len(combined)*len(single.groups[0].Members) >= largestSize {
+			if len(combined)*len(single.groups[0].Members) >= b.largest {
 				break
 			}
 		}
@@ -92,6 +135,54 @@
 	return best
 }
 
+// evaluate returns the retirement of groups of a domain, which all have one model, with
+// the value gained if their members form new groups with the candidates of the domain,
+// less the cost of the retirements.
+func (b *balance) evaluate(domain string, groups []*roster.Group) retirement {
+	remaining, plan := b.planWithout(domain, groups)
+	gain := formation.Value(formation.WithGroups(remaining, plan)) - formation.Value(b.expected) - retirementCost*float64(len(groups))
+	return retirement{domain: domain, groups: groups, gain: gain}
+}
+
+// planWithout returns the models without the groups and without what is planned in
+// their domain, and the groups that the domain would form instead.
+func (b *balance) planWithout(domain string, groups []*roster.Group) ([]formation.Model, []formation.Group) {
+	candidates := slices.Clone(b.candidates[domain])
+	remaining := b.counted
+	for other, planned := range b.planned {
+		if other != domain {
+			remaining = formation.WithGroups(remaining, planned)
+		}
+	}
+	remaining = slices.Clone(remaining)
+	for _, group := range groups {
+		for _, member := range group.Members {
+			candidates = append(candidates, b.planner.busyCandidate(b.engine, member.Instance, drainTimeout+releaseTime, b.now))
+		}
+		for i := range remaining {
+			if remaining[i].ID == group.ModelID {
+				remaining[i].Groups--
+			}
+		}
+	}
+	return remaining, formation.Plan([][]formation.Candidate{candidates}, remaining)[0]
+}
+
+// retire counts a retirement as decided.
+func (b *balance) retire(chosen retirement) {
+	remaining, plan := b.planWithout(chosen.domain, chosen.groups)
+	b.settled[chosen.domain] = true
+	b.planned[chosen.domain] = plan
+	b.expected = formation.WithGroups(remaining, plan)
+	for _, group := range chosen.groups {
+		for i := range b.counted {
+			if b.counted[i].ID == group.ModelID {
+				b.counted[i].Groups--
+			}
+		}
+	}
+}
+
 // domainModel identifies the groups of a model in a fabric domain.
 type domainModel struct {
 	domain  string
@@ -111,22 +202,3 @@
 	}
 	return groups
 }
-
-// retirementGain returns the value gained if the members of the groups, which all
-// have one model, form new groups with the free instances of their domain.
-func (p *Planner) retirementGain(engine *flamingodoor.EngineSpec, groups []*roster.Group, free []formation.Candidate, models []formation.Model, now time.Time) float64 {
-	candidates := slices.Clone(free)
-	remaining := slices.Clone(models)
-	for _, group := range groups {
-		for _, member := range group.Members {
-			candidates = append(candidates, p.candidate(engine, member.Instance, now))
-		}
-		for i := range remaining {
-			if remaining[i].ID == group.ModelID {
-				remaining[i].Groups--
-			}
-		}
-	}
-	plan := formation.Plan([][]formation.Candidate{candidates}, remaining)
-	return formation.Value(formation.WithGroups(remaining, plan[0])) - formation.Value(models)
-}
