--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -36,10 +37,8 @@
 	// waitDivisor sets the longest wait for a slot: an eighth of the latency
 	// objective, which leaves a refused caller time for a retry.
 	waitDivisor = 8
-	// staleConfigAge is the age of the configuration above which requests with
-	// an unknown key or route get status 503 instead of 401 or 404, because the
-	// key or route may have been added since.
-	staleConfigAge = 3 * time.Second
+	// defaultApplyWithin is Limits.ApplyWithin where it is not set.
+	defaultApplyWithin = 2 * time.Second
 	// revokeMargin is subtracted from Limits.RevokeWithin to cover the time
 	// that an authorised request takes to reach its endpoint.
 	revokeMargin = 700 * time.Millisecond
@@ -60,6 +59,10 @@
 // Limits apply to all entry hosts together.
 type Limits struct {
 	RevokeWithin time.Duration // until a revoked key is no longer accepted
+	// ApplyWithin is the age of the configuration from which requests with an unknown
+	// key or route get status 503 instead of 401 or 404, because the key or route may
+	// have been added since.
+	ApplyWithin time.Duration
 	RetryRatio   float64       // retries per request
 	RetryBurst   float64       // retries allowed in 10 s beyond the ratio
 }
@@ -400,7 +403,7 @@
 // reason of its rejection. The workspace is nil on public routes and if none is
 // configured.
 func (p *Proxy) authorise(index *catalogue.Index, request *http.Request) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
-	stale := p.uptime().Sub(p.catalogue.Confirmed()) > staleConfigAge
+	stale := p.uptime().Sub(p.catalogue.Confirmed()) >= cmp.Or(p.limits.Load().ApplyWithin, defaultApplyWithin)
 	path, _, _ := strings.Cut(request.RequestURI, "?")
 	route, ok := index.Route(request.Host, path)
 	if !ok {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -228,6 +228,33 @@
 	assert.Equal(t, e.runs.Load(), int64(0))
 }
 
+// Guards against a refusal for good, 401 or 404, by a configuration that may lack a change
+// which is already due at every host.
+func TestUnknownIsNotDeniedByAnOldConfiguration(t *testing.T) {
+	for name, test := range map[string]struct {
+		age, applyWithin time.Duration
+		denied           bool
+	}{
+		"young":               {0, 2 * time.Second, true},
+		"due":                 {2100 * time.Millisecond, 2 * time.Second, false},
+		"not yet due":         {2100 * time.Millisecond, 3 * time.Second, true},
+		"due, no bound given": {2100 * time.Millisecond, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t, proxy.WithUptime(func() time.Time { return time.Now().Add(test.age) }))
+			s.proxy.SetLimits(proxy.Limits{RevokeWithin: 5 * time.Second, ApplyWithin: test.applyWithin})
+			for path, status := range map[string]int{"/nowhere/x": http.StatusNotFound, "/read/x": http.StatusUnauthorized} {
+				if !test.denied {
+					status = http.StatusServiceUnavailable
+				}
+				got := s.send(path, func(request *http.Request) { request.Header.Set("Authorization", "Bearer other") })
+				assert.Equal(t, got.status, status, path)
+				assert.Equal(t, got.header.Get("Retry-After") != "", !test.denied, path)
+			}
+		})
+	}
+}
+
 // Guards against serving on an outdated configuration: a host that cannot reach
 // the store knows neither revoked nor added keys.
 func TestUnconfirmedKeysAreNotServed(t *testing.T) {
