--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,8 +63,8 @@
 	// key or route get status 503 instead of 401 or 404, because the key or route may
 	// have been added since.
 	ApplyWithin time.Duration
-	RetryRatio   float64       // retries per request
-	RetryBurst   float64       // retries allowed in 10 s beyond the ratio
+	RetryRatio  float64 // retries per request
+	RetryBurst  float64 // retries allowed in 10 s beyond the ratio
 }
 
 // Proxy is the HTTP handler of callers' requests. It is safe for concurrent
