--- a/internal/planner/capacity_test.go
+++ b/internal/planner/capacity_test.go
@@ -38,7 +38,7 @@
 	spec.LoadsPerSecond, spec.MaxConcurrentLoads = 25, 37
 	o := &outage{
 		harness: newHarnessWith(t, spec), lost: make(map[string]time.Time),
-		random: rand.New(rand.NewPCG(1, 2)), //nolint:gosec // draws losses
+		random: rand.New(rand.NewPCG(1, 2)),
 	}
 	o.demand = nil
 	o.noRequestsYet = true
--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,7 +109,8 @@
 // groups.
 func (b *balance) bestRetirement() retirement {
 	best := retirement{gain: minRebalanceGain}
-	for key, groups := range b.serving {
+	for _, key := range slices.SortedFunc(maps.Keys(b.serving), domainModel.compare) {
+		groups := b.serving[key]
 		if b.settled[key.domain] {
 			continue
 		}
@@ -189,6 +191,11 @@
 	modelID string
 }
 
+// compare orders by domain, then by model.
+func (d domainModel) compare(other domainModel) int {
+	return cmp.Or(cmp.Compare(d.domain, other.domain), cmp.Compare(d.modelID, other.modelID))
+}
+
 // servingGroups returns the groups of a service that serve, by domain and model.
 func (p *Planner) servingGroups(service string, view *roster.View, now time.Time) map[domainModel][]*roster.Group {
 	groups := make(map[domainModel][]*roster.Group)
--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -68,45 +70,55 @@
 	loads   int // under way
 }
 
+// domainSummaries holds the summaries of a service.
+type domainSummaries map[domainModel]*domainSummary
+
+func (d domainSummaries) of(domain, modelID string) *domainSummary {
+	key := domainModel{domain, modelID}
+	if d[key] == nil {
+		d[key] = &domainSummary{}
+	}
+	return d[key]
+}
+
 // logDomains logs, for each fabric domain with instances and each model, what there is
 // for groups of the model: it tells a lack of instances from a lack of weights.
 func (p *Planner) logDomains(service flamingodoor.ServiceSpec, view *roster.View, freeByDomain [][]flamingodoor.Instance, now time.Time) {
 	free := make(map[string]int)
-	summaries := make(map[domainModel]*domainSummary)
-	summary := func(domain, modelID string) *domainSummary {
-		key := domainModel{domain, modelID}
-		if summaries[key] == nil {
-			summaries[key] = &domainSummary{}
-		}
-		return summaries[key]
-	}
+	summaries := make(domainSummaries)
 	for _, domain := range freeByDomain {
 		for _, instance := range domain {
 			free[instance.FabricDomain]++
 			for modelID := range p.joinDelays(service.Engine, instance, now) {
-				summary(instance.FabricDomain, modelID).ready++
+				summaries.of(instance.FabricDomain, modelID).ready++
 			}
 		}
 	}
 	for key, groups := range p.servingGroups(service.Name, view, now) {
-		summary(key.domain, key.modelID).groups += len(groups)
-		for _, group := range groups {
-			for _, member := range group.Members {
-				for modelID := range p.weightsHeld(service.Engine, member.Instance, now) {
-					if modelID != key.modelID {
-						summary(key.domain, modelID).members++
-					}
-				}
-			}
-		}
+		summaries.of(key.domain, key.modelID).groups += len(groups)
+		p.countConvertible(service.Engine, summaries, groups, now)
 	}
 	for id, load := range p.activeLoads {
 		if entry, ok := view.Entries[id]; ok {
-			summary(entry.FabricDomain, load.ModelID).loads++
+			summaries.of(entry.FabricDomain, load.ModelID).loads++
 		}
 	}
-	for key, found := range summaries {
+	for _, key := range slices.SortedFunc(maps.Keys(summaries), domainModel.compare) {
+		found := summaries[key]
 		_ = level.Info(p.Logger).Log("event", "domain", "service", service.Name, "domain", key.domain, "model", key.modelID, "free", free[key.domain],
 			"groups", found.groups, "ready", found.ready, "members", found.members, "loads", found.loads)
 	}
 }
+
+// countConvertible counts the members of groups that hold the weights of other models.
+func (p *Planner) countConvertible(engine *flamingodoor.EngineSpec, summaries domainSummaries, groups []*roster.Group, now time.Time) {
+	for _, group := range groups {
+		for _, member := range group.Members {
+			for modelID := range p.weightsHeld(engine, member.Instance, now) {
+				if modelID != group.ModelID {
+					summaries.of(group.FabricDomain, modelID).members++
+				}
+			}
+		}
+	}
+}
