--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -47,22 +47,24 @@
 		if service.Engine == nil {
 			continue
 		}
-		for balance := p.newBalance(service, view, now); ; {
-			best := balance.bestRetirement()
-			if len(best.groups) == 0 {
-				break
-			}
+		balance := p.newBalance(service, view, now)
+		for best := balance.bestRetirement(); len(best.groups) > 0; best = balance.bestRetirement() {
 			balance.retire(best)
-			for _, group := range best.groups {
-				p.retiring[group.Key()] = now
-				p.Retire(group.Key())
-				_ = level.Info(p.Logger).Log("event", "group_retires", "group", group.Name, "epoch", group.Epoch,
-					"model", group.ModelID, "groups", len(best.groups), "gain", best.gain)
-			}
+			p.startRetirement(best, now)
 		}
 	}
 }
 
+// startRetirement makes all hosts stop sending new requests to the groups.
+func (p *Planner) startRetirement(chosen retirement, now time.Time) {
+	for _, group := range chosen.groups {
+		p.retiring[group.Key()] = now
+		p.Retire(group.Key())
+		_ = level.Info(p.Logger).Log("event", "group_retires", "group", group.Name, "epoch", group.Epoch,
+			"model", group.ModelID, "groups", len(chosen.groups), "gain", chosen.gain)
+	}
+}
+
 // balance is the state of a service from which groups to retire are chosen. Groups that
 // form, and those that are expected to form of the candidates, count as serving.
 type balance struct {
@@ -74,14 +76,14 @@
 	serving    map[domainModel][]*roster.Group
 	counted    []formation.Model // without the planned groups
 	expected   []formation.Model // with them
-	settled    map[string]bool   // domains that retire groups already
+	retiring   map[string]bool   // domains that retire groups
 	largest    int               // members of the largest group
 }
 
 func (p *Planner) newBalance(service flamingodoor.ServiceSpec, view *roster.View, now time.Time) *balance {
 	b := &balance{
 		planner: p, engine: service.Engine, now: now, candidates: p.candidates(service, view, now),
-		planned: make(map[string][]formation.Group), serving: p.servingGroups(service.Name, view, now), settled: make(map[string]bool),
+		planned: make(map[string][]formation.Group), serving: p.servingGroups(service.Name, view, now), retiring: make(map[string]bool),
 		counted: p.formationModels(service, p.countGroups(view, service.Name, now), len(view.ByService[service.Name])),
 	}
 	for _, model := range b.counted {
@@ -97,7 +99,7 @@
 	}
 	for _, group := range view.Groups {
 		if _, retires := p.retiring[group.Key()]; retires {
-			b.settled[group.FabricDomain] = true
+			b.retiring[group.FabricDomain] = true
 		}
 	}
 	return b
@@ -111,7 +113,7 @@
 	best := retirement{gain: minRebalanceGain}
 	for _, key := range slices.SortedFunc(maps.Keys(b.serving), domainModel.compare) {
 		groups := b.serving[key]
-		if b.settled[key.domain] {
+		if b.retiring[key.domain] {
 			continue
 		}
 		singles := make([]retirement, 0, len(groups))
@@ -173,7 +175,7 @@
 // retire counts a retirement as decided.
 func (b *balance) retire(chosen retirement) {
 	remaining, plan := b.planWithout(chosen.domain, chosen.groups)
-	b.settled[chosen.domain] = true
+	b.retiring[chosen.domain] = true
 	b.planned[chosen.domain] = plan
 	b.expected = formation.WithGroups(remaining, plan)
 	for _, group := range chosen.groups {
