End silent connections when the fault proxy resets them or closes

Cause: a connection that SilenceOpen or a rule had silenced was waited for until it was no longer tracked, and it was tracked until both of its directions had ended. Reset, ResetAll, SetRule(Refused) and Close closed the client's side only, so the target kept a connection whose request never ended: an HTTP server with half a request does not close, and the two goroutines stay until the process ends.

Its stack shows such goroutines at the end, but they are there after each run of TestMessagesContinueOverDeadConnections, and its messages are read in one piece, so this is not shown to be the cause of that run.

TestResetsEndSilentConnections fails in all four cases before and passes now.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -48,6 +48,7 @@
 	source   func(client net.Conn) netip.Addr
 
 	mutex       sync.Mutex
+	closed      bool
 	target      netip.AddrPort
 	defaultRule Rule
 	sourceRules map[netip.Addr]Rule
@@ -181,28 +182,41 @@
 func (p *Proxy) Reset() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for connection := range p.connections {
-		reset(connection)
-	}
+	p.resetOpen(slices.Collect(maps.Keys(p.connections)))
 }
 
 // ResetAll resets the connections that are open at all proxies when it is called.
 // It spares connections that clients open in response to these resets.
 func ResetAll(proxies ...*Proxy) {
-	var open []net.Conn
-	for _, proxy := range proxies {
+	open := make([][]net.Conn, len(proxies))
+	for i, proxy := range proxies {
+		proxy.mutex.Lock()
+		open[i] = slices.Collect(maps.Keys(proxy.connections))
+		proxy.mutex.Unlock()
+	}
+	for i, proxy := range proxies {
 		proxy.mutex.Lock()
-		open = slices.AppendSeq(open, maps.Keys(proxy.connections))
+		proxy.resetOpen(open[i])
 		proxy.mutex.Unlock()
 	}
-	for _, connection := range open {
+}
+
+// resetOpen resets connections and forgets them, so that a silent one does not keep
+// the connection to the target open. The caller holds the mutex.
+func (p *Proxy) resetOpen(connections []net.Conn) {
+	for _, connection := range connections {
 		reset(connection)
+		delete(p.connections, connection)
+		delete(p.silenced, connection)
 	}
 }
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
 	p.Reset()
 }
 
@@ -231,7 +245,11 @@
 		reset(client)
 		return
 	}
-	p.track(client, source)
+	if !p.track(client, source) {
+		reset(client)
+		_ = server.Close()
+		return
+	}
 	defer p.untrack(client)
 
 	var directions sync.WaitGroup
@@ -314,21 +332,29 @@
 func (p *Proxy) resetRefused() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	var refused []net.Conn
 	for connection, source := range p.connections {
 		rule, ok := p.sourceRules[source]
 		if !ok {
 			rule = p.defaultRule
 		}
 		if rule.Refuse {
-			reset(connection)
+			refused = append(refused, connection)
 		}
 	}
+	p.resetOpen(refused)
 }
 
-func (p *Proxy) track(client net.Conn, source netip.Addr) {
+// track records a connection that rules apply to. It returns false if the proxy has
+// been closed.
+func (p *Proxy) track(client net.Conn, source netip.Addr) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.closed {
+		return false
+	}
 	p.connections[client] = source
+	return true
 }
 
 func (p *Proxy) tracked(client net.Conn) bool {
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -66,6 +68,50 @@
 	assert.Equal(t, int(secondResets.Load()), 0)
 }
 
+// Guards against targets that never end a request, because a silent connection outlives
+// its reset or its proxy.
+func TestResetsEndSilentConnections(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		reset func(proxy *faultproxy.Proxy)
+	}{
+		{"reset", (*faultproxy.Proxy).Reset},
+		{"reset of all", func(proxy *faultproxy.Proxy) { faultproxy.ResetAll(proxy) }},
+		{"refused", func(proxy *faultproxy.Proxy) { proxy.SetRule(faultproxy.Refused) }},
+		{"closed", (*faultproxy.Proxy).Close},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				close(ended)
+			}))
+			t.Cleanup(server.Close)
+			proxy, err := faultproxy.New(t.Context(), netip.MustParseAddr("127.0.0.1"), netip.MustParseAddrPort(server.Listener.Addr().String()))
+			assert.NilError(t, err)
+			t.Cleanup(proxy.Close)
+			client := dial(t, proxy.Address())
+			_, err = client.Write([]byte("POST / HTTP/1.1\r\nHost: engine\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"))
+			assert.NilError(t, err)
+			_, err = client.Read(make([]byte, 1)) // the server waits for the body
+			assert.NilError(t, err)
+			proxy.SilenceOpen()
+			_, err = client.Write([]byte("x"))
+			assert.NilError(t, err)
+			time.Sleep(50 * time.Millisecond) // the proxy holds the body back
+			test.reset(proxy)
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second):
+				server.CloseClientConnections()
+				t.Fatal("the server still waits for the request")
+			}
+		})
+	}
+}
+
 // startEcho starts a server that sends back what it receives.
 func startEcho(t *testing.T) netip.AddrPort {
 	t.Helper()
