Wait for requests in flight before a case delays the planner's orders

The load is now ended by LoadGenerator.Finish, which sends no more requests and waits for the answers. What the case checks stays as it is.

--- a/internal/harness/records.go
+++ b/internal/harness/records.go
@@ -29,13 +29,16 @@
 	Refused  atomic.Int64 // requests refused before the first token
 	cancel   context.CancelFunc
 	callers  sync.WaitGroup
+	ending   chan struct{} // closed by Finish
+	finish   func()
 }
 
 // StartLoad starts callers of every entry host except the excluded ones. Each
 // caller sends its next request when the pause after its last one is over.
 func (t *Testbed) StartLoad(ctx context.Context, callersPerEntry, tokens int, pause time.Duration, excluded ...*Entry) *LoadGenerator {
 	ctx, cancel := context.WithCancel(ctx)
-	load := &LoadGenerator{cancel: cancel}
+	load := &LoadGenerator{cancel: cancel, ending: make(chan struct{})}
+	load.finish = sync.OnceFunc(func() { close(load.ending) })
 	for index, entry := range t.Deployment.Entries {
 		if slices.Contains(excluded, entry) {
 			continue
@@ -63,11 +66,19 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-l.ending:
+			return
 		case <-time.After(pause):
 		}
 	}
 }
 
+// Finish waits until the requests in flight have been answered. No others are sent.
+func (l *LoadGenerator) Finish() {
+	l.finish()
+	l.callers.Wait()
+}
+
 // Stop cancels the requests in flight and waits until all callers have ended.
 func (l *LoadGenerator) Stop() {
 	l.cancel()
--- a/internal/integration/groups_test.go
+++ b/internal/integration/groups_test.go
@@ -153,7 +153,7 @@
 	// The planner gets no requests, so that only its orders arrive late. A
 	// delayed request would arrive long after the sender's last check of the
 	// group, and checkMembership would count it as a violation.
-	r.load.Stop()
+	r.load.Finish()
 	r.load = r.StartLoad(r.ctx, 1, 4, 30*time.Millisecond, planner)
 	r.t.Cleanup(r.load.Stop)
 	for _, engine := range r.Engines {
