Judge this host's paths by new connections, and let no leader without them find losses

Cause: in a cut that refuses new connections, open ones live on. Hosts in it judged their paths by reports over kept connections, so they counted as sound and could be elected, and a stranded one took its paths for back 2 s before the cut ended. The new leader then probed each member that refused it on its own and asked all peers about each of 35 to 47 of them at once. Their answers came too late or said no, and it marked all of them as lost.

Ruled out: that the witnesses alone are at fault. The leader's own paths tell enough, and a host that has none need not ask.

Before the planner asks the peers about a member that does not answer, its new connections must reach another area (PathsSound); otherwise the member is marked as unreachable for this host only.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 type Platform struct {
 	Followers TopicFollowers
 	Instances InstanceClient
+	Probes    InstanceClient // opens a connection for each request, which shows the path
 	Epochs    flamingodoor.EpochLog
 	Heads     flamingodoor.HeadStore
 	Loads     flamingodoor.LoadStore
@@ -196,6 +197,7 @@
 		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
 	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes), proxy.WithFirstStart(settings.FirstStart), proxy.WithConfigurationCheck(func() bool { return g.exchanger.ConfigurationConfirmed() }))
 	platform.Instances.Observe(g.proxy.Observe)
+	platform.Probes.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
 	if !settings.FirstStart {
 		g.shared.requestsReceived.Store(true)
@@ -211,7 +213,7 @@
 		Catalogue: g.catalogue, Roster: g.roster, Instances: &observedInstances{InstanceClient: platform.Instances, gateway: g}, Epochs: platform.Epochs, Heads: platform.Heads, Loads: platform.Loads,
 		Election:         platform.Election(g.electionLease()),
 		Refresher:        platform.Followers,
-		ReachedElsewhere: g.exchanger.ReachedElsewhere, NoneConnects: g.exchanger.NoneConnects, Stranded: g.paths.Stranded,
+		ReachedElsewhere: g.exchanger.ReachedElsewhere, NoneConnects: g.exchanger.NoneConnects, PathsSound: g.prober.Sound, Stranded: g.paths.Stranded,
 		HasSoundPeer: func() bool { return g.exchanger.HasPeer(time.Now()) }, StandsForElection: g.standsForElection,
 		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, NoRequestsYet: g.shared.noRequestsYet, Logger: logger,
 	})
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -52,17 +52,18 @@
 const otherInstanceID = "another instance"
 
 // report asks an instance for its report. Plain services have none and are asked for
-// their health. An open connection alone proves no path: a proxy may accept it.
+// their health. An open connection alone proves no path: a proxy may accept it, and one
+// of before may live on while new ones fail.
 func (g *Gateway) report(ctx context.Context, instance flamingodoor.Instance) (flamingodoor.InstanceReport, error) {
 	if path, ok := g.healthPath(instance.ID); ok {
-		answers, err := g.platform.Instances.Health(ctx, instance, path)
+		answers, err := g.platform.Probes.Health(ctx, instance, path)
 		var report flamingodoor.InstanceReport
 		if err == nil && (!answers || g.roster.View().Replaced(instance)) {
 			report.ID = otherInstanceID
 		}
 		return report, err
 	}
-	return g.platform.Instances.Report(ctx, instance.Address)
+	return g.platform.Probes.Report(ctx, instance.Address)
 }
 
 // answersIdle reports whether an instance answers and has no requests. One that has some
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -108,6 +108,9 @@
 	// ReachedElsewhere reports whether another host gets an answer from an
 	// instance that this host cannot reach, and whether that is known.
 	ReachedElsewhere func(ctx context.Context, instance flamingodoor.Instance) (reached, known bool)
+	// PathsSound reports whether new connections of this host reach instances of another
+	// area than that of the given one; nil if they always do.
+	PathsSound func(ctx context.Context, instance flamingodoor.Instance) bool
 	// NoneConnects reports whether sound peers state that the machine of an instance
 	// does not answer the opening of a connection; nil if that is never known.
 	NoneConnects func(ctx context.Context, instance flamingodoor.Instance) bool
@@ -239,6 +242,9 @@
 	if p.NoneConnects == nil {
 		p.NoneConnects = func(context.Context, flamingodoor.Instance) bool { return false }
 	}
+	if p.PathsSound == nil {
+		p.PathsSound = func(context.Context, flamingodoor.Instance) bool { return true }
+	}
 	if p.HasSoundPeer == nil {
 		p.HasSoundPeer = func() bool { return true }
 	}
--- a/internal/planner/probe.go
+++ b/internal/planner/probe.go
@@ -49,6 +49,8 @@
 
 // probeMember marks an instance as lost in the roster unless it answers this host or a
 // peer. The silence of one that is listed is left to the hosts whose streams it holds up.
+// A host whose own paths fail learns nothing of the instance, and asks no peer: it would
+// have them all probe all instances at once.
 func (p *Planner) probeMember(ctx context.Context, instance roster.Entry) {
 	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -62,6 +64,9 @@
 	}
 	reached, known := false, true
 	if err != nil {
+		known = p.PathsSound(ctx, instance.Instance)
+	}
+	if err != nil && known {
 		reached, known = p.ReachedElsewhere(ctx, instance.Instance)
 	}
 	switch {
--- a/internal/planner/stranded_test.go
+++ b/internal/planner/stranded_test.go
@@ -226,6 +226,39 @@
 	}
 }
 
+// Guards against a leader whose new connections are refused and that gives up all groups,
+// because its peers are late to answer for so many instances (KNOWN-RED.txt, stranded-losses).
+func TestLeaderWithUnsoundPathsFindsNothingLost(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		h := newHarness(t)
+		h.demand = map[string]float64{large: 3, small: 2}
+		h.add("d0", 9, large)
+		parts, questions := h.parts(), 0
+		parts.PathsSound = func(context.Context, flamingodoor.Instance) bool { return sound }
+		parts.ReachedElsewhere = func(context.Context, flamingodoor.Instance) (reached, known bool) {
+			questions++
+			return false, true
+		}
+		leader := h.newPlanner(parts)
+		leader.Campaign(t.Context())
+		h.run(6*time.Second, leader)
+		assert.Equal(t, h.fleet.OpenGroups(large), 2)
+		for _, instance := range h.fleet.Listed() {
+			h.fleet.SetRefusing(instance.ID, true)
+			h.roster.MarkUnreachable(instance.ID, instance.StartedAt, h.fleet.Now())
+		}
+		h.run(time.Second, leader)
+		lost := 0
+		for _, entry := range h.roster.View().Entries {
+			if h.roster.View().Lost(entry.Instance, h.fleet.Now()) {
+				lost++
+			}
+		}
+		assert.Equal(t, lost > 0, sound, "%d lost", lost)
+		assert.Equal(t, questions > 0, sound)
+	}
+}
+
 // Guards against the lease being given to a host without paths that did not lead.
 func TestStrandedHostLeavesTheElection(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
