--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,10 +4,10 @@
 package proxy
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -470,10 +470,10 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
 	header.Set("Content-Type", "application/json")
-	body := `{"error":"` + reason + `"}`
+	body := []byte(`{"error":` + strconv.Quote(reason) + `}`)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	writer.WriteHeader(status)
-	_, _ = io.WriteString(writer, body) //nolint:gosec // reasons are constants; the caller may have left
+	_, _ = bytes.NewReader(body).WriteTo(writer)
 }
 
 // recordFinished counts and logs the result of a job.
