Read the registrations before they are as old as the drain bound

While hosts are stopped in turn nobody leads for seconds. A read of the leader replaced those of other hosts for 0.7 of the bound and two rounds for each hop, 2.9 s, and a host then waited up to an interval of 0.75 s more before its own read. Ruled out: unannounced instances, the registration was acknowledged by the store; hosts without the store, the machine was in touch.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -56,11 +56,11 @@
 	directoryRetryDelay = time.Second
 	// feedShare is the share of the time within which an instance that leaves must
 	// get no more requests for which a read of the leader replaces those of other
-	// hosts, beside the time of the hops. It covers the interval of the leader's
-	// own reads, one lost message and the time until a successor leads.
+	// hosts. It covers the interval of the leader's reads, the hops, one lost message
+	// and the time until a successor leads. The rest is for the host's own read.
 	feedShare = 0.7
-	// defaultFeedMargin is that share of 2 s.
-	defaultFeedMargin = 1400 * time.Millisecond
+	// defaultFeedValidity is that share of 2 s.
+	defaultFeedValidity = 1400 * time.Millisecond
 	// localPeersPerRound and remotePeersPerRound are how many peers of this
 	// data centre and of the others a round reaches. Larger deployments rotate
 	// over the peers. Requests stay in their data centre while possible, so the
@@ -106,7 +106,7 @@
 	self          flamingodoor.EntryPeer
 	started       time.Time
 	startedUptime time.Time
-	feedMargin    time.Duration // part of feedValidity beside the hops
+	feedValidity  time.Duration // for which a read of the leader replaces those of other hosts
 	directory     flamingodoor.HostDirectory
 	feeds         Feeds
 	source        Source
@@ -200,7 +200,7 @@
 // WithDrainBound sets the time within which an instance that leaves must get no
 // more requests.
 func WithDrainBound(bound time.Duration) Option {
-	return func(e *Exchanger) { e.feedMargin = time.Duration(feedShare * float64(bound)) }
+	return func(e *Exchanger) { e.feedValidity = time.Duration(feedShare * float64(bound)) }
 }
 
 // WithTransport replaces the HTTP transport to the other hosts.
@@ -225,7 +225,7 @@
 func New(self flamingodoor.EntryPeer, directory flamingodoor.HostDirectory, feeds Feeds, source Source, sink Sink, logger log.Logger, options ...Option) *Exchanger {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	e := &Exchanger{
-		self: self, feedMargin: defaultFeedMargin, directory: directory, feeds: feeds, source: source, sink: sink,
+		self: self, feedValidity: defaultFeedValidity, directory: directory, feeds: feeds, source: source, sink: sink,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
 		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {}, onSharers: func() {},
--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -121,7 +121,7 @@
 		return
 	}
 	asOf := now.Add(-milliseconds(records.GetAgeMs()))
-	e.feeds.Registrations.ApplyBatch(batch, asOf, asOf.Add(e.feedValidity()))
+	e.feeds.Registrations.ApplyBatch(batch, asOf, asOf.Add(e.feedValidity))
 }
 
 // messageFor returns the message for one peer: that of the round, with the
@@ -202,16 +202,6 @@
 	}
 }
 
-// feedValidity returns how long a read by the leader replaces the reads of the
-// hosts that receive its result: two rounds for each hop, and a margin.
-func (e *Exchanger) feedValidity() time.Duration {
-	hops := 1
-	if e.HostCount() > maxDirectPeers {
-		hops = 2
-	}
-	return e.feedMargin + time.Duration(2*hops)*shareInterval
-}
-
 // ownClock returns the reading of this host's clock, which the leader sends back
 // with its confirmations.
 func (e *Exchanger) ownClock() *exchangev1.Clock {
