Limit each host's slots while they are scarce

Cause: each of 64 hosts placed requests by reports that are up to 0.8 s old. In a burst, every host took the same free slot: groups with 20 slots had up to 56 requests, and first events came after 0.4 to 2 s instead of 0.18 s. Nobody was refused, nearly everybody was late. With long prompts, a group is busy with prompts from 26 requests on, whatever its 48 slots: it serves 18 requests/s with 24 in flight as well as with 48, but the first event takes 0.6 s instead of 0.35 s. Ruled out: slow engines; the times follow the number in flight at all groups. Change: while the free slots could be taken by requests that reports do not show, a host uses its share of the slots, by its part of the demand (admission.SlotUse); a group counts as full when its prompts saturate it (balance.Saturation). Both only where hosts are more than the slots of a group.

--- /dev/null
+++ b/internal/admission/slots.go
@@ -0,0 +1,61 @@
+package admission
+
+import "math"
+
+const (
+	// targetUse is the fraction of the slots that the hosts' shares add up to. Hosts
+	// place requests by reports that are up to a second old, so the requests at single
+	// groups differ by several slots; with all slots divided, half of the groups would
+	// have more requests than slots, which then wait inside the engine.
+	targetUse = 0.85
+	// evenPart is the weight of an even division among the hosts in their shares. It
+	// leaves room for hosts that have had no requests yet.
+	evenPart = 0.1
+	// burstFactor times the square root of a share is added to it: requests reach each
+	// host at random, so a limit at the mean would refuse some while other hosts have
+	// slots to spare.
+	burstFactor = 0.5
+)
+
+// SlotUse is what a host knows of the slots of a model when it places a request.
+type SlotUse struct {
+	Slots    int // of all groups
+	InFlight int // requests of all hosts, as far as reports show
+	// OwnDemand and TotalDemand are the demand at this host and at all hosts, in the
+	// same unit. TotalDemand is 0 until it is known.
+	OwnDemand   float64
+	TotalDemand float64
+	Hosts       int
+	// Arrivals is the number of requests that reached this host in the time that
+	// reports take.
+	Arrivals float64
+}
+
+// Limit returns how many requests this host may have in flight at the model, or false if
+// the free slots suffice for the requests that the reports do not show yet. Without a
+// limit, each host that sees the same free slot would take it. `phase`, from 0 to 1, is a
+// constant of the host by which fractions of the limit are rounded, so that the limits of
+// all hosts add up.
+func (u SlotUse) Limit(phase float64) (limit int, limited bool) {
+	part := u.part()
+	free := float64(u.Slots - u.InFlight)
+	unreported := u.Arrivals / part
+	if u.Slots <= 0 || free >= unreported {
+		return 0, false
+	}
+	share := part * float64(u.Slots) * targetUse
+	share += burstFactor * math.Sqrt(share)
+	// While some slots are free, hosts may exceed their shares by what these allow.
+	share *= 1 + max(0, free)/unreported
+	return max(1, int(share+phase)), true
+}
+
+// part returns this host's part of the demand of all hosts.
+func (u SlotUse) part() float64 {
+	even := 1 / float64(max(1, u.Hosts))
+	if u.TotalDemand <= 0 {
+		return even
+	}
+	own := min(1, u.OwnDemand/u.TotalDemand)
+	return (1-evenPart)*own + evenPart*even
+}
--- /dev/null
+++ b/internal/admission/slots_test.go
@@ -0,0 +1,57 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"flamingodoor.example/flamingodoor/internal/admission"
+)
+
+// Guards against a limit while slots are free: hosts whose callers are many must be able
+// to use the slots of the others.
+func TestFreeSlotsAreNotDivided(t *testing.T) {
+	use := admission.SlotUse{Slots: 760, InFlight: 300, OwnDemand: 1, TotalDemand: 30, Hosts: 64, Arrivals: 6}
+	_, limited := use.Limit(0)
+	assert.Assert(t, !limited)
+	use.InFlight = 700
+	_, limited = use.Limit(0)
+	assert.Assert(t, limited)
+}
+
+// Guards against engines that get more requests than slots in a burst: when each of 64
+// hosts placed requests by reports that were 0.8 s old, groups with 20 slots had up to 56
+// requests, and their first events came after 2 s instead of 0.2 s.
+func TestLimitsOfAllHostsAddUpToTheSlots(t *testing.T) {
+	for _, test := range []struct{ hosts, slots int }{{64, 720}, {144, 192}, {144, 860}, {390, 4000}} {
+		random := rand.New(rand.NewPCG(1, uint64(test.hosts)))
+		demands, total := make([]float64, test.hosts), 0.0
+		for i := range demands {
+			demands[i] = random.Float64() // callers reach hosts unevenly
+			total += demands[i]
+		}
+		sum := 0
+		for _, demand := range demands {
+			use := admission.SlotUse{Slots: test.slots, InFlight: test.slots, OwnDemand: demand, TotalDemand: total, Hosts: test.hosts, Arrivals: 10}
+			limit, limited := use.Limit(random.Float64())
+			assert.Assert(t, limited)
+			assert.Assert(t, limit >= 1, "a host without demand may place a request")
+			sum += limit
+		}
+		// A host that reaches its limit exceeds its mean; not all do at the same time.
+		assert.Assert(t, sum >= test.slots*8/10 && sum <= test.slots*17/10, "%d hosts: %d of %d slots", test.hosts, sum, test.slots)
+	}
+}
+
+// Guards against hosts that refuse everything before demand is reported, or after most of
+// the other hosts have gone.
+func TestLimitWithoutReports(t *testing.T) {
+	use := admission.SlotUse{Slots: 640, InFlight: 640, OwnDemand: 0, TotalDemand: 0, Hosts: 64, Arrivals: 1}
+	limit, limited := use.Limit(0)
+	assert.Assert(t, limited)
+	assert.Equal(t, limit, 9)
+	use.Hosts, use.OwnDemand, use.TotalDemand = 1, 5, 5
+	limit, _ = use.Limit(0)
+	assert.Assert(t, limit >= 500, "%d", limit)
+}
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -132,6 +132,19 @@
 	t.changed = make(chan struct{})
 }
 
+// Use returns the requests in flight at the candidates, of this host and of all hosts, and
+// their capacity.
+func (t *Tracker) Use(candidates []Candidate) (own, all, capacity int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, candidate := range candidates {
+		own += t.own[candidate.ID]
+		all += t.own[candidate.ID] + t.peerTotals[candidate.ID]
+		capacity += candidate.Capacity
+	}
+	return own, all, capacity
+}
+
 // OwnInFlight returns the requests in flight of this host, by instance.
 func (t *Tracker) OwnInFlight() map[string]int {
 	t.mu.Lock()
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -137,6 +137,7 @@
 	defer g.sharersMu.Unlock()
 	g.proxy.SetSharers(g.exchanger.LimitSharers(), !g.paths.Stranded() && g.exchanger.MayShare())
 	g.proxy.SetHosts(g.exchanger.LimitShareHosts(), g.exchanger.PropagationTime())
+	g.proxy.SetFleetDemand(g.shared.totalDemands())
 	g.tracker.Wake()
 }
 
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -304,6 +304,24 @@
 	return total
 }
 
+// totalDemands returns the demand for each model at all hosts, in engine seconds per
+// second.
+func (s *sharedState) totalDemands() map[proxy.DemandKey]float64 {
+	now := time.Now()
+	totals := s.gateway.demand.Rates(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, demand := range s.demands {
+		if now.After(demand.deadline) {
+			continue
+		}
+		for key, rate := range demand.rates {
+			totals[key] += rate
+		}
+	}
+	return totals
+}
+
 // noRequestsYet reports whether no host has received a request since the first start of
 // the whole system, as far as this host knows.
 func (s *sharedState) noRequestsYet() bool {
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -169,6 +169,9 @@
 		return p.acquireElsewhere(j, &set, now)
 	}
 	p.countArrival(j)
+	if p.atSlotLimit(j, &set, now) {
+		return destination{}, set.heldUntil, errFull
+	}
 	id, ok := p.pick(j, &set, now)
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
@@ -333,7 +336,7 @@
 	}
 	capacity := instance.Slots
 	if dest.group != nil {
-		capacity = j.capacity(instance.Slots)
+		capacity = p.groupCapacity(j, instance.Slots)
 	}
 	set.destinations = append(set.destinations, dest)
 	set.candidates = append(set.candidates, balance.Candidate{
@@ -347,13 +350,16 @@
 // received.
 const resumeReserveDivisor = 4
 
-// capacity returns how many requests a group with the given slots may have in
-// flight for this job to be sent to it.
-func (j *job) capacity(slots int) int {
+// groupCapacity returns how many requests a group with the given slots may have in flight
+// for this job to be sent to it.
+func (p *Proxy) groupCapacity(j *job, slots int) int {
 	if j.responseStarted {
 		return slots + slots/resumeReserveDivisor
 	}
-	return slots
+	if !p.sharesSlots(j) {
+		return slots
+	}
+	return p.profiles.usefulSlots(j, slots)
 }
 
 // ownLimit returns how many requests this host may have in flight at a
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -129,6 +129,18 @@
 	return rates
 }
 
+// Rate returns the engine seconds requested of a model per second.
+func (d *Demand) Rate(key DemandKey, now time.Time) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	mean, ok := d.rates[key]
+	if !ok {
+		return 0
+	}
+	mean.decay(now)
+	return mean.perSecond
+}
+
 // EngineSeconds estimates how long a request occupies an engine whose slots are
 // all in use: the prefill of its prompt, plus its part of the decode steps that
 // it shares with the other requests.
--- /dev/null
+++ b/internal/proxy/profile.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"math"
+	"sync"
+
+	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/balance"
+)
+
+const (
+	// profilePrior is the number of requests that the engine's declared means count as,
+	// so that the first requests of a model alone do not decide its profile.
+	profilePrior = 2
+	// profileWindow is the number of newest requests that a profile is the mean of.
+	profileWindow = 100
+)
+
+// profiles hold the mean prompt and answer of the requests for each model. They are safe
+// for concurrent use.
+type profiles struct {
+	mu     sync.Mutex
+	models map[DemandKey]*profile
+}
+
+// profile is the mean of a model's requests.
+type profile struct {
+	prompt movingMean // tokens
+	answer movingMean // events, one of each pass of the engine
+}
+
+// movingMean is the mean of the newest values.
+type movingMean struct {
+	value float64
+	count float64
+}
+
+func (m *movingMean) add(value float64) {
+	m.count = min(m.count+1, profileWindow)
+	m.value += (value - m.value) / m.count
+}
+
+func newProfiles() *profiles {
+	return &profiles{models: make(map[DemandKey]*profile)}
+}
+
+// of returns the profile of a model, which is at first what the engine declares. The
+// caller holds the mutex.
+func (p *profiles) of(key DemandKey, engine *flamingodoor.EngineSpec) *profile {
+	known, ok := p.models[key]
+	if !ok {
+		known = &profile{
+			prompt: movingMean{value: engine.MeanPromptTokens, count: profilePrior},
+			answer: movingMean{value: engine.MeanAnswerTokens / float64(max(1, engine.StepsPerPass)), count: profilePrior},
+		}
+		p.models[key] = known
+	}
+	return known
+}
+
+// addPrompt counts the prompt of a request.
+func (p *profiles) addPrompt(j *job) {
+	if j.service.Engine == nil || j.promptTokens <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(j.key(), j.service.Engine).prompt.add(float64(j.promptTokens))
+}
+
+// addAnswer counts the events of a complete answer.
+func (p *profiles) addAnswer(j *job, events int) {
+	if j.service.Engine == nil || events <= 0 || j.lastEventID != "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(j.key(), j.service.Engine).answer.add(float64(events))
+}
+
+// usefulSlots returns how many of the slots of a group serve more requests per second if
+// they are used.
+func (p *profiles) usefulSlots(j *job, slots int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.of(j.key(), j.service.Engine)
+	return max(1, int(min(float64(slots), math.Ceil(balance.Saturation(j.service.Engine, known.prompt.value, known.answer.value)))))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -101,9 +101,11 @@
 
 	firstStart  bool // no host has run before
 	burst       admission.Burst
-	hostCount   atomic.Int64 // entry hosts that share the limits; 0 if not known
-	sharersSet  atomic.Bool  // SetSharers was called
-	reportDelay atomic.Int64 // nanoseconds until all hosts know the requests in flight of one
+	hostCount   atomic.Int64                          // entry hosts that share the limits; 0 if not known
+	sharersSet  atomic.Bool                           // SetSharers was called
+	reportDelay atomic.Int64                          // nanoseconds until all hosts know the requests in flight of one
+	fleetDemand atomic.Pointer[map[DemandKey]float64] // of all hosts; nil until it is known
+	slotPhase   float64                               // rounds this host's limits of slots
 	stopping    atomic.Bool
 	received    atomic.Bool // a request
 	requests    running     // in flight
@@ -118,6 +120,8 @@
 	holds            *balance.Holds
 	allowances       *allowance.Book
 	limitWarnings    rate.Sometimes
+	slotReports      rate.Sometimes
+	profiles         *profiles
 	waiters          *waitCounter
 	arrivalRates     *arrivalRates
 	responseTimes    *responseTimes
@@ -204,14 +208,15 @@
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, configurationConfirmed: func() bool { return true }, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(),
-		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval},
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), waiters: newWaitCounter(), profiles: newProfiles(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(),
+		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval}, slotReports: rate.Sometimes{First: 1, Interval: time.Second},
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
 	p.bodies.setMemory(defaultMemoryBytes)
 	for _, option := range options {
 		option(p)
 	}
+	p.slotPhase = p.random()
 	p.limits.Store(&parts.Limits)
 	if !p.firstStart {
 		p.burst.SetPart(0, p.now())
@@ -248,6 +253,11 @@
 	p.divideBurst()
 }
 
+// SetFleetDemand sets the demand for each model at all hosts, in engine seconds per second.
+func (p *Proxy) SetFleetDemand(rates map[DemandKey]float64) {
+	p.fleetDemand.Store(&rates)
+}
+
 // SetSharers sets those of the entry hosts among which the limits on instances are
 // divided, and whether this host uses its part. Until it is called, these are the hosts
 // of SetHosts.
