Share measured speeds of groups between hosts

Cause: each host measured the speed of a group from its own streams alone and discarded the measurement after 2 s. One of many hosts sees only a few requests a second, so each host learned at the cost of its own requests that a group was slow.

Change: hosts send the groups below 90 % of the expected speed, at most 24 and newest first, in ShareRequest.paces and in Summary.paces. A relay sums them per group as a mean with the number of witnesses, and leaves out what the receiver measured itself, also if two relays count the receiver after a change of its relay. stall.PeerSpeeds decides which speed to believe: this host's own measurement first, then the mean of the witnesses, and on the word of a single host no less than half of the expected speed. Measurements count for 3 s, here and elsewhere. The line event=group_slow tells when a host begins to measure a group as slower than half.

Result: tests in internal/stall and internal/exchange show that two witnesses slow a group down at all hosts, that one does not drain it, that no host gets its own measurement back in a deployment of 62 hosts with 6 relays, that summaries keep the newest 24 speeds in at most 700 bytes, and that a speed ends 3 s after its measurement.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -288,13 +288,13 @@
 	known.left = message.GetLeaving()
 	e.setStranded(known, message.GetStranded())
 	e.setSharing(known, message.GetStranded(), now)
-	known.reported = reportedWork{uses: message.GetUses(), demands: message.GetDemands(), at: now}
+	known.reported = reportedWork{uses: message.GetUses(), demands: message.GetDemands(), paces: message.GetPaces(), at: now}
 	if known.left {
 		known.lastSeen, known.summarisedUntil, known.reported = time.Time{}, time.Time{}, reportedWork{}
 	}
 	if known.summarised(now) {
 		message = copyCommon(message)
-		message.Uses, message.Demands = nil, nil
+		message.Uses, message.Demands, message.Paces = nil, nil, nil
 	}
 	return message, true
 }
@@ -305,7 +305,7 @@
 		HostId: message.GetHostId(), StartedMs: message.GetStartedMs(), Sequence: message.GetSequence(), Uses: message.GetUses(),
 		Losses: message.GetLosses(), Demands: message.GetDemands(), Strikes: message.GetStrikes(), Leaving: message.GetLeaving(),
 		PartCrashes: message.GetPartCrashes(), PartsBegun: message.GetPartsBegun(), BlockedParts: message.GetBlockedParts(),
-		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(), RequestsReceived: message.GetRequestsReceived(),
+		RateLimits: message.GetRateLimits(), Stranded: message.GetStranded(), RequestsReceived: message.GetRequestsReceived(), Paces: message.GetPaces(),
 		Address: message.GetAddress(), DataCentre: message.GetDataCentre(), LinkMbps: message.GetLinkMbps(),
 	}
 }
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -13,6 +13,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
@@ -37,7 +38,9 @@
 	requestsReceived bool             // a message said so; the leader's do
 	uses             int32            // this host's requests in flight, all at one instance
 	usesByPeer       map[string]int32 // latest uses by sender
-	needsCopy        bool             // lacks records that it cannot read
+	paces            []*exchangev1.GroupPace
+	pacesByPeer      map[string][]*exchangev1.GroupPace // latest by sender
+	needsCopy        bool                               // lacks records that it cannot read
 	version          int64
 	copyVersion      int64 // of the configuration in copies that it receives
 	copiesOnly       bool  // moves its position only by records that it copied, not by ObservePosition
@@ -69,6 +72,9 @@
 	if h.uses > 0 {
 		request.Uses = []*exchangev1.InstanceUse{{InstanceId: "i-1", Requests: h.uses}}
 	}
+	for _, pace := range h.paces {
+		request.Paces = append(request.Paces, proto.CloneOf(pace))
+	}
 }
 
 func (h *host) Leads() bool {
@@ -95,8 +101,9 @@
 	h.received++
 	h.requestsReceived = h.requestsReceived || request.GetRequestsReceived()
 	if h.usesByPeer == nil {
-		h.usesByPeer = make(map[string]int32)
+		h.usesByPeer, h.pacesByPeer = make(map[string]int32), make(map[string][]*exchangev1.GroupPace)
 	}
+	h.pacesByPeer[request.GetHostId()] = request.GetPaces()
 	h.usesByPeer[request.GetHostId()] = 0
 	for _, use := range request.GetUses() {
 		h.usesByPeer[request.GetHostId()] += use.GetRequests()
@@ -107,6 +114,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.usesByPeer, hostID)
+	delete(h.pacesByPeer, hostID)
 }
 
 // totalUses returns the work of all other hosts as this one knows it.
--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -24,10 +24,11 @@
 )
 
 // reportedWork is the work that a peer reported itself: its requests in flight
-// by instance, and its demand for models.
+// by instance, its demand for models, and the speeds that it measured.
 type reportedWork struct {
 	uses    []*exchangev1.InstanceUse
 	demands []*exchangev1.ModelDemand
+	paces   []*exchangev1.GroupPace
 	at      time.Time
 }
 
@@ -42,8 +43,9 @@
 type workTotal struct {
 	uses     map[string]int32
 	demands  map[demandKey]float64
-	hosts    []uint32 // hostHash of each host
-	stranded []uint32 // of those that no instance answers
+	paces    map[string]*paceTotal // by head
+	hosts    []uint32              // hostHash of each host
+	stranded []uint32              // of those that no instance answers
 }
 
 type demandKey struct {
@@ -94,7 +96,7 @@
 	}
 	if ok {
 		e.sink.Apply(&exchangev1.ShareRequest{
-			HostId: summaryName(message.GetHostId()), Uses: summary.GetUses(), Demands: summary.GetDemands(),
+			HostId: summaryName(message.GetHostId()), Uses: summary.GetUses(), Demands: summary.GetDemands(), Paces: summary.GetPaces(),
 		}, now)
 	}
 }
@@ -144,14 +146,16 @@
 // relay. Other relays get the work of the hosts that report to this one; the
 // hosts of this relay get the work of the whole deployment without their own.
 func (e *Exchanger) buildSummaries(request *exchangev1.ShareRequest, peers []*peerState, now time.Time) map[string]*exchangev1.Summary {
-	total := &workTotal{uses: make(map[string]int32), demands: make(map[demandKey]float64), hosts: []uint32{hostHash(e.self.ID)}}
+	total := &workTotal{uses: make(map[string]int32), demands: make(map[demandKey]float64), paces: make(map[string]*paceTotal), hosts: []uint32{hostHash(e.self.ID)}}
 	total.add(request.GetUses(), request.GetDemands(), 1)
+	total.addPaces(request.GetPaces(), now, now)
 	if request.GetStranded() {
 		total.stranded = append(total.stranded, hostHash(e.self.ID))
 	}
 	for _, peer := range peers {
 		if e.includesWorkOf(peer, now) {
 			total.add(peer.reported.uses, peer.reported.demands, 1)
+			total.addPaces(peer.reported.paces, peer.reported.at, now)
 			total.hosts = append(total.hosts, hostHash(peer.ID))
 			if peer.stranded {
 				total.stranded = append(total.stranded, hostHash(peer.ID))
@@ -160,6 +164,7 @@
 	}
 	summaries := make(map[string]*exchangev1.Summary)
 	partial := total.summary(false)
+	partial.Paces = total.pacesWithout(reportedWork{}, 0, now)
 	for _, peer := range peers {
 		if e.duty.relayIDs[peer.ID] {
 			summaries[peer.ID] = partial
@@ -167,6 +172,7 @@
 	}
 	for _, received := range e.summaries {
 		total.add(received.GetUses(), received.GetDemands(), 1)
+		total.addPaces(received.GetPaces(), received.at, now)
 		total.hosts = append(total.hosts, received.GetHosts()...)
 		total.stranded = append(total.stranded, received.GetStrandedHosts()...)
 	}
@@ -179,6 +185,7 @@
 			excluded = peer.reported
 		}
 		summaries[peer.ID] = total.summaryWithout(excluded)
+		summaries[peer.ID].Paces = total.pacesWithout(peer.reported, hostHash(peer.ID), now)
 	}
 	return summaries
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,7 @@
 	pool         *upstream.Pool
 	peerPool     *upstream.Pool
 	monitor      *stall.Monitor
+	peerSpeeds   *stall.PeerSpeeds
 	crashTracker *poison.Ledger
 	parts        *partTracker
 	paths        *reach.Paths
@@ -180,7 +181,7 @@
 func New(settings Settings, platform Platform, metrics *telemetry.Metrics, logger log.Logger) *Gateway {
 	g := &Gateway{
 		settings: settings, platform: platform, logger: logger, metrics: metrics,
-		roster: roster.New(), tracker: balance.New(),
+		roster: roster.New(), tracker: balance.New(), peerSpeeds: stall.NewPeerSpeeds(),
 		peerPool:     upstream.New(platform.Headers.RequestID, upstream.WithFailureDetection()),
 		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan bool, 1),
 	}
@@ -190,7 +191,7 @@
 	g.parts = newPartTracker(g)
 	g.catalogue = catalogue.New(g.onConfiguration)
 	g.monitor = stall.New(g.inspect, g.markStalled, func() int { return g.exchanger.HostCount() }, time.Now,
-		stall.WithSilenceListener(func(group *roster.Group) { g.paths.Failed(group.Head().Instance, time.Now()) }))
+		stall.WithPeerSpeeds(g.peerSpeeds), stall.WithSilenceListener(func(group *roster.Group) { g.paths.Failed(group.Head().Instance, time.Now()) }))
 	g.proxy = proxy.New(proxy.Parts{
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -56,6 +56,8 @@
 	mu      sync.Mutex
 	demands map[string]peerDemand // by identifier of the host
 	losses  []lossReport
+	// slowSeen is when this host last measured a group as slow, by head.
+	slowSeen map[string]time.Time
 }
 
 type peerDemand struct {
@@ -84,7 +86,7 @@
 }
 
 func newSharedState(gateway *Gateway) *sharedState {
-	return &sharedState{gateway: gateway, demands: make(map[string]peerDemand)}
+	return &sharedState{gateway: gateway, demands: make(map[string]peerDemand), slowSeen: make(map[string]time.Time)}
 }
 
 // Leads reports whether this host leads, and so passes the registrations on.
@@ -108,6 +110,7 @@
 	}
 	s.gateway.parts.ledger.Describe(request, now)
 	s.describeRateLimits(request, now)
+	s.describeSpeeds(request, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent := s.losses[:0]
@@ -161,6 +164,7 @@
 	g.crashTracker.Merge(request.GetStrikes(), now)
 	g.parts.merge(request, now)
 	s.applyRateLimits(request, now)
+	s.applySpeeds(request, now)
 	if request.GetRequestsReceived() || len(request.GetDemands()) > 0 {
 		s.requestsReceived.Store(true)
 	}
@@ -168,9 +172,10 @@
 	s.applyLosses(request, now)
 }
 
-// Forget discards the work and demand that a host reported.
+// Forget discards the work, demand and speeds that a host reported.
 func (s *sharedState) Forget(hostID string, now time.Time) {
 	s.gateway.tracker.DropPeer(hostID, now)
+	s.gateway.peerSpeeds.Forget(hostID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.demands, hostID)
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -48,9 +48,10 @@
 	inspectionTimeout = 700 * time.Millisecond
 	// gapWeight is the weight of the newest gap in the moving average.
 	gapWeight = 0.2
-	// speedValidity is how long a measured speed counts without a newer one, and
-	// so how long a slow group is avoided.
-	speedValidity = 2 * time.Second
+	// speedValidity is how long a measured speed counts without a newer one, here and
+	// at the other hosts, and so how long a slow group is avoided. One of many hosts may
+	// send a group a request only every few seconds.
+	speedValidity = 3 * time.Second
 	// slowTolerance times the expected gap still counts as full speed, because
 	// prompts are processed between the tokens of other requests.
 	slowTolerance = 2.0
@@ -94,6 +95,12 @@
 	return func(m *Monitor) { m.silent = silent }
 }
 
+// WithPeerSpeeds sets the speeds that other hosts measured. Without it, only those that
+// this host measured count.
+func WithPeerSpeeds(speeds *PeerSpeeds) Option {
+	return func(m *Monitor) { m.peerSpeeds = speeds }
+}
+
 // Monitor suspects the streams of groups and connections that make no progress.
 // It is safe for concurrent use.
 type Monitor struct {
@@ -105,6 +112,8 @@
 	mu      sync.Mutex
 	groups  map[roster.GroupKey]*groupState
 	speeds  map[string]*speed // by head
+
+	peerSpeeds *PeerSpeeds
 }
 
 // groupState is the state of a group with streams of this host.
@@ -146,7 +155,7 @@
 func New(inspect Inspector, stalled func(key roster.GroupKey), hosts func() int, now func() time.Time, options ...Option) *Monitor {
 	m := &Monitor{
 		inspect: inspect, stalled: stalled, silent: func(*roster.Group) {}, hosts: hosts, now: now,
-		groups: make(map[roster.GroupKey]*groupState), speeds: make(map[string]*speed),
+		groups: make(map[roster.GroupKey]*groupState), speeds: make(map[string]*speed), peerSpeeds: NewPeerSpeeds(),
 	}
 	for _, option := range options {
 		option(m)
@@ -211,15 +220,17 @@
 }
 
 // Speed returns the speed of a head's group as a fraction of the expected speed,
-// from minSpeed to 1. It is 1 for a group without recent events.
+// from minSpeed to 1: by this host's own measurement if there is a recent one, else by
+// those of other hosts. It is 1 for a group without either.
 func (m *Monitor) Speed(head string) float64 {
+	now := m.now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	measured, ok := m.speeds[head]
-	if !ok || m.now().Sub(measured.at) > speedValidity || measured.gap <= 0 || measured.expected <= 0 {
-		return 1
+	own, ok := m.ownReading(head, now)
+	m.mu.Unlock()
+	if ok {
+		return own.Speed
 	}
-	return max(minSpeed, min(1, slowTolerance*float64(measured.expected)/float64(measured.gap)))
+	return m.peerSpeeds.Speed(head, now)
 }
 
 // Run scans for stalls until the context ends.
