Keep the demand of the fleet across changes of the leader and relays

Cause: the total demand is the sum of the reports that a host has at the moment. After a change of the leader or of a relay these are the reports of a few hosts. Reproduced with 62 hosts without a network: a relay that comes to lead refuses the summaries of the whole deployment until its duty expires, and counts 7 of 62 hosts for 1.8 s. A host that gets another relay counts the hosts that have reported to that one so far. The hosts of a lost relay hear only of each other until the leader names another, 4 s after the loss.

Change: demand.Tracker keeps the reports with the hosts that they stand for, as summaries list them. Below a coverage of nine tenths of the known hosts, or if more than a tenth of them are in two reports, the last total with full coverage counts for at most 3 s, then the sum scaled to the known hosts. A relay that leads takes summaries of the whole deployment at once. The leader names another relay for one that has been silent for 1 s. event=fleet gains coverage. No message changes.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -126,7 +126,7 @@
 
 	mu              sync.Mutex
 	peers           map[string]*peerState
-	peersByHash     map[uint32]*peerState // by hostHash
+	peersByHash     map[uint32]*peerState // by HostHash
 	sequence        uint64
 	leaving         bool
 	answeredAt      time.Time // when a peer last answered a message
@@ -316,7 +316,7 @@
 func (e *Exchanger) addPeer(host flamingodoor.EntryPeer) *peerState {
 	added := &peerState{EntryPeer: host, added: e.now(), client: exchangev1connect.NewExchangeServiceClient(
 		e.client, "http://"+host.Address.String(), connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))}
-	e.peers[host.ID], e.peersByHash[hostHash(host.ID)] = added, added
+	e.peers[host.ID], e.peersByHash[HostHash(host.ID)] = added, added
 	return added
 }
 
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -18,6 +18,7 @@
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1/exchangev1connect"
+	"flamingodoor.example/flamingodoor/internal/demand"
 	"flamingodoor.example/flamingodoor/internal/exchange"
 )
 
@@ -26,6 +27,7 @@
 type host struct {
 	*exchange.Exchanger
 	leads         bool
+	id            string // set in large deployments
 	address       netip.AddrPort
 	registrations registrations
 	strandedPeers atomic.Int32 // times that peers became stranded
@@ -46,6 +48,8 @@
 	copiesOnly       bool  // moves its position only by records that it copied, not by ObservePosition
 	copied           flamingodoor.RecordBatch
 	deferredUntil    time.Time // when this host may read again
+	ownDemand        demand.Rates
+	demands          *demand.Tracker // nil if the host has no demand
 }
 
 func (h *host) Announce(context.Context, flamingodoor.EntryPeer) error { return nil }
@@ -65,7 +69,7 @@
 	h.paths = seen
 }
 
-func (h *host) Describe(request *exchangev1.ShareRequest, _ time.Time) {
+func (h *host) Describe(request *exchangev1.ShareRequest, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	request.Stranded, request.RequestsReceived = h.paths.stranded, h.leads
@@ -75,6 +79,13 @@
 	for _, pace := range h.paces {
 		request.Paces = append(request.Paces, proto.CloneOf(pace))
 	}
+	if h.demands == nil {
+		return
+	}
+	h.demands.Total(h.ownDemand, h.KnownHosts(), now)
+	for key, rate := range h.ownDemand {
+		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
+	}
 }
 
 func (h *host) Leads() bool {
@@ -95,7 +106,7 @@
 	return h.paths.dial
 }
 
-func (h *host) Apply(request *exchangev1.ShareRequest, _ time.Time) {
+func (h *host) Apply(request *exchangev1.ShareRequest, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.received++
@@ -108,6 +119,14 @@
 	for _, use := range request.GetUses() {
 		h.usesByPeer[request.GetHostId()] += use.GetRequests()
 	}
+	if h.demands == nil {
+		return
+	}
+	rates := make(demand.Rates)
+	for _, each := range request.GetDemands() {
+		rates[demand.Key{Service: each.GetService(), Model: each.GetModelId()}] = each.GetEngineSeconds()
+	}
+	h.demands.Report(request.GetHostId(), rates, h.ReportedHosts(request), now)
 }
 
 func (h *host) Forget(hostID string, _ time.Time) {
@@ -115,6 +134,9 @@
 	defer h.mu.Unlock()
 	delete(h.usesByPeer, hostID)
 	delete(h.pacesByPeer, hostID)
+	if h.demands != nil {
+		h.demands.Forget(hostID)
+	}
 }
 
 // totalUses returns the work of all other hosts as this one knows it.
--- a/internal/exchange/hosts.go
+++ b/internal/exchange/hosts.go
@@ -23,6 +23,22 @@
 	return count
 }
 
+// KnownHosts returns the hashes of the identifiers of the live entry hosts, as in
+// HostCount.
+func (e *Exchanger) KnownHosts() []uint32 {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hosts := make([]uint32, 0, 1+len(e.peers))
+	hosts = append(hosts, HostHash(e.self.ID))
+	for hash, peer := range e.peersByHash {
+		if now.Sub(peer.lastSeen) < peerTimeout {
+			hosts = append(hosts, hash)
+		}
+	}
+	return hosts
+}
+
 // PropagationTime returns how long it takes until the work of one host is known
 // to all others.
 func (e *Exchanger) PropagationTime() time.Duration {
--- a/internal/exchange/relays.go
+++ b/internal/exchange/relays.go
@@ -29,6 +29,9 @@
 	// relayDutyTimeout is how long a relay sends summaries without a message of
 	// the leader. A new leader is elected in less time.
 	relayDutyTimeout = peerTimeout
+	// relaySilence is how long a relay may be silent until the leader names another. A
+	// relay answers the leader, or is in a summary, in each round.
+	relaySilence = 5 * shareInterval
 )
 
 // relayDuty is the part of this host's data centre that the leader assigned to
@@ -59,7 +62,7 @@
 			feeds.targets[peer.ID] = nil
 		}
 	case leads:
-		chooseRelays(peers, feeds.targets)
+		chooseRelays(peers, feeds.targets, now)
 	case now.Before(e.duty.feedDeadline):
 		for _, peer := range peers {
 			if peer.DataCentre == e.self.DataCentre && peer.ID != e.duty.leader && partOf(peer.ID, e.duty.parts) == e.duty.part {
@@ -71,8 +74,9 @@
 }
 
 // chooseRelays selects the hosts with the widest links of each data centre as
-// relays and assigns a part of the data centre to each.
-func chooseRelays(peers []*peerState, targets map[string]*exchangev1.RelayDuty) {
+// relays and assigns a part of the data centre to each. Hosts that have been silent for
+// relaySilence come last: those that a lost relay serves have reports of no others.
+func chooseRelays(peers []*peerState, targets map[string]*exchangev1.RelayDuty, now time.Time) {
 	dataCentres := make(map[string][]*peerState)
 	for _, peer := range peers {
 		if !peer.lastSeen.IsZero() {
@@ -81,7 +85,9 @@
 	}
 	var relayIDs []string
 	for _, hosts := range dataCentres {
-		slices.SortFunc(hosts, func(a, b *peerState) int { return compareHosts(a.EntryPeer, b.EntryPeer) })
+		slices.SortFunc(hosts, func(a, b *peerState) int {
+			return cmp.Or(cmp.Compare(silenceRank(a, now), silenceRank(b, now)), compareHosts(a.EntryPeer, b.EntryPeer))
+		})
 		hosts = hosts[:min(len(hosts), max(minRelaysPerDataCentre, len(hosts)/hostsPerRelay))]
 		for part, peer := range hosts {
 			targets[peer.ID] = &exchangev1.RelayDuty{Part: int32(part), Parts: int32(len(hosts))} //nolint:gosec // a few relays
@@ -94,6 +100,14 @@
 	}
 }
 
+// silenceRank returns 1 for a peer that has been silent for relaySilence, and else 0.
+func silenceRank(peer *peerState, now time.Time) int {
+	if peer.silence(now) < relaySilence {
+		return 0
+	}
+	return 1
+}
+
 // compareHosts orders hosts for the duties that take work beside requests: those
 // with the widest links first.
 func compareHosts(a, b flamingodoor.EntryPeer) int {
--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,8 @@
 	// any other: to its relay, to another relay, and on to the hosts of that
 	// one.
 	summaryHops = 3
+	// summaryPrefix starts the names under which the work in summaries counts.
+	summaryPrefix = "summary of "
 )
 
 // reportedWork is the work that a peer reported itself: its requests in flight
@@ -44,7 +47,7 @@
 	uses     map[string]int32
 	demands  map[demandKey]float64
 	paces    map[string]*paceTotal // by head
-	hosts    []uint32              // hostHash of each host
+	hosts    []uint32              // HostHash of each host
 	stranded []uint32              // of those that no instance answers
 }
 
@@ -56,11 +59,27 @@
 // summaryName returns the name under which the work in a relay's summary is
 // passed to the sink, in place of a host identifier.
 func summaryName(relayID string) string {
-	return "summary of " + relayID
+	return summaryPrefix + relayID
 }
 
-// hostHash returns the short form of a host identifier that summaries contain.
-func hostHash(hostID string) uint32 {
+// ReportedHosts returns the hashes of the hosts whose work a message that was passed to
+// the sink stands for: those in a summary, its sender, or none if relays include the
+// sender's work in their summaries.
+func (e *Exchanger) ReportedHosts(request *exchangev1.ShareRequest) []uint32 {
+	if strings.HasPrefix(request.GetHostId(), summaryPrefix) {
+		return request.GetSummary().GetHosts()
+	}
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if peer, ok := e.peers[request.GetHostId()]; ok && peer.summarised(now) {
+		return nil
+	}
+	return []uint32{HostHash(request.GetHostId())}
+}
+
+// HostHash returns the short form of a host identifier that summaries contain.
+func HostHash(hostID string) uint32 {
 	return uint32(xxhash.Sum64String(hostID)) //nolint:gosec // truncated to the lower half
 }
 
@@ -90,25 +109,28 @@
 	if summary == nil {
 		return
 	}
-	forgotten, ok := e.storeSummary(summary, message.GetHostId(), now)
+	leads := e.source.Leads()
+	forgotten, ok := e.storeSummary(summary, message.GetHostId(), leads, now)
 	for _, hostID := range forgotten {
 		e.sink.Forget(hostID, now)
 	}
 	if ok {
 		e.sink.Apply(&exchangev1.ShareRequest{
 			HostId: summaryName(message.GetHostId()), Uses: summary.GetUses(), Demands: summary.GetDemands(), Paces: summary.GetPaces(),
+			Summary: &exchangev1.Summary{Hosts: summary.GetHosts()},
 		}, now)
 	}
 }
 
 // storeSummary keeps a summary if it is meant for this host's present role:
 // relays take summaries of other relays, all other hosts take those of the
-// whole deployment. It returns the names whose work the summary replaces, and
-// whether it was kept.
-func (e *Exchanger) storeSummary(summary *exchangev1.Summary, from string, now time.Time) (forgotten []string, ok bool) {
+// whole deployment. A relay that has become the leader gets the latter at once,
+// although its duty has not expired. It returns the names whose work the summary
+// replaces, and whether it was kept.
+func (e *Exchanger) storeSummary(summary *exchangev1.Summary, from string, leads bool, now time.Time) (forgotten []string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if summary.GetAll() == e.isRelay(now) {
+	if summary.GetAll() == (!leads && e.isRelay(now)) {
 		return nil, false
 	}
 	if summary.GetAll() {
@@ -146,19 +168,19 @@
 // relay. Other relays get the work of the hosts that report to this one; the
 // hosts of this relay get the work of the whole deployment without their own.
 func (e *Exchanger) buildSummaries(request *exchangev1.ShareRequest, peers []*peerState, now time.Time) map[string]*exchangev1.Summary {
-	total := &workTotal{uses: make(map[string]int32), demands: make(map[demandKey]float64), paces: make(map[string]*paceTotal), hosts: []uint32{hostHash(e.self.ID)}}
+	total := &workTotal{uses: make(map[string]int32), demands: make(map[demandKey]float64), paces: make(map[string]*paceTotal), hosts: []uint32{HostHash(e.self.ID)}}
 	total.add(request.GetUses(), request.GetDemands(), 1)
 	total.addPaces(request.GetPaces(), now, now)
 	if request.GetStranded() {
-		total.stranded = append(total.stranded, hostHash(e.self.ID))
+		total.stranded = append(total.stranded, HostHash(e.self.ID))
 	}
 	for _, peer := range peers {
 		if e.includesWorkOf(peer, now) {
 			total.add(peer.reported.uses, peer.reported.demands, 1)
 			total.addPaces(peer.reported.paces, peer.reported.at, now)
-			total.hosts = append(total.hosts, hostHash(peer.ID))
+			total.hosts = append(total.hosts, HostHash(peer.ID))
 			if peer.stranded {
-				total.stranded = append(total.stranded, hostHash(peer.ID))
+				total.stranded = append(total.stranded, HostHash(peer.ID))
 			}
 		}
 	}
--- a/internal/exchange/summary_test.go
+++ b/internal/exchange/summary_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,10 +41,14 @@
 	handlers map[string]http.Handler // by address
 }
 
-// RoundTrip delivers a message to the host at its address.
+// RoundTrip delivers a message to the host at its address, unless it is gone.
 func (d *largeDeployment) RoundTrip(request *http.Request) (*http.Response, error) {
 	recorder := httptest.NewRecorder()
-	d.handlers[request.URL.Host].ServeHTTP(recorder, request)
+	handler, ok := d.handlers[request.URL.Host]
+	if !ok {
+		return nil, syscall.ECONNREFUSED
+	}
+	handler.ServeHTTP(recorder, request)
 	return recorder.Result(), nil
 }
 
@@ -60,7 +65,7 @@
 		}
 	}
 	for i, self := range all {
-		host := &host{leads: i == 0, uses: 1, registrations: registrations{onCatchUp: func(int64) {}}}
+		host := &host{leads: i == 0, id: self.ID, address: self.Address, uses: 1, registrations: registrations{onCatchUp: func(int64) {}}}
 		host.Exchanger = exchange.New(self, directory{host, all}, exchange.Feeds{Registrations: host.registrations, Configuration: host}, host, host,
 			log.NewNopLogger(), exchange.WithClock(func() time.Time { return d.now }), exchange.WithTransport(d),
 			exchange.WithStrandedListener(func() { host.strandedPeers.Add(1) }))
@@ -86,7 +91,9 @@
 	for range count {
 		d.now = d.now.Add(roundInterval)
 		for _, host := range d.hosts {
-			host.Round(d.t.Context())
+			if d.handlers[host.address.String()] != nil {
+				host.Round(d.t.Context())
+			}
 		}
 	}
 }
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -9,16 +9,14 @@
 
 	"flamingodoor.example/flamingodoor"
 	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
+	"flamingodoor.example/flamingodoor/internal/demand"
+	"flamingodoor.example/flamingodoor/internal/exchange"
 	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
 	"flamingodoor.example/flamingodoor/internal/roster"
 	"flamingodoor.example/flamingodoor/internal/stall"
 )
 
-// demandTimeout is how long the demand that a peer reported counts without a
-// newer message.
-const demandTimeout = 3 * time.Second
-
 // strikeShareTime is how long a strike, which records that a request was in
 // flight when an engine crashed, is sent to the peers. It reaches each of them
 // several times.
@@ -53,18 +51,14 @@
 	// request, also one that was refused and before a restart.
 	requestsReceived atomic.Bool
 
-	mu      sync.Mutex
-	demands map[string]peerDemand // by identifier of the host
-	losses  []lossReport
+	demands *demand.Tracker // of the peers
+
+	mu     sync.Mutex
+	losses []lossReport
 	// slowSeen is when this host last measured a group as slow, by head.
 	slowSeen map[string]time.Time
 }
 
-type peerDemand struct {
-	rates    map[proxy.DemandKey]float64
-	deadline time.Time
-}
-
 // lossReport is a finding of this host, or one that it forwards, about an
 // instance or a group. Without alive, leaving or retiring, it reports that the
 // instance did not answer or that the group makes no progress.
@@ -86,7 +80,7 @@
 }
 
 func newSharedState(gateway *Gateway) *sharedState {
-	return &sharedState{gateway: gateway, demands: make(map[string]peerDemand), slowSeen: make(map[string]time.Time)}
+	return &sharedState{gateway: gateway, demands: demand.NewTracker(exchange.HostHash(gateway.settings.HostID)), slowSeen: make(map[string]time.Time)}
 }
 
 // Leads reports whether this host leads, and so passes the registrations on.
@@ -100,7 +94,10 @@
 	request.Stranded = s.gateway.paths.Stranded()
 	request.RequestsReceived = !s.noRequestsYet()
 	s.describeUses(request, now)
-	for key, rate := range s.gateway.demand.Rates(now) {
+	own := s.gateway.demand.Rates(now)
+	// Each round records the total, for the case that the next changes the relays.
+	s.demands.Total(own, s.gateway.exchanger.KnownHosts(), now)
+	for key, rate := range own {
 		request.Demands = append(request.Demands, &exchangev1.ModelDemand{Service: key.Service, ModelId: key.Model, EngineSeconds: rate})
 	}
 	for _, strike := range s.gateway.crashTracker.Digest(now) {
@@ -176,9 +173,7 @@
 func (s *sharedState) Forget(hostID string, now time.Time) {
 	s.gateway.tracker.DropPeer(hostID, now)
 	s.gateway.peerSpeeds.Forget(hostID)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.demands, hostID)
+	s.demands.Forget(hostID)
 }
 
 // Probe probes an instance on behalf of a peer that cannot reach it. This host's
@@ -194,13 +189,11 @@
 }
 
 func (s *sharedState) applyDemand(request *exchangev1.ShareRequest, now time.Time) {
-	rates := make(map[proxy.DemandKey]float64, len(request.GetDemands()))
-	for _, demand := range request.GetDemands() {
-		rates[proxy.DemandKey{Service: demand.GetService(), Model: demand.GetModelId()}] = demand.GetEngineSeconds()
+	rates := make(demand.Rates, len(request.GetDemands()))
+	for _, each := range request.GetDemands() {
+		rates[proxy.DemandKey{Service: each.GetService(), Model: each.GetModelId()}] = each.GetEngineSeconds()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.demands[request.GetHostId()] = peerDemand{rates: rates, deadline: now.Add(demandTimeout)}
+	s.demands.Report(request.GetHostId(), rates, s.gateway.exchanger.ReportedHosts(request), now)
 }
 
 func (s *sharedState) applyLosses(request *exchangev1.ShareRequest, now time.Time) {
@@ -291,40 +284,28 @@
 	}
 }
 
+// fleetDemand returns the demand at all hosts, and for how many of them the latest
+// reports stand.
+func (s *sharedState) fleetDemand(now time.Time) demand.Total {
+	return s.demands.Total(s.gateway.demand.Rates(now), s.gateway.exchanger.KnownHosts(), now)
+}
+
+// totalDemands returns the demand for all models at all hosts, in engine seconds per
+// second. The map must not be changed.
+func (s *sharedState) totalDemands() map[proxy.DemandKey]float64 {
+	return s.fleetDemand(time.Now()).Rates
+}
+
 // totalDemand returns the demand for a model at all hosts, in engine seconds
 // per second.
 func (s *sharedState) totalDemand(service, modelID string) float64 {
-	now := time.Now()
-	key := proxy.DemandKey{Service: service, Model: modelID}
-	total := s.gateway.demand.Rates(now)[key]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for hostID, demand := range s.demands {
-		if now.After(demand.deadline) {
-			delete(s.demands, hostID)
-			continue
-		}
-		total += demand.rates[key]
-	}
-	return total
+	return s.totalDemands()[proxy.DemandKey{Service: service, Model: modelID}]
 }
 
-// totalDemands returns the demand for each model at all hosts, in engine seconds per
-// second.
-func (s *sharedState) totalDemands() map[proxy.DemandKey]float64 {
-	now := time.Now()
-	totals := s.gateway.demand.Rates(now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, demand := range s.demands {
-		if now.After(demand.deadline) {
-			continue
-		}
-		for key, rate := range demand.rates {
-			totals[key] += rate
-		}
-	}
-	return totals
+// demandCoverage returns the share of the known hosts that the latest reports of demand
+// stand for.
+func (s *sharedState) demandCoverage() float64 {
+	return s.fleetDemand(time.Now()).Coverage
 }
 
 // noRequestsYet reports whether no host has received a request since the first start of
@@ -336,17 +317,7 @@
 // noDemand reports whether, as far as this host knows, no host has received a
 // request for any model.
 func (s *sharedState) noDemand() bool {
-	if len(s.gateway.demand.Rates(time.Now())) > 0 {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, demand := range s.demands {
-		if len(demand.rates) > 0 {
-			return false
-		}
-	}
-	return true
+	return len(s.gateway.demand.Rates(time.Now())) == 0 && !s.demands.Any()
 }
 
 // markAlive records that an instance answers although some host had marked it as
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,6 +133,9 @@
 	// Demand returns the demand for a model at all hosts, in engine seconds per
 	// second.
 	Demand func(service, modelID string) float64
+	// DemandCoverage returns the share of the known hosts whose reports of demand this
+	// host has; nil if it always has all.
+	DemandCoverage func() float64
 	// NoRequestsYet reports whether no host has received a request since the first start
 	// of the whole system. Until then, loads of weights are short and not limited.
 	NoRequestsYet func() bool
--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -20,6 +20,10 @@
 		return
 	}
 	p.summarisedAt = now
+	coverage := 1.0
+	if p.DemandCoverage != nil {
+		coverage = p.DemandCoverage()
+	}
 	for _, service := range index.Services {
 		if service.Engine == nil {
 			continue
@@ -36,7 +40,7 @@
 		p.logDomains(service, view, domains, now)
 		for _, model := range service.Engine.Models {
 			_ = level.Info(p.Logger).Log("event", "fleet", "service", service.Name, "model", model.ID, "groups", counts[model.ID],
-				"work", p.Demand(service.Name, model.ID), "listed", len(view.ByService[service.Name]),
+				"work", p.Demand(service.Name, model.ID), "coverage", coverage, "listed", len(view.ByService[service.Name]),
 				"free", len(free), "formable", formableGroups(domains, model.InstancesPerGroup), "pending", p.countPending(service.Name, model.ID))
 		}
 	}
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/demand"
 )
 
 // rateTimeConstant is the time constant of the decaying mean rates: long enough
@@ -13,10 +14,7 @@
 const rateTimeConstant = 4 * time.Second
 
 // DemandKey identifies a model of a service.
-type DemandKey struct {
-	Service string
-	Model   string
-}
+type DemandKey = demand.Key
 
 // Demand estimates the engine time that callers request of each model, whether
 // or not their requests are served. It is safe for concurrent use.
@@ -118,10 +116,10 @@
 }
 
 // Rates returns the engine seconds requested per second.
-func (d *Demand) Rates(now time.Time) map[DemandKey]float64 {
+func (d *Demand) Rates(now time.Time) demand.Rates {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rates := make(map[DemandKey]float64, len(d.rates))
+	rates := make(demand.Rates, len(d.rates))
 	for key, mean := range d.rates {
 		mean.decay(now)
 		rates[key] = mean.perSecond
