Do not limit slots under steady load

Cause: with 144 hosts, a host's share is one slot or less. Change: requests that end within the time of the reports count against those that arrive, and two standard deviations are added.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -11,6 +11,9 @@
 	// evenPart is the weight of an even division among the hosts in their shares. It
 	// leaves room for hosts that have had no requests yet.
 	evenPart = 0.1
+	// deviations is the number of standard deviations by which the requests that reports
+	// do not show yet may exceed their mean.
+	deviations = 2
 	// burstFactor times the square root of a share is added to it: requests reach each
 	// host at random, so a limit at the mean would refuse some while other hosts have
 	// slots to spare.
@@ -27,8 +30,9 @@
 	TotalDemand float64
 	Hosts       int
 	// Arrivals is the number of requests that reached this host in the time that
-	// reports take.
-	Arrivals float64
+	// reports take, and EndedPart the part of the requests in flight that end in it.
+	Arrivals  float64
+	EndedPart float64
 }
 
 // Limit returns how many requests this host may have in flight at the model, or false if
@@ -38,8 +42,7 @@
 // all hosts add up.
 func (u SlotUse) Limit(phase float64) (limit int, limited bool) {
 	part := u.part()
-	free := float64(u.Slots - u.InFlight)
-	unreported := u.Arrivals / part
+	free, unreported := float64(u.Slots-u.InFlight), u.unreported(part)
 	if u.Slots <= 0 || free >= unreported {
 		return 0, false
 	}
@@ -50,6 +53,12 @@
 	return max(1, int(share+phase)), true
 }
 
+// unreported returns how many more requests all hosts may have in flight than reports show.
+func (u SlotUse) unreported(part float64) float64 {
+	arrivals := u.Arrivals / part
+	return max(0, arrivals-u.EndedPart*float64(u.InFlight)) + deviations*math.Sqrt(arrivals)
+}
+
 // part returns this host's part of the demand of all hosts.
 func (u SlotUse) part() float64 {
 	even := 1 / float64(max(1, u.Hosts))
--- a/internal/admission/slots_test.go
+++ b/internal/admission/slots_test.go
@@ -12,7 +12,7 @@
 // Guards against a limit while slots are free: hosts whose callers are many must be able
 // to use the slots of the others.
 func TestFreeSlotsAreNotDivided(t *testing.T) {
-	use := admission.SlotUse{Slots: 760, InFlight: 300, OwnDemand: 1, TotalDemand: 30, Hosts: 64, Arrivals: 6}
+	use := admission.SlotUse{Slots: 760, InFlight: 300, OwnDemand: 1, TotalDemand: 64, Hosts: 64, Arrivals: 6, EndedPart: 0.45}
 	_, limited := use.Limit(0)
 	assert.Assert(t, !limited)
 	use.InFlight = 700
@@ -20,6 +20,17 @@
 	assert.Assert(t, limited)
 }
 
+// Guards against a limit under steady load, in which as many requests end as arrive: 144
+// hosts have one slot or less each, and some would refuse while others have slots free.
+func TestSteadyLoadIsNotLimited(t *testing.T) {
+	use := admission.SlotUse{Slots: 100, InFlight: 75, OwnDemand: 1, TotalDemand: 144, Hosts: 144, Arrivals: 43.0 / 144, EndedPart: 0.57}
+	_, limited := use.Limit(0)
+	assert.Assert(t, !limited)
+	use.Arrivals *= 1.6 // a burst
+	_, limited = use.Limit(0)
+	assert.Assert(t, limited)
+}
+
 // Guards against engines that get more requests than slots in a burst: when each of 64
 // hosts placed requests by reports that were 0.8 s old, groups with 20 slots had up to 56
 // requests, and their first events came after 2 s instead of 0.2 s.
--- a/internal/exchange/summary.go
+++ b/internal/exchange/summary.go
@@ -207,7 +207,7 @@
 			excluded = peer.reported
 		}
 		summaries[peer.ID] = total.summaryWithout(excluded)
-		summaries[peer.ID].Paces = total.pacesWithout(peer.reported, hostHash(peer.ID), now)
+		summaries[peer.ID].Paces = total.pacesWithout(peer.reported, HostHash(peer.ID), now)
 	}
 	return summaries
 }
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -195,7 +195,7 @@
 		return 0
 	}
 	mean.decay(now)
-	return mean.perSecond
+	return d.startCorrection(now) * mean.perSecond
 }
 
 // EngineSeconds estimates how long a request occupies an engine whose slots are
--- a/internal/proxy/profile.go
+++ b/internal/proxy/profile.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"time"
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/balance"
@@ -27,6 +28,7 @@
 type profile struct {
 	prompt movingMean // tokens
 	answer movingMean // events, one of each pass of the engine
+	took   movingMean // seconds from placement to the end of the answer
 }
 
 // movingMean is the mean of the newest values.
@@ -68,14 +70,28 @@
 	p.of(j.key(), j.service.Engine).prompt.add(float64(j.promptTokens))
 }
 
-// addAnswer counts the events of a complete answer.
-func (p *profiles) addAnswer(j *job, events int) {
+// addAnswer counts a complete answer.
+func (p *profiles) addAnswer(j *job, events int, now time.Time) {
 	if j.service.Engine == nil || events <= 0 || j.lastEventID != "" {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(j.key(), j.service.Engine).answer.add(float64(events))
+	known := p.of(j.key(), j.service.Engine)
+	known.answer.add(float64(events))
+	known.took.add(now.Sub(j.placedAt).Seconds())
+}
+
+// endedPart returns the part of a model's requests in flight that end within the time, or
+// 0 before any has ended.
+func (p *profiles) endedPart(j *job, within time.Duration) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	took := p.of(j.key(), j.service.Engine).took.value
+	if took <= 0 {
+		return 0
+	}
+	return within.Seconds() / took
 }
 
 // usefulSlots returns how many of the slots of a group serve more requests per second if
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -23,7 +23,11 @@
 		return false
 	}
 	own, all, slots := p.tracker.Use(set.candidates)
-	use := admission.SlotUse{Slots: slots, InFlight: all, Hosts: int(p.hostCount.Load()), Arrivals: p.unreportedArrivals(j, now)}
+	delay := time.Duration(p.reportDelay.Load())
+	use := admission.SlotUse{
+		Slots: slots, InFlight: all, Hosts: int(p.hostCount.Load()),
+		Arrivals: p.arrivalRates.perSecond(j.key(), now) * delay.Seconds(), EndedPart: p.profiles.endedPart(j, delay),
+	}
 	if total := p.fleetDemand.Load(); total != nil {
 		use.OwnDemand, use.TotalDemand = p.demand.Rate(j.key(), now), (*total)[j.key()]
 	}
@@ -37,9 +41,3 @@
 	})
 	return true
 }
-
-// unreportedArrivals returns how many requests reached this host in the time that its
-// reports take to all others.
-func (p *Proxy) unreportedArrivals(j *job, now time.Time) float64 {
-	return p.arrivalRates.perSecond(j.key(), now) * time.Duration(p.reportDelay.Load()).Seconds()
-}
