Queue requests for each service and model in order of priority, time and share

Waiting requests raced for free slots: all woke for each change, and the first to take the lock won, so priority and the shares of workspaces had no effect.

Each host now has one queue per service and model. internal/admission.Line decides who is next, whether a request may wait and when its turn comes; a goroutine that exists only while requests wait tries the next one after each change. Second tries queue like others. Streams wait as long as their callers do, less the predicted time to the first event.

--- a/internal/admission/selection.go
+++ b/internal/admission/selection.go
@@ -33,13 +33,19 @@
 			continue
 		}
 		w, usage := club.first(), q.relativeUsage(club, now)
-		if best == nil || usage < leastUsage || (usage == leastUsage && w.sequence < best.sequence) {
+		if best == nil || lessServed(usage, leastUsage, w.sequence < best.sequence) {
 			best, leastUsage = w, usage
 		}
 	}
 	return best
 }
 
+// lessServed reports whether the first of two parties comes before the second: the one
+// that was served less, or, if both were served alike, the one whose request is first.
+func lessServed(usage, other float64, first bool) bool {
+	return usage < other || (usage == other && first)
+}
+
 // relativeUsage returns the slots that a club uses on all hosts, divided by its
 // weight.
 func (q *Queue) relativeUsage(c *club, now time.Time) float64 {
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -36,6 +36,9 @@
 			return err
 		}
 	}
+	if err := g.metrics.ModelGauge("flamingodoor.requests.waiting", "Requests of this host that wait for a slot", g.waitingRequests); err != nil {
+		return err
+	}
 	for _, counter := range []struct {
 		name        string
 		description string
@@ -97,6 +100,12 @@
 	return serving
 }
 
+func (g *Gateway) waitingRequests(observe func(service, model string, value int64)) {
+	for key, waiting := range g.proxy.WaitingRequests() {
+		observe(key.Service, key.Model, waiting)
+	}
+}
+
 func (g *Gateway) inFlight() int64 {
 	total := 0
 	for _, requests := range g.tracker.OwnInFlight() {
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"flamingodoor.example/flamingodoor"
@@ -25,12 +24,22 @@
 const (
 	minRetryAfterShare = 0.2
 	maxRetryAfterShare = 0.33
+	// minRetrySpreadShare is the least part of the remaining time over which Retry-After
+	// is spread, however late a slot is expected.
+	minRetrySpreadShare = 0.05
 )
 
-// retryAfter returns the Retry-After of a refused job: a share of the time left.
+// retryAfter returns the Retry-After of a refused job: when its queue is expected to have a
+// slot for it, within the limits above, and spread at random.
 func (p *Proxy) retryAfter(j *job) time.Duration {
-	left := max(0, j.deadline.Sub(p.now()))
-	return p.retryAfterOr(j, time.Duration(minRetryAfterShare*float64(left))+p.retrySpread(left))
+	now := p.now()
+	left := max(0, j.deadline.Sub(now))
+	least, most := time.Duration(minRetryAfterShare*float64(left)), time.Duration(maxRetryAfterShare*float64(left))
+	if turn, known := p.expectedTurn(j, now); known {
+		latest := most - time.Duration(minRetrySpreadShare*float64(left))
+		least = min(max(least, turn.Sub(now)), latest)
+	}
+	return p.retryAfterOr(j, least+time.Duration(p.random()*float64(most-least)))
 }
 
 // retryAfterOr returns the Retry-After of a refused job if all its instances asked
@@ -80,45 +89,40 @@
 	errFull       = flamingodoor.Errorf(flamingodoor.CodeOverloaded, "all instances are at capacity")
 )
 
-// acquire reserves a slot at an instance. If all instances are at capacity it
-// waits for one until the given time or the end of the context; if there is no
-// instance it fails at once. If this host reaches none, it returns a peer.
+// acquire reserves a slot at an instance. If all instances are at capacity, or other
+// jobs wait already, it waits for its turn until the given time or the end of the context;
+// if there is no instance it fails at once. If this host reaches none, it returns a peer.
 func (p *Proxy) acquire(ctx context.Context, j *job, until time.Time) (destination, error) {
-	timer := time.NewTimer(max(0, until.Sub(p.now())))
-	defer timer.Stop()
-	if !j.callerRetry {
-		defer p.waiters.add(j)()
-	}
-	for {
-		if p.partTracker.Blocked(j.parts, p.now()) {
-			return destination{}, errPartBlocked
-		}
-		changed := p.tracker.Changed()
-		dest, roomAt, err := p.tryAcquire(j)
-		if err == nil && j.placedAt.IsZero() {
-			j.placedAt = p.now()
-		}
-		if err == nil || mustNotWait(err, until) {
-			return dest, err
-		}
-		var room <-chan time.Time
-		if !roomAt.IsZero() && roomAt.Before(until) {
-			room = time.After(roomAt.Sub(p.now()))
-		}
-		select {
-		case <-changed:
-		case <-room:
-		case <-timer.C:
-			return destination{}, err
-		case <-ctx.Done():
-			return destination{}, ctx.Err()
+	q := p.queueOf(j)
+	dest, err := destination{}, error(errFull)
+	if q.waiting.Load() == 0 {
+		if dest, _, err = p.tryUnblocked(j); err == nil && dest.peer == nil {
+			q.countServed(j, p.now())
 		}
+	} else if !p.paths.Stranded() {
+		p.countArrival(j)
+	}
+	if err != nil && !mustNotWait(err, j.holdLimit(until, p.now())) {
+		dest, err = q.wait(ctx, j, until, err)
 	}
+	if err == nil && j.placedAt.IsZero() {
+		j.placedAt = p.now()
+	}
+	return dest, err
+}
+
+// tryUnblocked reserves a slot without waiting, unless a part of the prompt is known to
+// crash instances.
+func (p *Proxy) tryUnblocked(j *job) (destination, time.Time, error) {
+	if p.partTracker.Blocked(j.parts, p.now()) {
+		return destination{}, time.Time{}, errPartBlocked
+	}
+	return p.tryAcquire(j)
 }
 
 // mustNotWait reports whether a job that was not placed would wait in vain.
 func mustNotWait(err error, until time.Time) bool {
-	return errors.Is(err, errNoInstance) || errors.Is(err, errNoPath) || errors.Is(err, errNoRetry) || isHeldPast(err, until)
+	return errors.Is(err, errPartBlocked) || errors.Is(err, errNoInstance) || errors.Is(err, errNoPath) || errors.Is(err, errNoRetry) || isHeldPast(err, until)
 }
 
 // isHeldPast reports whether no instance takes requests of this host before the
@@ -155,12 +159,6 @@
 	if !p.grantRetry(j, now) {
 		return p.acquireGrant(j, now)
 	}
-	if j.callerRetry && p.waiters.hasAny(j) {
-		// Jobs that are not callers' retries take precedence: they have more
-		// time left for a response.
-		p.countArrival(j)
-		return destination{}, time.Time{}, errFull
-	}
 	set := p.findCandidates(j, p.roster.View(), now)
 	if len(set.candidates) == 0 && set.unreachable > 0 && len(j.failedInstances) < j.route.MaxAttempts && p.reliesOnOwnPaths(j, now) {
 		set = p.findCandidates(j, p.roster.View().IgnoringPaths(), now)
@@ -197,44 +195,6 @@
 	return p.tracker.Pick(set.candidates, unreported, now)
 }
 
-// waitCounter counts the waiting jobs that are not callers' retries. It is safe
-// for concurrent use.
-type waitCounter struct {
-	mu     sync.Mutex
-	counts map[waitKey]int
-}
-
-type waitKey struct {
-	service string
-	model   string
-}
-
-func newWaitCounter() *waitCounter {
-	return &waitCounter{counts: make(map[waitKey]int)}
-}
-
-// add counts the job until the returned function is called.
-func (w *waitCounter) add(j *job) (remove func()) {
-	key := waitKey{service: j.service.Name, model: j.model}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.counts[key]++
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if w.counts[key]--; w.counts[key] == 0 {
-			delete(w.counts, key)
-		}
-	}
-}
-
-// hasAny reports whether a counted job waits for the same service and model.
-func (w *waitCounter) hasAny(j *job) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.counts[waitKey{service: j.service.Name, model: j.model}] > 0
-}
-
 // candidateSet holds the instances that can take a job.
 type candidateSet struct {
 	candidates   []balance.Candidate
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -106,7 +106,7 @@
 			return
 		}
 		response, result := p.attempt(ctx, j, dest)
-		p.release(dest)
+		p.release(j, dest)
 		switch {
 		case result == outcomeCallerLeft:
 			p.abortLeft(j, 0)
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -128,9 +128,17 @@
 	return mean.perSecond
 }
 
-// expectedOutput estimates the output tokens of a request from its limit. It
-// updates the service's mean limit, then scales the limit by the ratio of the
-// mean output to that mean, because callers allow more tokens than are generated.
+// Work returns the estimated engine seconds of a request to a service with an engine,
+// without counting it.
+func (d *Demand) Work(service flamingodoor.ServiceSpec, model string, promptTokens, maxOutputTokens int) float64 {
+	d.mu.Lock()
+	output := scaledOutput(service.Engine, float64(maxOutputTokens), d.meanOutputLimits[service.Name])
+	d.mu.Unlock()
+	return EngineSeconds(service.Engine, model, float64(promptTokens), output)
+}
+
+// expectedOutput updates the service's mean limit of output tokens, and estimates the
+// output tokens of a request from its limit.
 func (d *Demand) expectedOutput(service flamingodoor.ServiceSpec, limit float64) float64 {
 	mean, ok := d.meanOutputLimits[service.Name]
 	if !ok {
@@ -138,10 +146,16 @@
 	}
 	mean += outputLimitWeight * (limit - mean)
 	d.meanOutputLimits[service.Name] = mean
-	if service.Engine.MeanAnswerTokens <= 0 || mean <= service.Engine.MeanAnswerTokens {
+	return scaledOutput(service.Engine, limit, mean)
+}
+
+// scaledOutput scales a limit of output tokens by the ratio of the mean output to the mean
+// limit, because callers allow more tokens than are generated.
+func scaledOutput(engine *flamingodoor.EngineSpec, limit, meanLimit float64) float64 {
+	if engine.MeanAnswerTokens <= 0 || meanLimit <= engine.MeanAnswerTokens {
 		return limit
 	}
-	return limit * service.Engine.MeanAnswerTokens / mean
+	return limit * engine.MeanAnswerTokens / meanLimit
 }
 
 func (r *meanRate) add(amount float64, now time.Time) {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -162,12 +162,13 @@
 	return destination{}, time.Time{}, errNoRetry
 }
 
-// release ends the use of a destination that acquire returned.
-func (p *Proxy) release(dest destination) {
+// release ends the use of a destination that acquire returned for a job.
+func (p *Proxy) release(j *job, dest destination) {
 	if dest.peer != nil {
 		p.peers.ReleasePeer(dest.peer.ID)
 		return
 	}
+	p.countRelease(j)
 	p.tracker.Release(dest.instance.ID)
 }
 
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -80,6 +80,8 @@
 	unanswered      runningEntry    // of Proxy.unanswered
 	target          string          // identifier of the instance that responded
 	cause           string          // of the last failure
+	queuedBehind    int             // requests ahead of it when it first waited for a slot; -1 if it has not
+	waited          time.Duration   // for slots
 	placedAt        time.Time       // first slot reserved
 	firstEventAt    time.Time       // first event received
 }
@@ -145,6 +147,11 @@
 	}
 }
 
+// isStream reports whether the response is a stream.
+func (j *job) isStream() bool {
+	return j.route.Kind == flamingodoor.RouteKindStreaming
+}
+
 // hopHeaders are the hop-by-hop headers, which apply to a single connection, and
 // others that are not forwarded.
 var hopHeaders = []string{
@@ -184,7 +191,7 @@
 		id: request.Header.Get(p.headers.RequestID), route: route, receivedAt: received,
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
-		priority: route.Priority, failedInstances: make(map[string]bool), authorization: request.Header.Get("Authorization"),
+		priority: route.Priority, failedInstances: make(map[string]bool), queuedBehind: -1, authorization: request.Header.Get("Authorization"),
 		version: index.Version, forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
 	if j.forwardedBy != "" {
@@ -207,7 +214,7 @@
 			j.deadline = limit
 		}
 	}
-	j.waitUntil = received.Add(min(route.LatencyObjective, j.deadline.Sub(received)) / waitDivisor)
+	j.waitUntil = p.lastPlacement(j)
 	j.fingerprint = fingerprint(j)
 	j.parts = append(promptParts(j.service.Name, request.Header.Values(p.headers.PromptParts)), wholeRequest(j.fingerprint))
 	return j
--- a/internal/proxy/responsetimes.go
+++ b/internal/proxy/responsetimes.go
@@ -54,6 +54,14 @@
 	r.times[key] = usual
 }
 
+// mean returns the usual time, or false if none was recorded.
+func (r *responseTimes) mean(j *job) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	usual, ok := r.times[responseKey{route: j.route.Name, model: j.model}]
+	return usual.mean, ok
+}
+
 // suspectAt returns when the response to a request that is sent now has usually begun.
 func (r *responseTimes) suspectAt(j *job, now time.Time) time.Time {
 	r.mu.Lock()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -66,7 +66,7 @@
 		eventsBefore := client.sent().events
 		hedge := p.newHedge(j, dest, client)
 		result := hedge.decide(j, p.streamAttempt(runner, j, dest, client, hedge.suspect))
-		p.release(dest)
+		p.release(j, dest)
 		sent := client.sent()
 		j.responseStarted = sent.started || j.responseStarted
 		if result.final() || client.superseded(runner) || !p.mayResume(runner.ctx, j, sent) {
@@ -175,6 +175,7 @@
 		}
 		if !begun {
 			begun = true
+			p.firstEventTimes.add(j, p.now().Sub(sentAt))
 			endUnbegun()
 			p.reportBegun(j)
 		}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -124,6 +124,19 @@
 	return instrumentError(err)
 }
 
+// ModelGauge registers a gauge with one value for each model of a service, which are read
+// at each scrape.
+func (m *Metrics) ModelGauge(name, description string, read func(observe func(service, model string, value int64))) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			read(func(service, model string, value int64) {
+				observer.Observe(value, metric.WithAttributes(attribute.String("service", service), attribute.String("model", model)))
+			})
+			return nil
+		}))
+	return instrumentError(err)
+}
+
 // Counter registers a counter whose value is read at each scrape.
 func (m *Metrics) Counter(name, description string, read func() int64) error {
 	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
