--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -95,11 +95,11 @@
 func (p *Proxy) acquire(ctx context.Context, j *job, until time.Time) (destination, error) {
 	q := p.queueOf(j)
 	dest, err := destination{}, error(errFull)
-	if q.waiting.Load() == 0 {
+	if q.waiting.Load() == 0 || p.skipsQueue(j) {
 		if dest, _, err = p.tryUnblocked(j); err == nil && dest.peer == nil {
 			q.countServed(j, p.now())
 		}
-	} else if !p.paths.Stranded() {
+	} else {
 		p.countArrival(j)
 	}
 	if err != nil && !mustNotWait(err, j.holdLimit(until, p.now())) {
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -194,6 +194,17 @@
 	q.line.CountRelease(now)
 }
 
+// skipsQueue reports whether a job is tried at once although others wait: a stream that
+// resumes comes before them, and one that cannot get any slot of this queue now is refused
+// or forwarded without delay.
+func (p *Proxy) skipsQueue(j *job) bool {
+	if j.responseStarted || p.paths.Stranded() || p.paths.Suspected() {
+		return true
+	}
+	set := p.findCandidates(j, p.roster.View(), p.now())
+	return len(set.candidates) == 0 || set.unreachable > len(set.candidates)
+}
+
 // wait queues a job until it is placed, cannot be placed any more, or the time or the
 // context ends. It fails at once if the turn of the job comes too late.
 func (q *queue) wait(ctx context.Context, j *job, until time.Time, lastErr error) (destination, error) {
--- a/internal/proxy/queue_test.go
+++ b/internal/proxy/queue_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -173,3 +174,44 @@
 	assert.Equal(t, s.tracker.InFlight("i-1"), 1)
 	assert.Equal(t, s.send("/stream/x").status, http.StatusOK)
 }
+
+// Guards against callers that wait in vain: once the rate at which slots end is known, a
+// request whose turn comes too late is refused at once, with a Retry-After within the
+// caller's time.
+func TestRequestBehindALongQueueIsRefusedAtOnce(t *testing.T) {
+	var elapsed atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(elapsed.Load())) }
+	s := newSetup(t, proxy.WithClock(now))
+	e := newEndpoint(t, events(1, 0))
+	s.register(e.instance("i-1", "llm"))
+	s.allowLongRequests(30*time.Second, time.Second)
+	for range 12 { // two slots end per second
+		elapsed.Add(int64(500 * time.Millisecond))
+		s.catalogue.Confirm(now())
+		assert.Equal(t, s.send("/stream/x").status, http.StatusOK)
+	}
+	s.fill("i-1")
+	q := queued{statuses: make(chan int, 2)}
+	patient := func(request *http.Request) { request.Header.Set(headers.DeadlineMS, "20000") }
+	s.enqueue(&q, "r1", patient)
+	s.awaitWaiting(1)
+	s.enqueue(&q, "r2", patient)
+	s.awaitWaiting(2)
+	// The turn of the next request is expected after 1.3 s.
+	const limit = 1100 * time.Millisecond
+	sent, runs := time.Now(), e.runs.Load()
+	got := s.send("/stream/x", func(request *http.Request) {
+		request.Header.Set(headers.RequestID, "r3")
+		request.Header.Set(headers.DeadlineMS, strconv.FormatInt(limit.Milliseconds(), 10))
+	})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(sent) < limit-100*time.Millisecond, "refused after %s", time.Since(sent))
+	after := retryAfterOf(t, got)
+	assert.Assert(t, after > 0 && after <= limit/3, "Retry-After %s", after)
+	assert.Equal(t, e.runs.Load(), runs)
+	s.tracker.Release("i-1")
+	s.tracker.Release("i-1")
+	q.wait.Wait()
+	assert.Equal(t, <-q.statuses, http.StatusOK)
+	assert.Equal(t, <-q.statuses, http.StatusOK)
+}
