Hedge late streams within a share of the engine time that operators set

A single slow group delays its requests until callers give up, although other groups have free slots.

A suspicion about the first attempt during a hedge begins a backup if the hedge fails.

With any limit, an attempt now releases its slot when it ends, not when a backup that goes on with the stream ends; load reports counted it until then.

Tests: internal/hedging and internal/proxy pass with the race detector, as does internal/gateway. The effect on a deployment has not been measured.

--- a/cmd/flamingodoor-entry/main.go
+++ b/cmd/flamingodoor-entry/main.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
 
+	"flamingodoor.example/flamingodoor/internal/hedging"
 	"flamingodoor.example/flamingodoor/internal/logging"
 	"flamingodoor.example/flamingodoor/internal/telemetry"
 	"flamingodoor.example/flamingodoor/internal/version"
@@ -26,11 +27,12 @@
 )
 
 type options struct {
-	Settings    string `long:"settings" description:"path of the platform's settings file; by default the path that the platform names"`
-	LogLevel    string `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" description:"lowest level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error"`
-	MetricsPort uint16 `long:"metrics-port" env:"FLAMINGODOOR_METRICS_PORT" default:"9464" description:"port of the metrics on the host's address"`
-	Check       bool   `long:"check" description:"check the settings and exit"`
-	Version     func() `long:"version" description:"print the version and exit"`
+	Settings    string  `long:"settings" description:"path of the platform's settings file; by default the path that the platform names"`
+	LogLevel    string  `long:"log-level" env:"FLAMINGODOOR_LOG_LEVEL" default:"info" description:"lowest level of log lines" choice:"debug" choice:"info" choice:"warn" choice:"error"`
+	MetricsPort uint16  `long:"metrics-port" env:"FLAMINGODOOR_METRICS_PORT" default:"9464" description:"port of the metrics on the host's address"`
+	HedgeLimit  float64 `long:"hedge-limit" env:"FLAMINGODOOR_HEDGE_LIMIT" default:"0" description:"share of the engine time of all requests that hedges may use, 0 to 0.2; 0 is off"`
+	Check       bool    `long:"check" description:"check the settings and exit"`
+	Version     func()  `long:"version" description:"print the version and exit"`
 }
 
 func main() {
@@ -54,12 +56,16 @@
 		}
 		return exitUsage
 	}
+	if err := hedging.CheckLimit(flagValues.HedgeLimit); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
 	settings, err := platform.ReadSettings(flagValues.Settings)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	settings.MetricsPort = flagValues.MetricsPort
+	settings.MetricsPort, settings.HedgeLimit = flagValues.MetricsPort, flagValues.HedgeLimit
 	if flagValues.Check {
 		return 0
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	Limits      proxy.Limits
 	ElectionTTL time.Duration // lease of the leader, raised to minElectionLease if it is shorter
 	FirstStart  bool          // no host has run before
+	HedgeLimit  float64       // share of the engine time of requests that hedges may use; 0 for none
 }
 
 // Platform provides access to the platform's services and to the instances.
@@ -196,7 +197,7 @@
 		Headers: platform.Headers, Limits: settings.Limits, HostID: settings.HostID, DataCentre: settings.DataCentre, Catalogue: g.catalogue,
 		Roster: g.roster, Tracker: g.tracker, Pool: g.pool, Monitor: g.monitor, CrashTracker: &strikeTracker{Ledger: g.crashTracker, gateway: g},
 		PartTracker: g.parts, Paths: g.paths, PeerPool: g.peerPool, Demand: g.demand, Logger: logger,
-	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes), proxy.WithFirstStart(settings.FirstStart), proxy.WithConfigurationCheck(func() bool { return g.exchanger.ConfigurationConfirmed() }))
+	}, proxy.WithObserver(metrics), proxy.WithLeavingListener(g.announceLeaving), proxy.WithLimitListener(func() { g.exchanger.SendUrgent() }), proxy.WithMemory(settings.MemoryBytes), proxy.WithFirstStart(settings.FirstStart), proxy.WithHedgeLimit(settings.HedgeLimit), proxy.WithConfigurationCheck(func() bool { return g.exchanger.ConfigurationConfirmed() }))
 	platform.Instances.Observe(g.proxy.Observe)
 	platform.Probes.Observe(g.proxy.Observe)
 	g.shared = newSharedState(g)
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -53,6 +53,24 @@
 			return err
 		}
 	}
+	return g.registerHedgeCounters()
+}
+
+// registerHedgeCounters registers the counters of hedged requests.
+func (g *Gateway) registerHedgeCounters() error {
+	for _, counter := range []struct {
+		name        string
+		description string
+		read        func(counts proxy.HedgeCounts) int64
+	}{
+		{"flamingodoor.hedges", "Second attempts at streams whose first event was late", func(counts proxy.HedgeCounts) int64 { return counts.Started }},
+		{"flamingodoor.hedges.won", "Of them, those that had the first event", func(counts proxy.HedgeCounts) int64 { return counts.Won }},
+		{"flamingodoor.hedges.engine_ms", "Estimated engine time of hedges in milliseconds, as charged to the limit", func(counts proxy.HedgeCounts) int64 { return counts.EngineTime.Milliseconds() }},
+	} {
+		if err := g.metrics.Counter(counter.name, counter.description, func() int64 { return counter.read(g.proxy.HedgeCounts()) }); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -31,6 +31,9 @@
 	backup  *backup // under way
 	ended   bool    // the attempt has ended
 	decided bool    // with the stream
+	// suspicion is the cause of a suspicion during a hedge, which becomes a backup if the
+	// hedge fails.
+	suspicion error
 	// excluded is whether only the suspicion keeps the job from the destination.
 	excluded bool
 }
@@ -52,9 +55,20 @@
 func (h *hedge) suspect(cause error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.ended || h.backup != nil || !h.base.repeatable() {
+	if h.ended || !h.base.repeatable() {
 		return
 	}
+	if h.backup != nil {
+		if h.backup.job.isHedge {
+			h.suspicion = cause
+		}
+		return
+	}
+	h.beginBackup(cause)
+}
+
+// beginBackup begins a backup attempt. It is called with the lock held.
+func (h *hedge) beginBackup(cause error) {
 	h.backup = &backup{job: h.base.copy(), done: make(chan struct{})}
 	if !h.started {
 		h.started = true
@@ -69,7 +83,8 @@
 	p, j := h.proxy, &backup.job
 	h.prepare(j, cause)
 	sent := h.client.sent()
-	allowed := p.mayResume(h.client.ctx, j, sent)
+	// A hedge has no backup of its own before it has the first event.
+	allowed := (!j.isHedge || sent.events > 0) && p.mayResume(h.client.ctx, j, sent)
 	_ = level.Info(p.logger).Log("event", "stream_suspected", "request", j.id, "instance", h.dest.id(), "cause", cause, "last_event", sent.lastEventID, "hedged", allowed)
 	backup.outcome = outcomeFailed
 	if allowed {
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -84,6 +84,10 @@
 	waited          time.Duration   // for slots
 	placedAt        time.Time       // first slot reserved
 	firstEventAt    time.Time       // first event received
+	engineSeconds   float64         // estimated, if hedging counts it
+	measuredFrom    time.Time       // start of the attempt whose time to the first event hedging measures; zero if none
+	isHedge         bool            // the attempt is a hedge
+	hedgeWon        bool            // it had the first event
 }
 
 // sinceReceived returns the milliseconds from the receipt of the request to the
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -126,6 +126,7 @@
 	arrivalRates     *arrivalRates
 	responseTimes    *responseTimes
 	firstEventTimes  *responseTimes // from the send to the first event of streams
+	hedges           *hedges // nil if hedging is off
 }
 
 // Observer records metrics of requests.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -63,25 +63,38 @@
 		if err != nil {
 			return outcomeFailed, err
 		}
-		eventsBefore := client.sent().events
-		hedge := p.newHedge(j, dest, client)
-		result := hedge.decide(j, p.streamAttempt(runner, j, dest, client, hedge.suspect))
-		p.release(j, dest)
-		sent := client.sent()
-		j.responseStarted = sent.started || j.responseStarted
-		if result.final() || client.superseded(runner) || !p.mayResume(runner.ctx, j, sent) {
+		result, again := p.runAttempt(runner, j, dest, client)
+		if !again {
 			return result, nil
 		}
-		if !result.sameAgain() {
-			j.exclude(dest)
-		}
-		if dest.peer != nil && sent.events > eventsBefore {
-			j.brokenPeers = append(j.brokenPeers, dest.peer.ID)
-		}
 		until = p.now().Add(maxResumeWait)
 	}
 }
 
+// runAttempt makes an attempt at a destination that was acquired, with its backups, and
+// reports whether another attempt is allowed.
+func (p *Proxy) runAttempt(runner *streamRunner, j *job, dest destination, client *delivery) (result outcome, again bool) {
+	eventsBefore := client.sent().events
+	hedge := p.newHedge(j, dest, client)
+	attemptEnded := p.hedges.begin(j, hedge)
+	result = p.streamAttempt(runner, j, dest, client, hedge.suspect)
+	attemptEnded(runner)
+	p.release(j, dest) // before the wait for a backup, which may go on with the stream for long
+	result = hedge.decide(j, result)
+	sent := client.sent()
+	j.responseStarted = sent.started || j.responseStarted
+	if result.final() || client.superseded(runner) || !p.mayResume(runner.ctx, j, sent) {
+		return result, false
+	}
+	if !result.sameAgain() {
+		j.exclude(dest)
+	}
+	if dest.peer != nil && sent.events > eventsBefore {
+		j.brokenPeers = append(j.brokenPeers, dest.peer.ID)
+	}
+	return result, true
+}
+
 // mayResume reports whether the stream may continue with another attempt, and
 // takes that attempt from the retry budget.
 func (p *Proxy) mayResume(ctx context.Context, j *job, sent position) bool {
@@ -194,6 +207,7 @@
 	if sent.events == 1 {
 		j.firstEventAt = p.now()
 		p.observer.FirstToken(j.workspace, j.firstEventAt.Sub(j.receivedAt))
+		p.hedges.firstEvent(j)
 	}
 }
 
