Show in event=fleet what each listed instance is doing

Cause: the lines of the leader showed the instances that are free and the groups that serve, but not why another listed instance serves nothing.

Change: event=fleet gains serving, forming, closing, broken, leaving, lost, evacuated and unplaced, which add up to listed together with free, and loading, the free instances that load weights. The test of a change of the leader has all demand at half of the hosts, so that a scaled sum does not stand for the held total.

--- a/internal/exchange/demand_test.go
+++ b/internal/exchange/demand_test.go
@@ -85,6 +85,13 @@
 	for name, relay := range map[string]bool{"to a relay": true, "to another host": false} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeploymentWithDemand(t)
+			// Half of the hosts have all callers, so that the others do not stand for them.
+			for i, host := range d.hosts {
+				host.mu.Lock()
+				host.ownDemand = demand.Rates{demandKey: float64(i / (deploymentHosts / 2) * 2)}
+				host.mu.Unlock()
+			}
+			d.runRounds(settleRounds)
 			leader := d.find(relay)
 			d.setLeader(leader)
 			d.checkTotals(heldRounds, 0.8*deploymentHosts, 1.2*deploymentHosts)
--- a/internal/planner/summary.go
+++ b/internal/planner/summary.go
@@ -38,10 +38,14 @@
 			}
 		}
 		p.logDomains(service, view, domains, now)
+		usage := p.countUsage(view, service.Name, now)
+		loading := p.countLoading(free)
 		for _, model := range service.Engine.Models {
 			_ = level.Info(p.Logger).Log("event", "fleet", "service", service.Name, "model", model.ID, "groups", counts[model.ID],
 				"work", p.Demand(service.Name, model.ID), "coverage", coverage, "listed", len(view.ByService[service.Name]),
-				"free", len(free), "formable", formableGroups(domains, model.InstancesPerGroup), "pending", p.countPending(service.Name, model.ID))
+				"free", len(free), "formable", formableGroups(domains, model.InstancesPerGroup), "pending", p.countPending(service.Name, model.ID),
+				"loading", loading, "serving", usage[usageServing], "forming", usage[usageForming], "closing", usage[usageClosing], "broken", usage[usageBroken],
+				"leaving", usage[usageLeaving], "lost", usage[usageLost], "evacuated", usage[usageEvacuated], "unplaced", usage[usageUnplaced])
 		}
 	}
 }
