Test the total demand from messages of an older build

Cause: no test sent the messages of a build that does not know of the coverage.

Result: the total and full coverage are as before with such messages.

--- a/internal/exchange/demand_test.go
+++ b/internal/exchange/demand_test.go
@@ -1,11 +1,16 @@
 package exchange_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"flamingodoor.example/flamingodoor"
+	exchangev1 "flamingodoor.example/flamingodoor/gen/flamingodoor/exchange/v1"
 	"flamingodoor.example/flamingodoor/internal/demand"
 	"flamingodoor.example/flamingodoor/internal/exchange"
 )
@@ -155,3 +160,34 @@
 	d.checkTotals(heldRounds, 0.8*remaining, 1.2*deploymentHosts)
 	d.checkTotals(settleRounds, 0.8*remaining, 1.2*remaining)
 }
+
+// Guards against messages of an older build that give another total than before, or no
+// full coverage: a summary lists its hosts, and any other message stands for its sender.
+func TestTotalDemandOfAnOlderBuild(t *testing.T) {
+	receiver := &host{registrations: registrations{onCatchUp: func(int64) {}}, demands: demand.NewTracker(exchange.HostHash("a"))}
+	self := flamingodoor.EntryPeer{ID: "a", Address: netip.MustParseAddrPort("127.0.0.1:2"), DataCentre: "dc"}
+	receiver.Exchanger = exchange.New(self, directory{receiver, nil},
+		exchange.Feeds{Registrations: receiver.registrations, Configuration: receiver}, receiver, receiver, log.NewNopLogger())
+	demands := []*exchangev1.ModelDemand{{Service: demandKey.Service, ModelId: demandKey.Model, EngineSeconds: 3}}
+	summary := &exchangev1.Summary{
+		All: true, Demands: demands, Hosts: []uint32{exchange.HostHash("relay"), exchange.HostHash("b"), exchange.HostHash("a")},
+	}
+	for i, message := range []struct {
+		*exchangev1.ShareRequest
+
+		total float64
+	}{
+		{&exchangev1.ShareRequest{HostId: "b", Demands: demands}, 3},
+		{&exchangev1.ShareRequest{HostId: "c", Demands: demands}, 6},
+		{&exchangev1.ShareRequest{HostId: "relay", Demands: demands, Summary: summary}, 6}, // replaces what b and the relay reported
+		{&exchangev1.ShareRequest{HostId: "b", Demands: demands}, 6},
+	} {
+		message.Address, message.DataCentre, message.Sequence = "127.0.0.1:1", "dc", uint64(1+i)
+		_, err := receiver.Share(t.Context(), connect.NewRequest(message.ShareRequest))
+		assert.NilError(t, err)
+		total := receiver.demands.Total(nil, receiver.KnownHosts(), time.Now())
+		assert.Equal(t, total.Rates[demandKey], message.total, "message %d", i)
+		assert.Equal(t, total.Coverage, 1.0, "message %d", i)
+		assert.Assert(t, !total.Held, "message %d", i)
+	}
+}
