Fail the attempt on an invalid response status

Cause: http.ReadResponse and http.Transport accept every status that Atoi accepts. The proxy took 000, 001, 099, +20 and 101 for interim responses, skipped them and delivered the head that followed; 600 to 999 were delivered. http.Transport returns all of them, and 101, as responses: a report, an order or a call to the store took them for a result, and kept the connection of a 600 to 999 without a body.

Change: intake.CheckStatus accepts 100 to 599 except 101. The head of a second response in a body without a length is found with any status.

Result: an invalid status fails the attempt with the protocol code and the state "may have run", and closes the connection.

--- /dev/null
+++ b/internal/intake/status.go
@@ -0,0 +1,62 @@
+package intake
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"flamingodoor.example/flamingodoor"
+)
+
+const (
+	// minStatus and maxStatus bound the statuses that HTTP defines.
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckStatus returns an error with CodeProtocol unless a response may have the status:
+// 100 to 599, except 101, because no request asks for another protocol. After any other
+// head, nothing on the connection is known to belong to the request, which may have run.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return flamingodoor.NewError(flamingodoor.CodeProtocol, flamingodoor.RunStateMayHaveRun, flamingodoor.Errorf(flamingodoor.CodeProtocol, "invalid response status %03d", status))
+	}
+	return nil
+}
+
+// StatusTransport is an http.RoundTripper that fails with the error of CheckStatus and
+// closes the connection, where http.Transport returns a response with any status that
+// strconv.Atoi accepts.
+type StatusTransport struct {
+	transport *http.Transport
+}
+
+// NewStatusTransport returns a transport that checks what the given one receives.
+func NewStatusTransport(transport *http.Transport) *StatusTransport {
+	return &StatusTransport{transport: transport}
+}
+
+// RoundTrip sends a request and checks the status of its response.
+func (s *StatusTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var connection net.Conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+	})
+	response, err := s.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		// Closing the body does not suffice: after a response without one, the
+		// connection is idle already.
+		_ = response.Body.Close()
+		_ = connection.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of the transport.
+func (s *StatusTransport) CloseIdleConnections() {
+	s.transport.CloseIdleConnections()
+}
--- a/internal/upstream/unframed.go
+++ b/internal/upstream/unframed.go
@@ -14,7 +14,7 @@
 
 // secondHead returns a pattern for the head of a response up to its identifier.
 func secondHead(idHeader string) *regexp.Regexp {
-	return regexp.MustCompile(`HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r\n(?:[^\r\n:]+:[^\r\n]*\r\n)*(?i:` + regexp.QuoteMeta(idHeader) + `):`)
+	return regexp.MustCompile(`HTTP/1\.[01] [^ \r\n]{3}[^\r\n]*\r\n(?:[^\r\n:]+:[^\r\n]*\r\n)*(?i:` + regexp.QuoteMeta(idHeader) + `):`)
 }
 
 // unframedBody is a body that ends with its connection. An endpoint in trouble may
