Divide the slots of each group among the hosts, not the sum of the slots

Change: while slots are scarce, a host's part is divided group by group in rendezvous order, as at groups that have just opened. A host without a part may place one request.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -14,10 +14,6 @@
 	// deviations is the number of standard deviations by which the requests that reports
 	// do not show yet may exceed their mean.
 	deviations = 2
-	// burstFactor times the square root of a share is added to it: requests reach each
-	// host at random, so a limit at the mean would refuse some while other hosts have
-	// slots to spare.
-	burstFactor = 0.5
 )
 
 // SlotUse is what a host knows of the slots of a model when it places a request.
@@ -35,22 +31,19 @@
 	EndedPart float64
 }
 
-// Limit returns how many requests this host may have in flight at the model, or false if
-// the free slots suffice for the requests that the reports do not show yet. Without a
-// limit, each host that sees the same free slot would take it. `phase`, from 0 to 1, is a
-// constant of the host by which fractions of the limit are rounded, so that the limits of
-// all hosts add up.
-func (u SlotUse) Limit(phase float64) (limit int, limited bool) {
+// Scale returns the factor by which a group's capacity is multiplied before it is divided
+// evenly among the hosts to get this host's part, or false if the free slots suffice for
+// the requests that the reports do not show yet. Without such a limit, each host that sees
+// the same free slot would take it.
+func (u SlotUse) Scale() (scale float64, limited bool) {
 	part := u.part()
 	free, unreported := float64(u.Slots-u.InFlight), u.unreported(part)
 	if u.Slots <= 0 || free >= unreported {
 		return 0, false
 	}
-	share := part * float64(u.Slots) * targetUse
-	share += burstFactor * math.Sqrt(share)
-	// While some slots are free, hosts may exceed their shares by what these allow.
-	share *= 1 + max(0, free)/unreported
-	return max(1, int(share+phase)), true
+	scale = targetUse * part * float64(max(1, u.Hosts))
+	// While some slots are free, hosts may exceed their parts by what these allow.
+	return scale * (1 + max(0, free)/unreported), true
 }
 
 // unreported returns how many more requests all hosts may have in flight than reports show.
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -167,9 +167,7 @@
 		return p.acquireElsewhere(j, &set, now)
 	}
 	p.countArrival(j)
-	if p.atSlotLimit(j, &set, now) {
-		return destination{}, set.heldUntil, errFull
-	}
+	p.divideSlots(j, &set, now)
 	id, ok := p.pick(j, &set, now)
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -15,29 +15,48 @@
 	return j.service.Engine != nil && int(p.hostCount.Load()) > j.service.Engine.Slots
 }
 
-// atSlotLimit reports whether this host has as many requests in flight at the model as it
-// may while slots are scarce. A stream that resumes is not limited, because its caller has
-// a part of the answer.
-func (p *Proxy) atSlotLimit(j *job, set *candidateSet, now time.Time) bool {
+// divideSlots limits this host's requests at each candidate to its part of the slots while
+// they are scarce. A stream that resumes is not limited, because its caller has a part of
+// the answer.
+func (p *Proxy) divideSlots(j *job, set *candidateSet, now time.Time) {
 	if j.responseStarted || !p.sharesSlots(j) {
-		return false
+		return
 	}
 	own, all, slots := p.tracker.Use(set.candidates)
+	use := p.slotUse(j, all, slots, now)
+	scale, limited := use.Scale()
+	if !limited {
+		return
+	}
+	parts := 0
+	for i := range set.candidates {
+		candidate := &set.candidates[i]
+		part := p.divider.Share(candidate.ID, int(scale*float64(candidate.Capacity)+p.slotPhase))
+		candidate.OwnLimit = min(candidate.OwnLimit, part)
+		parts += part
+	}
+	if parts == 0 && own == 0 {
+		// There are fewer slots than hosts. A host without a part may place one request,
+		// so that its callers are not refused all of the time.
+		for i := range set.candidates {
+			set.candidates[i].OwnLimit = 1
+		}
+	}
+	p.slotReports.Do(func() {
+		_ = level.Info(p.logger).Log("event", "slots_divided", "model", j.model, "own", own, "part", parts, "in_flight", all, "slots", slots,
+			"own_demand", use.OwnDemand, "total_demand", use.TotalDemand)
+	})
+}
+
+// slotUse returns what this host knows of the slots of a job's model.
+func (p *Proxy) slotUse(j *job, inFlight, slots int, now time.Time) admission.SlotUse {
 	delay := time.Duration(p.reportDelay.Load())
 	use := admission.SlotUse{
-		Slots: slots, InFlight: all, Hosts: int(p.hostCount.Load()),
+		Slots: slots, InFlight: inFlight, Hosts: int(p.hostCount.Load()),
 		Arrivals: p.arrivalRates.perSecond(j.key(), now) * delay.Seconds(), EndedPart: p.profiles.endedPart(j, delay),
 	}
 	if total := p.fleetDemand.Load(); total != nil {
 		use.OwnDemand, use.TotalDemand = p.demand.Rate(j.key(), now), (*total)[j.key()]
 	}
-	limit, limited := use.Limit(p.slotPhase)
-	if !limited || own < limit {
-		return false
-	}
-	p.slotReports.Do(func() {
-		_ = level.Info(p.logger).Log("event", "slots_limited", "model", j.model, "own", own, "limit", limit, "in_flight", all, "slots", slots,
-			"own_demand", use.OwnDemand, "total_demand", use.TotalDemand)
-	})
-	return true
+	return use
 }
