Refuse by the turn only where it is known, and keep no priority out

Cause: in a simulated overload, the least urgent second tries were refused at once almost always and, at three times the capacity, the least urgent priority was not served at all on a host with 50 slots/s. The estimated turn by slack counted all waiting requests, and the turn in the usual order ignored the more urgent requests that are still to arrive.

--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	servedTimeConstant = 10 * time.Second
 	// rebaseInterval bounds the exponent of the weights of served time; 100 s is e^10.
 	rebaseInterval = 10 * servedTimeConstant
+	// priorities is the number of priorities that requests have, 0 to 9.
+	priorities = 10
 	// negligibleServed is the weighted engine time, in seconds, below which an idle
 	// workspace is forgotten.
 	negligibleServed = 1e-3
@@ -62,6 +65,9 @@
 	base   time.Time // at which served time has the weight 1
 	grants int
 	ends   releaseRate
+	// granted counts recent grants in the usual order, by priority. Higher numbers than
+	// the last are counted as the last.
+	granted [priorities]releaseRate
 }
 
 // NewLine returns an empty line.
@@ -119,7 +125,7 @@
 // Next returns the request that gets the next slot, or nil if there is none that was not
 // skipped.
 func (l *Line[T]) Next(now time.Time) *Waiting[T] {
-	at, bySlack := int64(now.Sub(l.epoch)), l.grants%slackGrantInterval == slackGrantInterval-1
+	at, bySlack := int64(now.Sub(l.epoch)), l.bySlack()
 	var best *place[T]
 	for i := range l.places {
 		candidate := &l.places[i]
@@ -167,10 +173,19 @@
 }
 
 // Grant removes a request that got a slot, and counts the grant.
-func (l *Line[T]) Grant(w *Waiting[T]) {
-	if l.Remove(w) {
-		l.grants++
+func (l *Line[T]) Grant(w *Waiting[T], now time.Time) {
+	if !l.Remove(w) {
+		return
 	}
+	if !w.Request.Resumed && !l.bySlack() {
+		l.granted[min(max(0, w.Request.Priority), priorities-1)].add(now)
+	}
+	l.grants++
+}
+
+// bySlack reports whether the next grant goes by slack.
+func (l *Line[T]) bySlack() bool {
+	return l.grants%slackGrantInterval == slackGrantInterval-1
 }
 
 // CountServed adds the estimated engine seconds of a request that got a slot, whether or
@@ -217,26 +232,38 @@
 
 // Ahead returns how many waiting requests get a slot before a request that arrives now.
 func (l *Line[T]) Ahead(request Request, now time.Time) int {
-	inOrder, _ := l.ahead(request, now)
-	return inOrder
+	return l.ahead(request, now).inOrder
 }
 
-// ahead returns the requests before one that arrives now: in the usual order, and by slack.
-func (l *Line[T]) ahead(request Request, now time.Time) (inOrder, bySlack int) {
+// aheadOf counts the requests that wait when another arrives.
+type aheadOf struct {
+	inOrder int // before it in the usual order
+	bySlack int // of the same priority, before it by slack
+	levels  int // different priorities, with its own
+}
+
+func (l *Line[T]) ahead(request Request, now time.Time) aheadOf {
 	at, arriving := int64(now.Sub(l.epoch)), l.placeOf(request)
 	arriving.share = &served{}
 	if share, ok := l.shares[request.Workspace]; ok {
 		arriving.share = share
 	}
+	count, seen := aheadOf{}, uint64(1)<<min(arriving.level+1, priorities)
 	for i := range l.places {
-		if !precedes(&arriving, &l.places[i], at, false) {
-			inOrder++
+		other := &l.places[i]
+		seen |= 1 << min(other.level+1, priorities)
+		if other.level > arriving.level {
+			continue
+		}
+		if other.level < arriving.level || !precedes(&arriving, other, at, false) {
+			count.inOrder++
 		}
-		if !precedes(&arriving, &l.places[i], at, true) {
-			bySlack++
+		if other.level == arriving.level && other.serveUntil <= arriving.serveUntil {
+			count.bySlack++
 		}
 	}
-	return inOrder, bySlack
+	count.levels = bits.OnesCount64(seen)
+	return count
 }
 
 // Status summarises a line.
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -326,7 +326,7 @@
 			if dest.peer == nil {
 				q.line.CountServed(j.workspace, q.proxy.work(j), now)
 			}
-			q.line.Grant(w)
+			q.line.Grant(w, now)
 			q.finish(w, dest, nil)
 			continue
 		case mustNotWait(err, j.holdLimit(w.Request.ServeUntil, now)):
