Take the predicted time to the first event as the load of a group

Cause: load was a count of requests, whether a prompt has 100 or 5,000 tokens, and another data centre counted as 0.2 of a capacity whatever its delay.

Change: for services with an engine, a group's load is its part of the slots in use plus the predicted time to this request's first event, in units of five times that time at a full group, which is what a capacity of requests beyond the slots was measured to cost. The prediction holds the pass of the running batch, the request's prompt, this host's prompts that wait there, an estimate of those of other hosts, the model's time factor and the group's speed. A group that was slower than half until its measurement expired is retried with a single request of each host at a time for 1 s. The line event=request has predicted_ms. mostAtOneGroup in the tests of internal/balance gets a parameter; what it checks is unchanged.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -11,9 +11,9 @@
 	// evenPart is the weight of an even division among the hosts in their shares. It
 	// leaves room for hosts that have had no requests yet.
 	evenPart = 0.1
-	// deviations is the number of standard deviations by which the requests that reports
+	// unreportedDeviations is the number of standard deviations by which the requests that reports
 	// do not show yet may exceed their mean.
-	deviations = 2
+	unreportedDeviations = 2
 )
 
 // SlotUse is what a host knows of the slots of a model when it places a request.
@@ -49,7 +49,7 @@
 // unreported returns how many more requests all hosts may have in flight than reports show.
 func (u SlotUse) unreported(part float64) float64 {
 	arrivals := u.Arrivals / part
-	return max(0, arrivals-u.EndedPart*float64(u.InFlight)) + deviations*math.Sqrt(arrivals)
+	return max(0, arrivals-u.EndedPart*float64(u.InFlight)) + unreportedDeviations*math.Sqrt(arrivals)
 }
 
 // part returns this host's part of the demand of all hosts.
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -15,11 +15,13 @@
 
 // Candidate is an instance that can take a request.
 type Candidate struct {
-	ID       string
-	Capacity int     // limit of requests in flight, of all hosts
-	OwnLimit int     // limit of requests in flight, of this host
-	Speed    float64 // relative to the nominal speed; 0 means nominal
-	Local    bool    // in this host's data centre
+	ID        string
+	Capacity  int           // limit of requests in flight, of all hosts
+	OwnLimit  int           // limit of requests in flight, of this host
+	Speed     float64       // relative to the nominal speed; 0 means nominal
+	Local     bool          // in this host's data centre
+	RoundTrip time.Duration // to the instance; 0 if it is not known
+	Timing    *Timing       // of the request; nil for services without declared times
 }
 
 // Tracker counts the requests in flight at each instance. It is safe for
@@ -30,8 +32,11 @@
 	peers       map[string]peerReport // by host
 	peerTotals  map[string]int        // requests in flight of all peers, by instance
 	pausedUntil map[string]time.Time  // until when Pick skips an instance
-	changed     chan struct{}
-	random      func() float64
+	// promptsUntil is when the prompts of this host are expected to be processed, by
+	// instance.
+	promptsUntil map[string]time.Time
+	changed      chan struct{}
+	random       func() float64
 }
 
 // Option changes a setting of a Tracker.
@@ -53,7 +58,7 @@
 func New(options ...Option) *Tracker {
 	t := &Tracker{
 		own: make(map[string]int), peers: make(map[string]peerReport), peerTotals: make(map[string]int),
-		pausedUntil: make(map[string]time.Time), changed: make(chan struct{}),
+		pausedUntil: make(map[string]time.Time), promptsUntil: make(map[string]time.Time), changed: make(chan struct{}),
 		random: rand.Float64,
 	}
 	for _, option := range options {
@@ -76,20 +81,35 @@
 	defer t.mu.Unlock()
 	available := make([]candidateLoad, 0, len(candidates))
 	for _, candidate := range candidates {
-		used := t.own[candidate.ID] + t.peerTotals[candidate.ID]
-		if used < candidate.Capacity && t.own[candidate.ID] < candidate.OwnLimit && !now.Before(t.pausedUntil[candidate.ID]) {
-			available = append(available, loadOf(candidate, used))
+		own, others := t.own[candidate.ID], t.peerTotals[candidate.ID]
+		if own+others < candidate.Capacity && own < candidate.OwnLimit && !now.Before(t.pausedUntil[candidate.ID]) {
+			available = append(available, loadOf(candidate, own, others, max(0, t.promptsUntil[candidate.ID].Sub(now))))
 		}
 	}
 	if len(available) == 0 {
 		return "", false
 	}
-	id := leastLoaded(available, t.random)
+	picked := leastLoaded(available, t.random)
 	if unreported >= 1 {
-		id = waterFill(available, unreported, t.random)
+		picked = waterFill(available, unreported, t.random)
 	}
-	t.own[id]++
-	return id, true
+	t.own[picked.id]++
+	if picked.prompt > 0 {
+		until := later(now, t.promptsUntil[picked.id]).Add(picked.prompt)
+		if longest := now.Add(maxPromptWait); until.After(longest) {
+			until = longest
+		}
+		t.promptsUntil[picked.id] = until
+	}
+	return picked.id, true
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // PauseUntil makes Pick skip an instance, which has refused a request, until the
@@ -108,6 +128,7 @@
 	t.own[id]--
 	if t.own[id] <= 0 {
 		delete(t.own, id)
+		delete(t.promptsUntil, id)
 	}
 	t.wakeWaiters()
 }
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -139,8 +139,8 @@
 // group, one of 26 groups had 54 requests and others had none.
 func TestHostsWithOutdatedReportsSpreadTheirRequests(t *testing.T) {
 	const hosts, perHost, seed = 62, 3, 1
-	leastLoaded := mostAtOneGroup(t, seed, hosts, perHost, 0)
-	waterFilled := mostAtOneGroup(t, seed, hosts, perHost, hosts*perHost/2)
+	leastLoaded := mostAtOneGroup(t, seed, hosts, perHost, 0, nil)
+	waterFilled := mostAtOneGroup(t, seed, hosts, perHost, hosts*perHost/2, nil)
 	// On average 62 x 3 x 3 / 26, about 21, requests are in flight at a group.
 	assert.Assert(t, waterFilled <= 40, "%d requests at one group", waterFilled)
 	assert.Assert(t, leastLoaded >= waterFilled*5/4, "%d requests with water-filling, %d without", waterFilled, leastLoaded)
@@ -148,8 +148,8 @@
 
 // mostAtOneGroup returns the most requests in flight at one group in a simulation
 // of 20 rounds. Hosts exchange reports after each round; a request lasts three
-// rounds.
-func mostAtOneGroup(t *testing.T, seed uint64, hosts, perHost int, unreported float64) int {
+// rounds. `change` changes a candidate, unless it is nil.
+func mostAtOneGroup(t *testing.T, seed uint64, hosts, perHost int, unreported float64, change func(i int, candidate *balance.Candidate)) int {
 	t.Helper()
 	const groups, capacity, rounds, requestRounds = 26, 60, 20, 3
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -160,6 +160,9 @@
 	targets := make([]balance.Candidate, groups)
 	for i := range targets {
 		targets[i] = balance.Candidate{ID: fmt.Sprint("g-", i), Capacity: capacity, OwnLimit: capacity, Speed: 1, Local: true}
+		if change != nil {
+			change(i, &targets[i])
+		}
 	}
 	type sent struct {
 		from *balance.Tracker
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,7 +186,8 @@
 		peerPool:     upstream.New(platform.Headers.RequestID, upstream.WithFailureDetection()),
 		crashTracker: poison.New(), demand: proxy.NewDemand(), reprobeNow: make(chan bool, 1),
 	}
-	g.pool = upstream.New(platform.Headers.RequestID, upstream.WithProbe(g.answersIdle))
+	g.pool = upstream.New(platform.Headers.RequestID, upstream.WithProbe(g.answersIdle),
+		upstream.WithOpenListener(func(target upstream.Target, took time.Duration) { g.proxy.ObserveConnection(target.InstanceID, took) }))
 	g.paths = g.newPaths()
 	g.prober = g.newProber()
 	g.parts = newPartTracker(g)
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -83,6 +83,7 @@
 	queuedBehind    int             // requests ahead of it when it first waited for a slot; -1 if it has not
 	waited          time.Duration   // for slots
 	placedAt        time.Time       // first slot reserved
+	predicted       time.Duration   // from the latest slot reserved to the first event; 0 if not known
 	firstEventAt    time.Time       // first event received
 	engineSeconds   float64         // estimated, if hedging counts it
 	measuredFrom    time.Time       // start of the attempt whose time to the first event hedging measures; zero if none
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -126,7 +126,8 @@
 	arrivalRates     *arrivalRates
 	responseTimes    *responseTimes
 	firstEventTimes  *responseTimes // from the send to the first event of streams
-	hedges           *hedges // nil if hedging is off
+	hedges           *hedges        // nil if hedging is off
+	roundTrips       *balance.RoundTrips
 }
 
 // Observer records metrics of requests.
@@ -210,7 +211,7 @@
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, configurationConfirmed: func() bool { return true }, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), queues: newQueues(), profiles: newProfiles(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(), firstEventTimes: newResponseTimes(),
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), queues: newQueues(), profiles: newProfiles(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(), firstEventTimes: newResponseTimes(), roundTrips: balance.NewRoundTrips(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval}, slotReports: rate.Sometimes{First: 1, Interval: time.Second},
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
@@ -496,7 +497,7 @@
 		"model", j.model, "result", result, "status", status, "instance", j.target, "sends", j.sends,
 		"may_have_run", j.mayHaveRun, "events", events, "cause", j.cause,
 		"waited_ms", j.waited.Milliseconds(), "queue", max(0, j.queuedBehind), "placed_ms", j.sinceReceived(j.placedAt), "first_ms", j.sinceReceived(j.firstEventAt), "took_ms", now.Sub(j.receivedAt).Milliseconds(), "objective_ms", j.route.LatencyObjective.Milliseconds(), "left_ms", j.deadline.Sub(now).Milliseconds(),
-		"config", p.catalogue.Index().Version)
+		"predicted_ms", j.predicted.Milliseconds(), "config", p.catalogue.Index().Version)
 }
 
 // Wait blocks until no request is in flight.
--- a/internal/stall/monitor.go
+++ b/internal/stall/monitor.go
@@ -114,6 +114,7 @@
 	speeds  map[string]*speed // by head
 
 	peerSpeeds *PeerSpeeds
+	slowAt     map[string]time.Time // when a group was last believed to be below retriedBelow, by head
 }
 
 // groupState is the state of a group with streams of this host.
@@ -155,7 +156,7 @@
 func New(inspect Inspector, stalled func(key roster.GroupKey), hosts func() int, now func() time.Time, options ...Option) *Monitor {
 	m := &Monitor{
 		inspect: inspect, stalled: stalled, silent: func(*roster.Group) {}, hosts: hosts, now: now,
-		groups: make(map[roster.GroupKey]*groupState), speeds: make(map[string]*speed), peerSpeeds: NewPeerSpeeds(),
+		groups: make(map[roster.GroupKey]*groupState), speeds: make(map[string]*speed), peerSpeeds: NewPeerSpeeds(), slowAt: make(map[string]time.Time),
 	}
 	for _, option := range options {
 		option(m)
@@ -223,14 +224,8 @@
 // from minSpeed to 1: by this host's own measurement if there is a recent one, else by
 // those of other hosts. It is 1 for a group without either.
 func (m *Monitor) Speed(head string) float64 {
-	now := m.now()
-	m.mu.Lock()
-	own, ok := m.ownReading(head, now)
-	m.mu.Unlock()
-	if ok {
-		return own.Speed
-	}
-	return m.peerSpeeds.Speed(head, now)
+	speed, _ := m.Believed(head)
+	return speed
 }
 
 // Run scans for stalls until the context ends.
--- a/internal/stall/speeds.go
+++ b/internal/stall/speeds.go
@@ -1,6 +1,7 @@
 package stall
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,11 @@
 	singleWitnessFloor = 0.5
 	// minWitnesses is the number of other hosts whose mean counts in full.
 	minWitnesses = 2
+	// retriedBelow is the speed below which a group is retried with single requests once
+	// its measurement has expired. retryTime is how long: a request that is placed in it
+	// has a second event, and so a measurement, by its end.
+	retriedBelow = 0.5
+	retryTime    = time.Second
 )
 
 // Reading is a measured speed of a group.
@@ -119,11 +125,36 @@
 	return max(lowest, min(1, total/float64(witnesses)))
 }
 
+// Believed returns the speed of a head's group, as Speed does, and whether the group was
+// slow until lately and is to be retried with single requests.
+func (m *Monitor) Believed(head string) (speed float64, retried bool) {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if own, ok := m.ownReading(head, now); ok {
+		m.recordBelieved(head, own.Speed, now)
+		return own.Speed, false
+	}
+	speed = m.peerSpeeds.Speed(head, now)
+	m.recordBelieved(head, speed, now)
+	slowAt, wasSlow := m.slowAt[head]
+	return speed, speed >= retriedBelow && wasSlow && now.Sub(slowAt) < retryTime
+}
+
+// recordBelieved records when a group was last believed to be slow. The caller holds the
+// mutex.
+func (m *Monitor) recordBelieved(head string, speed float64, now time.Time) {
+	if speed < retriedBelow {
+		m.slowAt[head] = now
+	}
+}
+
 // SlowGroups returns this host's readings of slow groups, newest first.
 func (m *Monitor) SlowGroups() []Reading {
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	maps.DeleteFunc(m.slowAt, func(_ string, slowAt time.Time) bool { return now.Sub(slowAt) >= retryTime })
 	var slow []Reading
 	for head := range m.speeds {
 		if reading, ok := m.ownReading(head, now); ok && reading.Speed < sharedBelow {
--- a/internal/stall/speeds_test.go
+++ b/internal/stall/speeds_test.go
@@ -97,3 +97,25 @@
 	speeds.Report("h1", []stall.Reading{{Head: "head", Speed: 0.2, At: s.now, Witnesses: 5}}, s.now)
 	assert.Equal(t, s.monitor.Speed("head"), 0.2)
 }
+
+// Guards against a slow group that gets the requests of all hosts at once when its
+// measurement expires.
+func TestSlowGroupIsRetriedBeforeItIsUsedAgain(t *testing.T) {
+	s, speeds := newFixture(t), stall.NewPeerSpeeds()
+	s.monitor = stall.New(s.inspect, nil, func() int { return 1 }, s.clock, stall.WithPeerSpeeds(speeds))
+	speeds.Report("h1", []stall.Reading{{Head: "head", Speed: 0.2, At: s.now, Witnesses: 2}}, s.now)
+	believed := func(after time.Duration, wantSpeed float64, wantRetried bool) {
+		t.Helper()
+		s.advance(after)
+		speed, retried := s.monitor.Believed("head")
+		assert.Equal(t, speed, wantSpeed)
+		assert.Equal(t, retried, wantRetried)
+	}
+	believed(3*time.Second, 0.2, false)
+	believed(100*time.Millisecond, 1, true)
+	watch, _ := s.begin()
+	watch.Progress()
+	believed(50*time.Millisecond, 1, true)
+	watch.Progress()
+	believed(0, 1, false)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,7 @@
 	secondHead *regexp.Regexp
 	dialer     net.Dialer
 	now        func() time.Time
+	onOpened   func(target Target, took time.Duration)
 	probe      Probe     // of the endpoints of silent connections; nil for none
 	started    time.Time // the origin of the times at which connections were heard
 
@@ -92,11 +93,17 @@
 	}
 }
 
+// WithOpenListener sets the function that is called with the time that the opening of a
+// connection took.
+func WithOpenListener(onOpened func(target Target, took time.Duration)) Option {
+	return func(p *Pool) { p.onOpened = onOpened }
+}
+
 // New returns an empty pool. Endpoints copy the request header `idHeader` to the
 // response, which links a response to its request.
 func New(idHeader string, options ...Option) *Pool {
 	pool := &Pool{
-		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, started: time.Now(),
+		idHeader: idHeader, secondHead: secondHead(idHeader), now: time.Now, started: time.Now(), onOpened: func(Target, time.Duration) {},
 		idle: make(map[Target][]*connection), open: make(map[Target]map[*connection]struct{}), probes: make(map[Target]*probeState), deadAt: make(map[Target]time.Time),
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setTimeout(userTimeout)},
 	}
@@ -148,10 +155,12 @@
 		}
 		_ = conn.Close()
 	}
+	begun := p.now()
 	socket, err := p.dialer.DialContext(ctx, "tcp", target.Address.String())
 	if err != nil {
 		return nil, err
 	}
+	p.onOpened(target, p.now().Sub(begun))
 	conn := &connection{Conn: socket, pool: p, target: target, opened: p.now()}
 	conn.head = intake.NewHeadReader(conn)
 	conn.reader = bufio.NewReaderSize(conn.head, readBufferBytes)
