--- a/internal/balance/timing_test.go
+++ b/internal/balance/timing_test.go
@@ -83,7 +83,14 @@
 		least, most int // requests of 40 at the slower of four groups
 	}{{1, 10, 10}, {0.95, 8, 10}, {0.9, 7, 9}, {0.5, 2, 5}, {0.2, 0, 1}} {
 		tracker := balance.New(balance.WithRandom(noJitter))
-		counts := place(t, tracker, 40, start, group("slower", test.speed, 1000), group("a", 1, 1000), group("b", 1, 1000), group("c", 1, 1000))
+		counts := make(map[string]int)
+		for i := range 40 {
+			// Prompts are processed between the requests.
+			now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+			for id := range place(t, tracker, 1, now, group("slower", test.speed, 1000), group("a", 1, 1000), group("b", 1, 1000), group("c", 1, 1000)) {
+				counts[id]++
+			}
+		}
 		assert.Assert(t, counts["slower"] >= test.least && counts["slower"] <= test.most, "speed %f: %v", test.speed, counts)
 	}
 }
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -148,7 +148,7 @@
 
 // mostAtOneGroup returns the most requests in flight at one group in a simulation
 // of 20 rounds. Hosts exchange reports after each round; a request lasts three
-// rounds. `change` changes a candidate, unless it is nil.
+// rounds, which are a second apart. `change` changes a candidate, unless it is nil.
 func mostAtOneGroup(t *testing.T, seed uint64, hosts, perHost int, unreported float64, change func(i int, candidate *balance.Candidate)) int {
 	t.Helper()
 	const groups, capacity, rounds, requestRounds = 26, 60, 20, 3
@@ -170,11 +170,12 @@
 	}
 	var inFlight [][]sent // by round
 	most := 0
-	for range rounds {
+	for i := range rounds {
+		now := start.Add(time.Duration(i) * time.Second)
 		round := make([]sent, 0, hosts*perHost)
 		for _, tracker := range trackers {
 			for range perHost {
-				id, ok := tracker.Pick(targets, unreported, start)
+				id, ok := tracker.Pick(targets, unreported, now)
 				assert.Assert(t, ok)
 				round = append(round, sent{tracker, id})
 			}
@@ -193,16 +194,16 @@
 			}
 			inFlight = inFlight[1:]
 		}
-		exchangeReports(trackers)
+		exchangeReports(trackers, now)
 	}
 	return most
 }
 
-func exchangeReports(trackers []*balance.Tracker) {
+func exchangeReports(trackers []*balance.Tracker, now time.Time) {
 	for i, from := range trackers {
 		for j, to := range trackers {
 			if i != j {
-				to.SetPeerInFlight(fmt.Sprint("h-", i), from.OwnInFlight(), start)
+				to.SetPeerInFlight(fmt.Sprint("h-", i), from.OwnInFlight(), now)
 			}
 		}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -97,6 +97,7 @@
 	roster    *roster.Roster
 	tracker   *balance.Tracker
 	monitor   *stall.Monitor
+	speeds    *stall.PeerSpeeds
 	parts     *partTracker
 	demand    *proxy.Demand
 	front     *httptest.Server
@@ -118,7 +119,8 @@
 func newStartingHost(tb testing.TB, id string, options ...proxy.Option) *setup {
 	tb.Helper()
 	s := &setup{t: tb, paths: &pathState{}, demand: proxy.NewDemand(), roster: roster.New(), tracker: balance.New(), parts: newPartTracker(), catalogue: catalogue.New(func(*flamingodoor.Catalogue) {})}
-	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now)
+	s.speeds = stall.NewPeerSpeeds()
+	monitor := stall.New(func(context.Context, *roster.Group) stall.Inspection { return stall.Inspection{Slowdown: 1} }, func(roster.GroupKey) {}, func() int { return 1 }, time.Now, stall.WithPeerSpeeds(s.speeds))
 	s.monitor = monitor
 	s.proxy = proxy.New(proxy.Parts{
 		Paths: s.paths, PeerPool: upstream.New(headers.RequestID, upstream.WithFailureDetection()),
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -219,3 +219,22 @@
 		t.Fatal("the connection to the endpoint is still open")
 	}
 }
+
+// Guards against a round trip that is taken from requests on open connections, which
+// open in no time, or never measured.
+func TestOpeningOfConnectionsIsMeasured(t *testing.T) {
+	target, _ := endpoint(t, func(connection net.Conn, request *http.Request, _ int) {
+		respond(connection, request.Header.Get(idHeader), "body")
+	})
+	var opened []upstream.Target
+	pool := upstream.New(idHeader, upstream.WithOpenListener(func(target upstream.Target, took time.Duration) {
+		assert.Check(t, took > 0 && took < time.Second)
+		opened = append(opened, target)
+	}))
+	for _, id := range []string{"r1", "r2", "r3"} {
+		_, err := fetch(t, pool, target, id)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(opened), 1)
+	assert.Equal(t, opened[0], target)
+}
