Let first tries wait while they can be in time, and second tries for longer

Ruled out: a lower limit of slots alone; requests still waited in line for it. Change: a first try waits while it can meet its objective and is then refused with the time of its return. A second try, which can only be late and is its caller's last one, waits until its caller gives up, gets every fourth slot first, and otherwise leaves the last free slot where the next request is expected soon.

--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -28,6 +28,7 @@
 	Priority    int       // 0 is the most urgent
 	Resumed     bool      // the caller has a part of the response; comes before all others
 	ArrivedAt   time.Time // at this host
+	LastTry     bool      // its caller does not come back; comes first among grants by slack
 	InTimeUntil time.Time // last moment of placement that meets the latency objective
 	ServeUntil  time.Time // last moment of placement at which the caller can be served
 }
@@ -47,6 +48,7 @@
 	serveUntil  int64 // nanoseconds since the epoch of the line
 	share       *served
 	waiting     *Waiting[T]
+	lastTry     bool
 	skipped     bool // could not be placed since the last change
 }
 
@@ -95,7 +97,7 @@
 	if request.Resumed {
 		level = -1
 	}
-	return place[T]{level: level, inTimeUntil: int64(request.InTimeUntil.Sub(l.epoch)), serveUntil: int64(request.ServeUntil.Sub(l.epoch))}
+	return place[T]{level: level, lastTry: request.LastTry, inTimeUntil: int64(request.InTimeUntil.Sub(l.epoch)), serveUntil: int64(request.ServeUntil.Sub(l.epoch))}
 }
 
 func (l *Line[T]) shareOf(workspace string) *served {
@@ -145,6 +147,9 @@
 		return a.level < b.level
 	}
 	if bySlack {
+		if a.lastTry != b.lastTry {
+			return a.lastTry
+		}
 		return a.serveUntil < b.serveUntil
 	}
 	aInTime, bInTime := a.inTimeUntil >= at, b.inTimeUntil >= at
@@ -183,6 +188,12 @@
 	l.grants++
 }
 
+// Yields reports whether a request leaves the last free slots to requests that can still be
+// in time: it is late, and its turn does not come by slack.
+func (l *Line[T]) Yields(w *Waiting[T], now time.Time) bool {
+	return !w.Request.Resumed && w.Request.InTimeUntil.Before(now) && !l.bySlack()
+}
+
 // bySlack reports whether the next grant goes by slack.
 func (l *Line[T]) bySlack() bool {
 	return l.grants%slackGrantInterval == slackGrantInterval-1
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -94,6 +94,7 @@
 	q := p.queueOf(j)
 	dest, err := destination{}, error(errFull)
 	if q.waiting.Load() == 0 || p.skipsQueue(j) {
+		j.yields = j.callerRetry && !j.responseStarted
 		if dest, _, err = p.tryUnblocked(j); err == nil && dest.peer == nil {
 			q.countServed(j, p.now())
 		}
@@ -165,8 +166,11 @@
 		return p.acquireElsewhere(j, &set, now)
 	}
 	p.countArrival(j)
-	p.divideSlots(j, &set, now)
-	id, ok := p.pick(j, &set, now)
+	room := p.divideSlots(j, &set, now)
+	id, ok := "", false
+	if room {
+		id, ok = p.pick(j, &set, now)
+	}
 	if !ok {
 		return p.acquireBeyondFull(j, &set, now)
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -70,6 +70,7 @@
 	repeated        bool            // the latest send was to the instance in repeatAt
 	refusals        int             // of such sends, by a full instance
 	retryGranted    bool            // the retry budget has granted the next send
+	yields          bool            // to requests that can still be in time
 	responseStarted bool            // the caller has received a part of the response
 	mayHaveRun      bool            // an endpoint may have run the request
 	suspected       bool            // an endpoint may have crashed because of the request
--- a/internal/proxy/profile.go
+++ b/internal/proxy/profile.go
@@ -82,16 +82,21 @@
 	known.took.add(now.Sub(j.placedAt).Seconds())
 }
 
-// endedPart returns the part of a model's requests in flight that end within the time, or
-// 0 before any has ended.
-func (p *profiles) endedPart(j *job, within time.Duration) float64 {
+// meanTime returns how long the model's requests take from placement to the end of the
+// answer, or 0 before any has ended.
+func (p *profiles) meanTime(j *job) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	took := p.of(j.key(), j.service.Engine).took.value
+	return time.Duration(p.of(j.key(), j.service.Engine).took.value * float64(time.Second))
+}
+
+// endedPart returns the part of a model's requests in flight that end within the time.
+func (p *profiles) endedPart(j *job, within time.Duration) float64 {
+	took := p.meanTime(j)
 	if took <= 0 {
 		return 0
 	}
-	return within.Seconds() / took
+	return within.Seconds() / took.Seconds()
 }
 
 // usefulSlots returns how many of the slots of a group serve more requests per second if
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -115,14 +115,19 @@
 }
 
 // lastPlacement returns when a job has to be placed at the latest: until an eighth of its
-// objective has passed, and as long as its caller still gets the first event of a stream
-// in time.
+// objective has passed, and while it can meet the objective. The stream of a caller that
+// was refused before waits for as long as the caller waits for its first event: it can only
+// be late, and its caller does not come back.
 func (p *Proxy) lastPlacement(j *job) time.Time {
 	usual := j.receivedAt.Add(j.shortWait())
 	if j.service.Engine == nil || !j.isStream() {
 		return usual
 	}
-	until := j.receivedAt.Add(max(minGiveUpTime, giveUpObjectives*j.route.LatencyObjective, giveUpGaps*j.route.EventGapObjective))
+	wait := j.route.LatencyObjective
+	if j.callerRetry {
+		wait = max(minGiveUpTime, giveUpObjectives*j.route.LatencyObjective, giveUpGaps*j.route.EventGapObjective)
+	}
+	until := j.receivedAt.Add(wait)
 	if j.deadline.Before(until) {
 		until = j.deadline
 	}
@@ -150,10 +155,14 @@
 
 // queueRequest describes a job that waits until the given time.
 func (p *Proxy) queueRequest(j *job, until time.Time) admission.Request {
-	return admission.Request{
-		Workspace: j.workspace, Priority: j.priority, Resumed: j.responseStarted, ArrivedAt: j.receivedAt,
+	request := admission.Request{
+		Workspace: j.workspace, Priority: j.priority, Resumed: j.responseStarted, LastTry: j.callerRetry, ArrivedAt: j.receivedAt,
 		InTimeUntil: j.receivedAt.Add(j.route.LatencyObjective - p.predictedFirstEvent(j)), ServeUntil: until,
 	}
+	if j.callerRetry {
+		request.InTimeUntil = j.receivedAt.Add(-j.route.LatencyObjective) // the first try was refused after it
+	}
+	return request
 }
 
 // expectedTurn returns when a job that arrives now would get a slot. It returns false if
@@ -319,6 +328,7 @@
 			return roomAt
 		}
 		j := w.Value.job
+		j.yields = q.line.Yields(w, now)
 		dest, room, err := q.proxy.tryUnblocked(j)
 		switch {
 		case err == nil:
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -16,17 +16,17 @@
 }
 
 // divideSlots limits this host's requests at each candidate to its part of the slots while
-// they are scarce. A stream that resumes is not limited, because its caller has a part of
-// the answer.
-func (p *Proxy) divideSlots(j *job, set *candidateSet, now time.Time) {
+// they are scarce, and reports whether the job may have one of them. A stream that resumes
+// is not limited, because its caller has a part of the answer.
+func (p *Proxy) divideSlots(j *job, set *candidateSet, now time.Time) bool {
 	if j.responseStarted || !p.sharesSlots(j) {
-		return
+		return true
 	}
 	own, all, slots := p.tracker.Use(set.candidates)
 	use := p.slotUse(j, all, slots, now)
 	scale, limited := use.Scale()
 	if !limited {
-		return
+		return true
 	}
 	parts := 0
 	for i := range set.candidates {
@@ -46,6 +46,20 @@
 		_ = level.Info(p.logger).Log("event", "slots_divided", "model", j.model, "own", own, "part", parts, "in_flight", all, "slots", slots,
 			"own_demand", use.OwnDemand, "total_demand", use.TotalDemand)
 	})
+	return !j.yields || parts-own > p.keptSlots(j, now)
+}
+
+// keptFraction is the part of the time that a request holds a slot for which a free slot
+// may wait for the next request.
+const keptFraction = 0.1
+
+// keptSlots returns how many of this host's free slots are kept for requests that can still
+// be in time: one, if the next request is expected soon.
+func (p *Proxy) keptSlots(j *job, now time.Time) int {
+	if p.arrivalRates.perSecond(j.key(), now)*keptFraction*p.profiles.meanTime(j).Seconds() < 1 {
+		return 0
+	}
+	return 1
 }
 
 // slotUse returns what this host knows of the slots of a job's model.
