Bound the bytes held for callers that read slowly

Cause: a write to a caller that does not read waited without a time limit, so the stream's instance was blocked and its slot taken, also after the request's deadline. Each buffered response kept up to 256 KiB until its caller had read it, 512 MB for 2,000 callers on a host of 136 MB, and the kernel's send buffer of each connection could grow to 4 MB.

Change: a caller's connection takes what the socket accepts at once, holds the rest (256 KiB for a caller, a sixteenth of the memory for all) and writes it in the background; without room the write waits. A caller that accepts nothing for 10 s while a write waits or the host has no room, or for 60 s otherwise, is reset. internal/readahead decides this without sockets. Responses are buffered beyond 16 KiB only within a sixteenth of the memory; the rest of a longer one is read as fast as its caller reads it.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -8,6 +8,10 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/go-kit/log"
+
+	"flamingodoor.example/flamingodoor/internal/readahead"
 )
 
 const (
@@ -27,13 +31,16 @@
 
 // connections holds the open connections of callers.
 type connections struct {
+	budget *readahead.Budget // of bytes that are held for callers; nil for none
+	logger log.Logger
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 }
 
 // add returns a connection of a caller as the server is to use it.
 func (c *connections) add(connection net.Conn) *callerConn {
-	caller := &callerConn{Conn: connection, waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
+	caller := &callerConn{Conn: newSlowConn(connection, c.budget, c.logger), waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -62,6 +69,15 @@
 	case http.StateActive:
 		caller.received(false)
 	case http.StateClosed, http.StateHijacked:
+		c.removeClosed(caller)
+	}
+}
+
+// removeClosed removes a connection that the server has closed, once the caller has
+// accepted what is held for it.
+func (c *connections) removeClosed(caller *callerConn) {
+	slow, ok := caller.Conn.(*slowConn)
+	if !ok || !slow.onDrained(func() { c.remove(caller) }) {
 		c.remove(caller)
 	}
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -9,7 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/readahead"
 )
 
 // defaultLimits apply to callers until the first configuration is read.
@@ -33,10 +36,35 @@
 	connections connections
 }
 
+// FrontOption configures a FrontServer.
+type FrontOption func(*FrontServer)
+
+// WithReadAhead sets the memory of the host in bytes, a part of which is for callers that
+// read slowly, and the logger of those that are ended.
+func WithReadAhead(memory int64, logger log.Logger) FrontOption {
+	return func(f *FrontServer) {
+		f.connections.budget, f.connections.logger = readahead.New(memory), logger
+	}
+}
+
+// HeldBytes returns how many bytes are held for callers that read slowly.
+func (f *FrontServer) HeldBytes() int64 {
+	return f.connections.budget.HeldBytes()
+}
+
+// EndedCallers returns how many callers were ended because they do not read.
+func (f *FrontServer) EndedCallers() int64 {
+	return f.connections.budget.EndedCallers()
+}
+
 // NewFrontServer returns a server with the default limits that does not listen
 // yet.
-func NewFrontServer(handler http.Handler) *FrontServer {
+func NewFrontServer(handler http.Handler, options ...FrontOption) *FrontServer {
 	f := &FrontServer{handler: handler}
+	f.connections.budget, f.connections.logger = readahead.New(0), log.NewNopLogger()
+	for _, option := range options {
+		option(f)
+	}
 	f.SetLimits(defaultLimits)
 	return f
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,7 +220,7 @@
 		HasSoundPeer: func() bool { return g.exchanger.HasPeer(time.Now()) }, StandsForElection: g.standsForElection,
 		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, DemandCoverage: g.shared.demandCoverage, DemandMeasured: g.shared.demandMeasured, NoRequestsYet: g.shared.noRequestsYet, Logger: logger,
 	})
-	g.front = NewFrontServer(g.proxy)
+	g.front = NewFrontServer(g.proxy, WithReadAhead(settings.MemoryBytes, logger))
 	platform.Restores.OnRestore(g.onRestore)
 	return g
 }
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -30,6 +30,8 @@
 		{"flamingodoor.instances.limited", "Instances that stated a limit of requests a second", func() int64 { return int64(g.proxy.Allowances().Count(time.Now())) }},
 		{"flamingodoor.stranded", "1 while no instance answers this host", func() int64 { return boolToInt(g.paths.Stranded()) }},
 		{"flamingodoor.instances.unreachable", "Instances that do not answer this host", func() int64 { return int64(len(g.roster.View().UnreachableInstances(time.Now()))) }},
+		{"flamingodoor.callers.held_bytes", "Bytes held for callers that read slowly", g.front.HeldBytes},
+		{"flamingodoor.responses.buffered_bytes", "Bytes set aside for the parts of responses that are buffered before they are sent", g.proxy.BufferedBytes},
 		{"flamingodoor.requests.in_flight", "Requests of this host at instances", g.inFlight},
 	} {
 		if err := g.metrics.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
@@ -71,7 +73,7 @@
 			return err
 		}
 	}
-	return nil
+	return g.metrics.Counter("flamingodoor.callers.ended", "Callers that were ended because they do not read", g.front.EndedCallers)
 }
 
 func boolToInt(set bool) int64 {
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -86,10 +86,12 @@
 	body   []byte        // the first part if there is a rest
 	rest   io.ReadCloser // what follows the body; nil if the body is complete
 	length int64         // of the whole response; -1 if it is not known
+	room   *responseRoom // that the body takes
 }
 
-// discard ends a response that does not reach the caller.
+// discard ends a response that does not reach the caller, or has reached it.
 func (b bufferedResponse) discard() {
+	b.room.free()
 	if b.rest != nil {
 		_ = b.rest.Close() // ends the work at the endpoint
 	}
@@ -204,7 +206,7 @@
 		return bufferedResponse{}, p.recordNotRun(j, dest, response)
 	}
 	j.mayHaveRun = true
-	buffered, err := bufferResponse(response)
+	buffered, err := p.bufferResponse(response)
 	if err != nil {
 		p.reportUnbegun(ctx, j, dest)
 		return bufferedResponse{}, p.handleBrokenResponse(ctx, j, dest, err)
@@ -220,23 +222,6 @@
 	return checked, result
 }
 
-// bufferResponse reads a response up to maxBufferedBytes. It closes the response
-// unless there is a rest.
-func bufferResponse(response *upstream.Response) (bufferedResponse, error) {
-	body, complete, err := intake.ReadPrefix(response.Body, maxBufferedBytes)
-	if err != nil || complete {
-		_ = response.Body.Close() // read to its end or broken
-	}
-	if err != nil {
-		return bufferedResponse{}, err
-	}
-	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body, length: response.ContentLength}
-	if !complete {
-		buffered.rest = response.Body
-	}
-	return buffered, nil
-}
-
 // checkResponse turns a response that must not reach the caller into a failure:
 // an unsigned success, an encoded body, or a status that would state without
 // proof that the request has not run.
@@ -430,6 +415,7 @@
 // writeResponse writes a response. Its error is that of reading the rest: the
 // caller may have closed its connection, which is no failure.
 func writeResponse(writer http.ResponseWriter, response bufferedResponse) error {
+	defer response.discard()
 	header := writer.Header()
 	copyResponseHeader(header, response.header)
 	switch {
@@ -445,7 +431,6 @@
 	if response.rest == nil {
 		return nil
 	}
-	defer response.discard()
 	buffer := make([]byte, copyBufferBytes)
 	for writeErr == nil {
 		count, err := response.rest.Read(buffer)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -214,7 +214,7 @@
 	if result != outcomeDone {
 		return bufferedResponse{}, result
 	}
-	buffered, err := bufferResponse(response)
+	buffered, err := p.bufferResponse(response)
 	if err != nil {
 		return bufferedResponse{}, p.handlePeerError(ctx, j, peer, err)
 	}
@@ -274,7 +274,7 @@
 // deliverRefusal forwards a peer's response that is no stream, unless events were
 // sent before or it states only for the peer that the request has not run.
 func (p *Proxy) deliverRefusal(runner *streamRunner, j *job, peer flamingodoor.EntryPeer, response *upstream.Response, client *delivery, ranBefore bool) outcome {
-	buffered, err := bufferResponse(response)
+	buffered, err := p.bufferResponse(response)
 	if err != nil {
 		return p.handlePeerError(runner.ctx, j, peer, err)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,6 +85,7 @@
 	peerPool        *upstream.Pool
 	takeovers       takeovers
 	bodies          bodies
+	responses       responses
 	forwards        forwardCounts
 	hostID          string
 	unbegun         unbegunAttempts
@@ -216,6 +217,7 @@
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
 	p.bodies.setMemory(defaultMemoryBytes)
+	p.responses.limit = defaultMemoryBytes / responseMemoryDivisor
 	for _, option := range options {
 		option(p)
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -289,7 +289,7 @@
 // an error response unchanged, unless events were sent before, or it is a server
 // error and the job can be retried.
 func (p *Proxy) handleNonStream(ctx context.Context, runner *streamRunner, j *job, dest destination, response *upstream.Response, client *delivery) outcome {
-	buffered, err := bufferResponse(response)
+	buffered, err := p.bufferResponse(response)
 	if err != nil {
 		return p.handleStreamError(ctx, j, dest, err)
 	}
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -93,6 +93,7 @@
 		if bytes > 0 {
 			p.takeovers.limit = bytes / takeoverMemoryDivisor
 			p.bodies.setMemory(bytes)
+			p.responses.limit = bytes / responseMemoryDivisor
 		}
 	}
 }
