--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -55,6 +55,9 @@
 			return err
 		}
 	}
+	if err := g.metrics.Counter("flamingodoor.callers.ended", "Callers that were ended because they do not read", g.front.EndedCallers); err != nil {
+		return err
+	}
 	return g.registerHedgeCounters()
 }
 
@@ -73,7 +76,7 @@
 			return err
 		}
 	}
-	return g.metrics.Counter("flamingodoor.callers.ended", "Callers that were ended because they do not read", g.front.EndedCallers)
+	return nil
 }
 
 func boolToInt(set bool) int64 {
