Wait for longer only where slots are divided among the hosts

Where few hosts share the slots they are pooled, so that late requests that wait take those of requests in time. Change: requests wait for longer than an eighth of their objective only where hosts are more than the slots of a group.

--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -117,10 +117,11 @@
 // lastPlacement returns when a job has to be placed at the latest: until an eighth of its
 // objective has passed, and while it can meet the objective. The stream of a caller that
 // was refused before waits for as long as the caller waits for its first event: it can only
-// be late, and its caller does not come back.
+// be late, and its caller does not come back. Both hold where slots can be divided among
+// the hosts: elsewhere, late requests would take those of requests in time.
 func (p *Proxy) lastPlacement(j *job) time.Time {
 	usual := j.receivedAt.Add(j.shortWait())
-	if j.service.Engine == nil || !j.isStream() {
+	if !p.sharesSlots(j) || !j.isStream() {
 		return usual
 	}
 	wait := j.route.LatencyObjective
