--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,7 @@
 		Refresher:        platform.Followers,
 		ReachedElsewhere: g.exchanger.ReachedElsewhere, NoneConnects: g.exchanger.NoneConnects, PathsSound: g.prober.Sound, Stranded: g.paths.Stranded,
 		HasSoundPeer: func() bool { return g.exchanger.HasPeer(time.Now()) }, StandsForElection: g.standsForElection,
-		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, DemandCoverage: g.shared.demandCoverage, DemandMeasured: g.shared.demandMeasured, NoRequestsYet: g.shared.noRequestsYet, Logger: logger,
+		InFlight: g.tracker.InFlight, AnnounceReachable: g.markAlive, Retire: g.retireGroup, Demand: g.shared.totalDemand, DemandCoverage: g.shared.demandCoverage, NoRequestsYet: g.shared.noRequestsYet, Logger: logger,
 	})
 	g.front = NewFrontServer(g.proxy, WithReadAhead(settings.MemoryBytes, logger))
 	platform.Restores.OnRestore(g.onRestore)
--- a/internal/gateway/shared.go
+++ b/internal/gateway/shared.go
@@ -193,9 +193,6 @@
 	for _, each := range request.GetDemands() {
 		rates[proxy.DemandKey{Service: each.GetService(), Model: each.GetModelId()}] = each.GetEngineSeconds()
 	}
-	if len(rates) > 0 {
-		s.gateway.demand.Start(now)
-	}
 	s.demands.Report(request.GetHostId(), rates, s.gateway.exchanger.ReportedHosts(request), now)
 }
 
@@ -305,11 +302,6 @@
 	return s.totalDemands()[proxy.DemandKey{Service: service, Model: modelID}]
 }
 
-// demandMeasured reports whether the demand shows how it is split between the models.
-func (s *sharedState) demandMeasured() bool {
-	return s.gateway.demand.Measured(time.Now())
-}
-
 // demandCoverage returns the share of the known hosts that the latest reports of demand
 // stand for.
 func (s *sharedState) demandCoverage() float64 {
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -45,7 +45,6 @@
 	demand           map[string]float64 // engine seconds per second, by model
 	inFlight         int                // requests at the head of any group
 	noRequestsYet    bool
-	demandUnmeasured bool // too few requests have arrived
 	reachedElsewhere bool // other hosts reach the instances that the planner cannot reach
 	connectsUnknown  bool // other hosts do not state whether a machine answers the opening of a connection
 	retired          []roster.GroupKey
@@ -123,9 +122,8 @@
 			h.retired = append(h.retired, key)
 			h.roster.MarkRetiring(key, h.fleet.Now())
 		},
-		Demand:         func(_, modelID string) float64 { return h.demand[modelID] },
-		DemandMeasured: func() bool { return !h.demandUnmeasured },
-		NoRequestsYet:  func() bool { return h.noRequestsYet }, Logger: log.NewNopLogger(),
+		Demand:        func(_, modelID string) float64 { return h.demand[modelID] },
+		NoRequestsYet: func() bool { return h.noRequestsYet }, Logger: log.NewNopLogger(),
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -136,9 +136,6 @@
 	// DemandCoverage returns the share of the known hosts whose reports of demand this
 	// host has; nil if it always has all.
 	DemandCoverage func() float64
-	// DemandMeasured reports whether enough requests have arrived that the demand shows
-	// how it is split between the models; nil if they always have.
-	DemandMeasured func() bool
 	// NoRequestsYet reports whether no host has received a request since the first start
 	// of the whole system. Until then, loads of weights are short and not limited.
 	NoRequestsYet func() bool
@@ -419,19 +416,18 @@
 }
 
 // formationModels returns the demand and the number of groups of each model of
-// a service. While too few requests have arrived, or the measured demand is below
-// minMeasuredDemand, the demand is derived from the configured shares, on the assumption
-// that it keeps half of the service's instances busy.
+// a service. While the measured demand is below minMeasuredDemand, the demand is
+// derived from the configured shares, on the assumption that it keeps half of the
+// service's instances busy.
 func (p *Planner) formationModels(service flamingodoor.ServiceSpec, counts map[string]float64, instances int) []formation.Model {
 	models := make([]formation.Model, 0, len(service.Engine.Models))
 	measured := 0.0
 	for _, model := range service.Engine.Models {
 		measured += p.Demand(service.Name, model.ID)
 	}
-	declared := measured < minMeasuredDemand || (p.DemandMeasured != nil && !p.DemandMeasured())
 	for _, model := range service.Engine.Models {
 		demand := p.Demand(service.Name, model.ID)
-		if declared {
+		if measured < minMeasuredDemand {
 			demand = model.InitialShare * float64(instances) / float64(max(1, model.InstancesPerGroup)) / 2
 		}
 		models = append(models, formation.Model{ID: model.ID, Size: model.InstancesPerGroup, Demand: demand, Groups: counts[model.ID]})
@@ -440,8 +436,7 @@
 }
 
 // minMeasuredDemand is the demand of a service, in engine seconds per second, at
-// which the measured values replace those derived from the configured shares. It keeps
-// single requests from ending the groups of the models for which none has come yet.
+// which the measured values replace those derived from the configured shares.
 const minMeasuredDemand = 0.3
 
 func sleep(ctx context.Context, duration time.Duration) {
--- a/internal/proxy/demand.go
+++ b/internal/proxy/demand.go
@@ -16,26 +16,12 @@
 // DemandKey identifies a model of a service.
 type DemandKey = demand.Key
 
-const (
-	// measuredRequests is the number of requests from which the measured demand says how
-	// it is split between the models.
-	measuredRequests = 50
-	// measuredTime is the time since the first request from which it does with fewer
-	// requests.
-	measuredTime = time.Second
-	// minObservedTime is the least time over which measuredRequests are taken to have
-	// arrived: it bounds the demand that follows from a burst.
-	minObservedTime = 100 * time.Millisecond
-)
-
 // Demand estimates the engine time that callers request of each model, whether
 // or not their requests are served. It is safe for concurrent use.
 type Demand struct {
 	mu               sync.Mutex
 	rates            map[DemandKey]*meanRate
 	meanOutputLimits map[string]float64 // mean of callers' output token limits, by service
-	startedAt        time.Time          // arrival of the first request, also at another host
-	requests         int                // that were counted
 }
 
 // outputLimitWeight is the weight of the newest request in the mean output token
@@ -63,34 +49,9 @@
 	defer d.mu.Unlock()
 	work := EngineSeconds(service.Engine, model, float64(promptTokens), d.expectedOutput(service, float64(maxOutputTokens)))
 	key := DemandKey{Service: service.Name, Model: model}
-	d.requests++
-	d.start(now)
 	rateOf(d.rates, key, now).add(work, now)
 }
 
-// Start records that some host has received requests, from which time on the rates of
-// this host are observed.
-func (d *Demand) Start(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.start(now)
-}
-
-// start records the first request. The caller holds the mutex.
-func (d *Demand) start(now time.Time) {
-	if d.startedAt.IsZero() {
-		d.startedAt = now
-	}
-}
-
-// Measured reports whether enough requests have arrived, here or during measuredTime at
-// all hosts, that the demand shows how it is split between the models.
-func (d *Demand) Measured(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.requests >= measuredRequests || (!d.startedAt.IsZero() && now.Sub(d.startedAt) >= measuredTime)
-}
-
 // rateOf returns the mean rate of a key, and adds a zero one if there is none.
 func rateOf(rates map[DemandKey]*meanRate, key DemandKey, now time.Time) *meanRate {
 	mean, ok := rates[key]
@@ -168,34 +129,14 @@
 	r.updatedAt = now
 }
 
-// startCorrection returns the factor from the decaying means to the rates that have held
-// since the first request: a mean that began t ago has seen 1-exp(-t/rateTimeConstant)
-// of a steady rate. The first request starts the time and so says nothing about the
-// rate, which leaves a single request uncorrected. The caller holds the mutex.
-func (d *Demand) startCorrection(now time.Time) float64 {
-	if d.requests == 0 {
-		return 1
-	}
-	least := measuredTime
-	if d.requests >= measuredRequests {
-		least = minObservedTime
-	}
-	observed := max(least, now.Sub(d.startedAt))
-	seen := 1 - math.Exp(-observed.Seconds()/rateTimeConstant.Seconds())
-	count := float64(d.requests)
-	return max(1, (count-1)/count/seen)
-}
-
-// Rates returns the engine seconds requested per second, corrected for the start of the
-// measurement.
+// Rates returns the engine seconds requested per second.
 func (d *Demand) Rates(now time.Time) demand.Rates {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rates := make(demand.Rates, len(d.rates))
-	correction := d.startCorrection(now)
 	for key, mean := range d.rates {
 		mean.decay(now)
-		rates[key] = correction * mean.perSecond
+		rates[key] = mean.perSecond
 	}
 	return rates
 }
@@ -209,7 +150,7 @@
 		return 0
 	}
 	mean.decay(now)
-	return d.startCorrection(now) * mean.perSecond
+	return mean.perSecond
 }
 
 // EngineSeconds estimates how long a request occupies an engine whose slots are
