--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -148,7 +148,7 @@
 	}
 	capacity := instance.Slots
 	if dest.group != nil {
-		capacity = p.groupCapacity(j, instance.Slots)
+		capacity = j.capacity(instance.Slots)
 	}
 	speed, retried := p.monitor.Believed(instance.ID)
 	if retried {
@@ -167,16 +167,13 @@
 // received.
 const resumeReserveDivisor = 4
 
-// groupCapacity returns how many requests a group with the given slots may have in flight
-// for this job to be sent to it.
-func (p *Proxy) groupCapacity(j *job, slots int) int {
+// capacity returns how many requests a group with the given slots may have in
+// flight for this job to be sent to it.
+func (j *job) capacity(slots int) int {
 	if j.responseStarted {
 		return slots + slots/resumeReserveDivisor
 	}
-	if !p.sharesSlots(j) {
-		return slots
-	}
-	return p.profiles.usefulSlots(j, slots)
+	return slots
 }
 
 // ownLimit returns how many requests this host may have in flight at a
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -122,7 +122,7 @@
 	allowances       *allowance.Book
 	limitWarnings    rate.Sometimes
 	slotReports      rate.Sometimes
-	profiles         *profiles
+	answerTimes      *answerTimes
 	queues           *queues
 	arrivalRates     *arrivalRates
 	responseTimes    *responseTimes
@@ -212,7 +212,7 @@
 		crashTracker: parts.CrashTracker, partTracker: parts.PartTracker, paths: parts.Paths, peers: noPeers{}, peerPool: parts.PeerPool, hostID: parts.HostID, demand: parts.Demand, logger: parts.Logger,
 		unbegun:  unbegunAttempts{attempts: make(map[*unbegunAttempt]struct{})},
 		observer: noObserver{}, onLeaving: func(string, time.Time) {}, configurationConfirmed: func() bool { return true }, onLimited: func() {}, now: time.Now, uptime: uptime.Now, random: rand.Float64,
-		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), queues: newQueues(), profiles: newProfiles(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(), firstEventTimes: newResponseTimes(), roundTrips: balance.NewRoundTrips(),
+		budgets: make(map[string]*admission.RetryBudget), longestDeadlines: make(map[string]time.Duration), divider: divider, cold: cold.NewLimiter(divider), holds: balance.NewHolds(), allowances: allowance.NewBook(divider), queues: newQueues(), answerTimes: newAnswerTimes(), arrivalRates: newArrivalRates(), responseTimes: newResponseTimes(), firstEventTimes: newResponseTimes(), roundTrips: balance.NewRoundTrips(),
 		limitWarnings: rate.Sometimes{First: 1, Interval: limitWarningInterval}, slotReports: rate.Sometimes{First: 1, Interval: time.Second},
 	}
 	p.takeovers.limit = defaultMemoryBytes / takeoverMemoryDivisor
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -44,7 +44,7 @@
 	case err != nil:
 		p.endWithoutSlot(ctx, client, j, err)
 	case result == outcomeDone:
-		p.profiles.addAnswer(j, client.events, p.now())
+		p.answerTimes.add(j, p.now())
 		p.recordFinished(j, "answered", http.StatusOK, client.events)
 	case result == outcomeCallerLeft:
 		p.abortLeft(j, client.events)
