Keep the deadline of pieces written to slow callers

http.Server sets the write deadline of a connection to none after each request. While held bytes are being written, this also removed the deadline of the piece that waited for the caller: a caller that does not read was then never examined, so its bytes and its goroutine stayed until the connection broke, and a later response on the connection waited for ever. In the other direction, the deadline of a piece replaced that of a handler, which had no effect.

The write deadline that the server sets is now kept apart from that of the socket. Write examines it when it begins and at each interval of a second; held bytes are subject to the bounds of readahead alone.

--- a/internal/gateway/slow_callers.go
+++ b/internal/gateway/slow_callers.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,10 @@
 	drained func()
 
 	unacknowledged int // bytes that the kernel holds; for the one that writes slowly
+
+	// deadline is that of writes as the server set it, in nanoseconds of Unix time; 0 for
+	// none. Writes with the lock held may take long, so that it is not guarded by it.
+	deadline atomic.Int64
 }
 
 // newSlowConn wraps a TCP connection, and returns any other as it is, or if there is no
@@ -85,6 +90,9 @@
 	defer s.mu.Unlock()
 	written := 0
 	for s.err == nil && written < len(data) {
+		if s.isLate() {
+			return written, os.ErrDeadlineExceeded
+		}
 		if !s.drains {
 			count, err := s.writeNow(data[written:])
 			written += count
@@ -134,7 +142,10 @@
 func (s *slowConn) writeSlowly(data []byte, written int) (int, error) {
 	acceptedAt := time.Now()
 	for written < len(data) {
-		_ = s.SetWriteDeadline(time.Now().Add(drainInterval)) // fails only if the connection is closed
+		if s.isLate() {
+			return written, errors.Join(os.ErrDeadlineExceeded, s.Conn.SetWriteDeadline(time.Time{}))
+		}
+		_ = s.Conn.SetWriteDeadline(time.Now().Add(drainInterval)) // fails only if the connection is closed
 		count, err := s.Conn.Write(data[written:min(len(data), written+drainPieceBytes)])
 		written += count
 		if s.acknowledged(count) {
@@ -149,7 +160,30 @@
 			return written, s.err
 		}
 	}
-	return written, s.SetWriteDeadline(time.Time{})
+	return written, s.Conn.SetWriteDeadline(time.Time{})
+}
+
+// SetWriteDeadline sets the deadline of Write, which is examined when Write begins and
+// each drainInterval. The deadlines of the socket are those of pieces: http.Server removes
+// its deadline after each request, and without one a piece could wait for ever.
+func (s *slowConn) SetWriteDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		s.deadline.Store(0)
+		return nil
+	}
+	s.deadline.Store(deadline.UnixNano())
+	return nil
+}
+
+// SetDeadline sets the deadlines of Read and Write.
+func (s *slowConn) SetDeadline(deadline time.Time) error {
+	return errors.Join(s.SetReadDeadline(deadline), s.SetWriteDeadline(deadline))
+}
+
+// isLate reports whether the deadline of writes has passed.
+func (s *slowConn) isLate() bool {
+	deadline := s.deadline.Load()
+	return deadline != 0 && time.Now().UnixNano() >= deadline
 }
 
 // hold keeps bytes for the caller and has them written. It is called with the lock held.
@@ -168,7 +202,7 @@
 	for len(s.pending) > 0 && s.err == nil {
 		piece := s.pending[:min(len(s.pending), drainPieceBytes)]
 		s.mu.Unlock()
-		_ = s.SetWriteDeadline(time.Now().Add(drainInterval)) // fails only if the connection is closed
+		_ = s.Conn.SetWriteDeadline(time.Now().Add(drainInterval)) // fails only if the connection is closed
 		count, err := s.Conn.Write(piece)
 		now := time.Now()
 		if s.acknowledged(count) {
@@ -193,7 +227,7 @@
 		}
 		return
 	}
-	_ = s.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
+	_ = s.Conn.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 }
 
 // acknowledged reports whether the caller has received bytes since the last call, after
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -110,6 +110,65 @@
 	}
 }
 
+// Guards against held bytes that are kept for ever for a caller that does not read:
+// http.Server removes the write deadline after each request, also that of the write that
+// waits for the caller meanwhile.
+func TestEndOfARequestKeepsTheDeadlineOfHeldBytes(t *testing.T) {
+	t.Parallel()
+	block := make([]byte, 128<<10)
+	failed := make(chan error, 1)
+	front, address := serveSlowly(t, 0, func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/" {
+			_, _ = writer.Write(block)
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(100 * time.Millisecond) // the held bytes are being written
+			return
+		}
+		for {
+			if _, err := writer.Write(block); err != nil {
+				failed <- err
+				return
+			}
+		}
+	})
+	connection := openSlow(t, address)
+	_, err := io.WriteString(connection, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	select {
+	case <-failed:
+	case <-time.After(2 * readahead.MaxStall):
+		_ = connection.Close()
+		t.Fatal("the caller was not ended")
+	}
+	assert.Equal(t, front.EndedCallers(), int64(1))
+}
+
+// Guards against a write deadline of a handler that has no effect while a write waits
+// for room.
+func TestWriteDeadlineEndsAWriteThatWaits(t *testing.T) {
+	t.Parallel()
+	for name, memory := range map[string]int64{"caller": 0, "process": 64 << 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			took := make(chan time.Duration, 1)
+			_, address := serveSlowly(t, memory, func(writer http.ResponseWriter, _ *http.Request) {
+				begun := time.Now()
+				_ = http.NewResponseController(writer).SetWriteDeadline(begun.Add(2 * time.Second))
+				block := make([]byte, 128<<10)
+				for {
+					if _, err := writer.Write(block); err != nil {
+						took <- time.Since(begun)
+						return
+					}
+				}
+			})
+			openSlow(t, address)
+			elapsed := <-took
+			assert.Assert(t, elapsed >= 2*time.Second && elapsed < 5*time.Second, "%s", elapsed)
+		})
+	}
+}
+
 // Guards against memory that grows with the number of slow readers, and against ending
 // one that reads steadily. Runs 500 readers of the 2,000 of the design, for longer than
 // a caller may accept nothing, and compares with a quarter of the smallest host's 136 MB. Streams are faster than
