Give slow callers time to receive the end of a held response

After a request whose body was not read, http.Server ends its side of the connection and closes it 500 ms later, because a close with unread bytes resets the connection and discards what the caller has not received. While bytes were held, the end of the side was dropped, and the connection was closed as soon as the kernel had the last piece: the caller lost the end of a complete response.

The end is now sent once nothing is held, and the close follows after the same 500 ms.

The test fails without the change: the caller reads "connection reset by peer" instead of the end of its response.

--- a/internal/gateway/slow_callers.go
+++ b/internal/gateway/slow_callers.go
@@ -26,6 +26,10 @@
 	// unsentBytes bounds what the kernel holds of a connection beyond what the caller's
 	// window takes. Without a bound the send buffer grows up to 4 MB.
 	unsentBytes = 16 << 10
+	// resetAvoidanceTime separates the end of what is sent from the close, as in
+	// http.Server: a close with unread bytes of the caller resets the connection, which
+	// discards what the caller has not received yet.
+	resetAvoidanceTime = 500 * time.Millisecond
 	// tcpNotSentLowat is the number of the option TCP_NOTSENT_LOWAT on Linux.
 	tcpNotSentLowat = 0x19
 )
@@ -48,6 +52,7 @@
 	drains  bool  // a goroutine writes what is pending
 	waiting bool  // a write waits for room
 	closed  bool  // by the server; pending bytes are still written
+	halved  bool  // CloseWrite was called while bytes were held
 	err     error // that later writes return
 	drained func()
 
@@ -218,10 +223,14 @@
 		}
 		s.changed.Broadcast()
 	}
-	s.pending, s.drains = nil, false
+	s.pending = nil
 	s.budget.Drop(s.caller)
+	if s.halved && s.err == nil {
+		s.endWrites()
+	}
+	s.drains = false
 	if s.closed {
-		_ = s.Conn.Close()
+		_ = s.Conn.Close() // fails only if it is closed
 		if s.drained != nil {
 			s.drained()
 		}
@@ -230,6 +239,16 @@
 	_ = s.Conn.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 }
 
+// endWrites ends what is sent to the caller, and gives the caller time to receive it
+// before the connection may be closed. It is called with the lock held.
+func (s *slowConn) endWrites() {
+	_ = s.closeWrite() // fails only if the connection is closed
+	s.err = net.ErrClosed
+	s.mu.Unlock()
+	time.Sleep(resetAvoidanceTime)
+	s.mu.Lock()
+}
+
 // acknowledged reports whether the caller has received bytes since the last call, after
 // which the kernel took the given number. The kernel takes bytes in steps that a caller
 // at 1 KB/s needs over 10 s for.
@@ -255,12 +274,19 @@
 	return s.Conn.Close()
 }
 
-// CloseWrite ends what is sent to the caller, unless bytes are held for it, whose end
-// is that of the connection.
+// CloseWrite ends what is sent to the caller, once it has accepted what is held for it.
 func (s *slowConn) CloseWrite() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if connection, ok := s.Conn.(interface{ CloseWrite() error }); ok && !s.drains {
+	if s.drains {
+		s.halved = true
+		return nil
+	}
+	return s.closeWrite()
+}
+
+func (s *slowConn) closeWrite() error {
+	if connection, ok := s.Conn.(interface{ CloseWrite() error }); ok {
 		return connection.CloseWrite()
 	}
 	return nil
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -169,6 +169,42 @@
 	}
 }
 
+// Guards against a response that is cut at its end by a reset, because its handler did not
+// read the whole request and the connection is closed once nothing is held.
+func TestHeldResponseToAnUnreadRequestIsWhole(t *testing.T) {
+	t.Parallel()
+	const size = 128 << 10
+	front, address := serveSlowly(t, 0, func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodGet {
+			return
+		}
+		writer.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = writer.Write(make([]byte, size))
+	})
+	connection := openSlow(t, address)
+	reader := bufio.NewReaderSize(connection, 1<<10)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000\r\n\r\n"+strings.Repeat("x", 512<<10))
+	assert.NilError(t, err)
+	time.Sleep(700 * time.Millisecond) // the server has closed the connection
+	assert.Assert(t, front.HeldBytes() > 0)
+	received := 0
+	response, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	buffer := make([]byte, 1<<10)
+	for err == nil {
+		var count int
+		count, err = response.Body.Read(buffer)
+		received += count
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, response.Body.Close())
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, received, size)
+}
+
 // Guards against memory that grows with the number of slow readers, and against ending
 // one that reads steadily. Runs 500 readers of the 2,000 of the design, for longer than
 // a caller may accept nothing, and compares with a quarter of the smallest host's 136 MB. Streams are faster than
