Leave connections alone whose progress is not known

Where the system does not state how many bytes a caller has acknowledged (SIOCOUTQ), the error was read as 0 bytes. A caller at 1 KB/s would then have been ended: the kernel takes new bytes only in steps for which it needs over 10 s.

A connection for which the request fails when it is accepted is now used as it is, without held bytes, as before these were introduced. A later error is neither progress nor a stall.

The test fails without the change: the connection was wrapped.

--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,4 @@
+package gateway
+
+// NewSlowConn is newSlowConn for tests.
+var NewSlowConn = newSlowConn
--- a/internal/gateway/slow_callers.go
+++ b/internal/gateway/slow_callers.go
@@ -63,8 +63,9 @@
 	deadline atomic.Int64
 }
 
-// newSlowConn wraps a TCP connection, and returns any other as it is, or if there is no
-// budget: other entry hosts hold bytes for their callers themselves.
+// newSlowConn wraps a TCP connection. It returns any other as it is, any whose progress
+// cannot be measured, and all if there is no budget: other entry hosts hold bytes for
+// their callers themselves.
 func newSlowConn(connection net.Conn, budget *readahead.Budget, logger log.Logger) net.Conn {
 	socket, ok := connection.(*net.TCPConn)
 	if !ok || budget == nil {
@@ -74,6 +75,10 @@
 	if err != nil {
 		return connection
 	}
+	if _, err := unacknowledgedBytes(raw); err != nil {
+		// A caller that reads slowly cannot be told from one that does not read.
+		return connection
+	}
 	_ = raw.Control(func(descriptor uintptr) {
 		// Without the option the connection works, with a larger buffer.
 		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpNotSentLowat, unsentBytes)
@@ -253,16 +258,26 @@
 // which the kernel took the given number. The kernel takes bytes in steps that a caller
 // at 1 KB/s needs over 10 s for.
 func (s *slowConn) acknowledged(taken int) bool {
-	unacknowledged := 0
-	_ = s.raw.Control(func(descriptor uintptr) {
-		// An error leaves 0, as if all had been acknowledged.
-		unacknowledged, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
-	})
+	unacknowledged, err := unacknowledgedBytes(s.raw)
+	if err != nil { // not known: neither all nor nothing has been acknowledged
+		return taken > 0
+	}
 	before := s.unacknowledged
 	s.unacknowledged = unacknowledged
 	return taken > 0 || unacknowledged < before
 }
 
+// unacknowledgedBytes returns how many bytes the kernel holds that the peer has not
+// acknowledged.
+func unacknowledgedBytes(raw syscall.RawConn) (int, error) {
+	count := 0
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		count, failure = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+	})
+	return count, errors.Join(err, failure)
+}
+
 // Close closes the connection once the caller has accepted what is held for it.
 func (s *slowConn) Close() error {
 	s.mu.Lock()
--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -135,7 +135,8 @@
 	_, err := io.WriteString(connection, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	select {
-	case <-failed:
+	case err := <-failed:
+		assert.Assert(t, err != nil)
 	case <-time.After(2 * readahead.MaxStall):
 		_ = connection.Close()
 		t.Fatal("the caller was not ended")
@@ -205,6 +206,23 @@
 	assert.Equal(t, received, size)
 }
 
+// Guards against ending callers that read slowly but steadily where the system does not
+// state what a caller has acknowledged. A socket that listens stands in for one.
+func TestConnectionOfUnknownProgressIsLeftAsItIs(t *testing.T) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // its sockets state a number also while they listen
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	file, err := listener.(*net.TCPListener).File() //nolint:forcetypeassert // a TCP listener
+	assert.NilError(t, err)
+	defer func() { _ = file.Close() }()
+	connection, err := net.FileConn(file)
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	assert.Equal(t, gateway.NewSlowConn(connection, readahead.New(0), log.NewNopLogger()), connection)
+}
+
 // Guards against memory that grows with the number of slow readers, and against ending
 // one that reads steadily. Runs 500 readers of the 2,000 of the design, for longer than
 // a caller may accept nothing, and compares with a quarter of the smallest host's 136 MB. Streams are faster than
