Test the wait of second tries where slots are divided

Cause: since requests wait for longer only where hosts are more than the slots, the test of a request behind a long queue had nobody waiting. Change: the test sets three hosts for two slots.

--- a/internal/proxy/queue_test.go
+++ b/internal/proxy/queue_test.go
@@ -183,6 +183,7 @@
 	s := newSetup(t, proxy.WithClock(now))
 	e := newEndpoint(t, events(1, 0))
 	s.register(e.instance("i-1", "llm"))
+	s.proxy.SetHosts([]string{"host-1", "host-2", "host-3"}, 0) // more than the slots of a group
 	s.allowLongRequests(30*time.Second, 800*time.Millisecond)
 	// Requests with clearly less time than others of the route are second tries, which
 	// wait for longer than the objective.
