Explain where a host would send a described request

Cause: operators could see from the log where a request went, but not why, nor where one would go now: the reasons against groups, the loads and the queue were known only inside the host. Change: proxy.Explain describes the decision for a route or host and path, a workspace by name, a model and tokens, with the code that decides: addCandidate's checks return a reason (exclusionReason), divideSlots and retryAfter have a part without effects, Tracker.Preview uses the checks and loads of Pick without reserving, Monitor.Peek does not record a slow group, and reading a profile or an expected turn no longer creates one. The host answers GET /explain as JSON on the address of its metrics; flamingodoorctl explain prints it as text or JSON and takes a request from a log line. authorise moved to a file of its own.

--- a/cmd/flamingodoor-entry/main_test.go
+++ b/cmd/flamingodoor-entry/main_test.go
@@ -170,10 +170,24 @@
 	t.Fatalf("the metrics lack some of %s:\n%s", wanted, text)
 }
 
+// Guards against a host that does not answer what it would do with a request on the address
+// of the metrics.
+func TestExplain(t *testing.T) {
+	e := startProcess(t)
+	e.await("started")
+	assert.Assert(t, strings.Contains(e.get("/explain?route=chat"), `"reason":"no_configuration"`))
+}
+
 func (e *entryProcess) metrics() string {
+	e.t.Helper()
+	return e.get("/metrics")
+}
+
+// get returns what the host answers on the address of the metrics.
+func (e *entryProcess) get(path string) string {
 	e.t.Helper()
 	client := &http.Client{Timeout: eventTimeout}
-	response, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", e.ports[3]))
+	response, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d%s", e.ports[3], path))
 	assert.NilError(e.t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -81,9 +81,8 @@
 	defer t.mu.Unlock()
 	available := make([]candidateLoad, 0, len(candidates))
 	for _, candidate := range candidates {
-		own, others := t.own[candidate.ID], t.peerTotals[candidate.ID]
-		if own+others < candidate.Capacity && own < candidate.OwnLimit && !now.Before(t.pausedUntil[candidate.ID]) {
-			available = append(available, loadOf(candidate, own, others, max(0, t.promptsUntil[candidate.ID].Sub(now))))
+		if t.roomAt(&candidate, now) == RoomFree {
+			available = append(available, t.loadAt(candidate, now))
 		}
 	}
 	if len(available) == 0 {
@@ -104,6 +103,26 @@
 	return picked.id, true
 }
 
+// roomAt reports whether an instance takes one more request. The caller holds the mutex.
+func (t *Tracker) roomAt(candidate *Candidate, now time.Time) Room {
+	own, others := t.own[candidate.ID], t.peerTotals[candidate.ID]
+	switch {
+	case own+others >= candidate.Capacity:
+		return RoomAtCapacity
+	case own >= candidate.OwnLimit:
+		return RoomAtOwnLimit
+	case now.Before(t.pausedUntil[candidate.ID]):
+		return RoomPaused
+	default:
+		return RoomFree
+	}
+}
+
+// loadAt returns the load of a candidate. The caller holds the mutex.
+func (t *Tracker) loadAt(candidate Candidate, now time.Time) candidateLoad {
+	return loadOf(candidate, t.own[candidate.ID], t.peerTotals[candidate.ID], max(0, t.promptsUntil[candidate.ID].Sub(now)))
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -98,6 +98,7 @@
 		{"drain", "Take a data centre out of service", &drainCommand{app: a}},
 		{"return", "Put a data centre back into service", &returnCommand{app: a}},
 		{"status", "Show hosts, endpoints and groups as one host sees them", &statusCommand{app: a}},
+		{"explain", "Show where an entry host would send a request now, and why", &explainCommand{app: a}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.short, "", command.data); err != nil {
 			return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"flamingodoor.example/flamingodoor/internal/balance"
 	"flamingodoor.example/flamingodoor/internal/catalogue"
 	"flamingodoor.example/flamingodoor/internal/exchange"
+	"flamingodoor.example/flamingodoor/internal/explain"
 	"flamingodoor.example/flamingodoor/internal/planner"
 	"flamingodoor.example/flamingodoor/internal/poison"
 	"flamingodoor.example/flamingodoor/internal/proxy"
@@ -461,6 +462,7 @@
 func (g *Gateway) metricsHandler() http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/metrics", g.metrics.Handler()).Methods(http.MethodGet)
+	router.Handle("/explain", explain.Handler(g.proxy.Explain)).Methods(http.MethodGet)
 	return router
 }
 
--- a/internal/proxy/acquire.go
+++ b/internal/proxy/acquire.go
@@ -30,33 +30,37 @@
 // retryAfter returns the Retry-After of a refused job: when its queue is expected to have a
 // slot for it, within the limits above, and spread at random.
 func (p *Proxy) retryAfter(j *job) time.Duration {
-	now := p.now()
+	return p.retryAfterAt(j, p.now(), p.random())
+}
+
+// retryAfterAt returns the Retry-After of a job that is refused at the given time. `random`
+// is a number from 0 to 1.
+func (p *Proxy) retryAfterAt(j *job, now time.Time, random float64) time.Duration {
 	left := max(0, j.deadline.Sub(now))
 	least, most := time.Duration(minRetryAfterShare*float64(left)), time.Duration(maxRetryAfterShare*float64(left))
 	if turn, known := p.expectedTurn(j, now); known {
 		latest := most - time.Duration(minRetrySpreadShare*float64(left))
 		least = min(max(least, turn.Sub(now)), latest)
 	}
-	return p.retryAfterOr(j, least+time.Duration(p.random()*float64(most-least)))
+	return p.retryAfterHeld(j, least+time.Duration(random*float64(most-least)), now, random)
 }
 
 // retryAfterOr returns the Retry-After of a refused job if all its instances asked
 // for no requests or no more from this host: when the first of them takes requests
 // again, but not later than callers wait. Otherwise it returns the usual one.
 func (p *Proxy) retryAfterOr(j *job, usual time.Duration) time.Duration {
-	now := p.now()
+	return p.retryAfterHeld(j, usual, p.now(), p.random())
+}
+
+func (p *Proxy) retryAfterHeld(j *job, usual time.Duration, now time.Time, random float64) time.Duration {
 	roomAt, ok := p.roomAt(j, now)
 	if !ok {
 		return usual
 	}
 	left := max(0, j.deadline.Sub(now))
-	return min(roomAt.Sub(now)+p.retrySpread(left), time.Duration(maxRetryAfterShare*float64(left)))
-}
-
-// retrySpread returns a random part of the time left, by which the retries of
-// callers are spread.
-func (p *Proxy) retrySpread(left time.Duration) time.Duration {
-	return time.Duration(p.random() * (maxRetryAfterShare - minRetryAfterShare) * float64(left))
+	// The random part spreads the retries of callers.
+	spread := time.Duration(random * (maxRetryAfterShare - minRetryAfterShare) * float64(left))
+	return min(roomAt.Sub(now)+spread, time.Duration(maxRetryAfterShare*float64(left)))
 }
 
 // destination is an instance that can take a job, or a peer that it is forwarded
@@ -158,10 +162,7 @@
 	if !p.grantRetry(j, now) {
 		return p.acquireGrant(j, now)
 	}
-	set := p.findCandidates(j, p.roster.View(), now)
-	if len(set.candidates) == 0 && set.unreachable > 0 && len(j.failedInstances) < j.route.MaxAttempts && p.reliesOnOwnPaths(j, now) {
-		set = p.findCandidates(j, p.roster.View().IgnoringPaths(), now)
-	}
+	set := p.findUsable(j, nil, now)
 	if len(set.candidates) == 0 {
 		return p.acquireElsewhere(j, &set, now)
 	}
--- a/internal/proxy/buffered.go
+++ b/internal/proxy/buffered.go
@@ -173,12 +173,20 @@
 		p.refuse(writer, j, http.StatusServiceUnavailable, cmp.Or(p.blockedReason(j, p.now()), partBlockedReason), 0)
 	case errors.Is(err, errNoPath) && j.forwardedBy != "":
 		p.decline(writer, j, "no_path")
+	default:
+		p.refuse(writer, j, http.StatusServiceUnavailable, noSlotReason(err), delay)
+	}
+}
+
+// noSlotReason returns the reason in the refusal of a job that got no slot.
+func noSlotReason(err error) string {
+	switch {
 	case errors.Is(err, errNoPath):
-		p.refuse(writer, j, http.StatusServiceUnavailable, "no_path", delay)
+		return "no_path"
 	case errors.Is(err, errNoInstance):
-		p.refuse(writer, j, http.StatusServiceUnavailable, "no_instance", delay)
+		return "no_instance"
 	default:
-		p.refuse(writer, j, http.StatusServiceUnavailable, "full", delay)
+		return "full"
 	}
 }
 
--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flamingodoor.example/flamingodoor/internal/balance"
+	"flamingodoor.example/flamingodoor/internal/explain"
 	"flamingodoor.example/flamingodoor/internal/roster"
 )
 
@@ -35,6 +36,7 @@
 	heldUntil   time.Time
 	unreachable int             // instances that only the path from this host excludes
 	timing      *balance.Timing // nil for a service without an engine
+	excluded    *[]exclusion    // nil unless the job is explained
 	retried     []int           // indices of the candidates that get a single request of this host at a time
 }
 
@@ -63,6 +65,29 @@
 	}
 }
 
+// exclusion is why an instance does not get a job.
+type exclusion struct {
+	destination destination
+	reason      explain.Reason
+	until       time.Time // zero if it is not known
+}
+
+// exclude records an instance that does not get the job, for the given reason and until the
+// given time, which is zero if it is not known.
+func (c *candidateSet) exclude(dest destination, reason explain.Reason, until time.Time) {
+	switch reason { //nolint:exhaustive // the others do not change the response
+	case explain.ReasonUnreachable:
+		c.unreachable++
+	case explain.ReasonHeld, explain.ReasonRateUsed:
+		c.addHeld(until)
+	case explain.ReasonColdRateUsed:
+		c.coldLimited = true
+	}
+	if c.excluded != nil {
+		*c.excluded = append(*c.excluded, exclusion{destination: dest, reason: reason, until: until})
+	}
+}
+
 // addHeld records an instance that is excluded until the given time.
 func (c *candidateSet) addHeld(until time.Time) {
 	if c.heldUntil.IsZero() || until.Before(c.heldUntil) {
@@ -74,7 +99,28 @@
 // serving groups for a service with an engine, else the instances of the service
 // that are neither leaving nor lost.
 func (p *Proxy) findCandidates(j *job, view *roster.View, now time.Time) candidateSet {
-	var set candidateSet
+	return p.examine(j, view, nil, now)
+}
+
+// findUsable returns the instances that can take the job, also those that this host does
+// not reach if there is no other way. It appends those that are out to `excluded`, unless
+// that is nil.
+func (p *Proxy) findUsable(j *job, excluded *[]exclusion, now time.Time) candidateSet {
+	view := p.roster.View()
+	set := p.examine(j, view, excluded, now)
+	if len(set.candidates) == 0 && set.unreachable > 0 && len(j.failedInstances) < j.route.MaxAttempts && p.reliesOnOwnPaths(j, now) {
+		if excluded != nil {
+			*excluded = nil
+		}
+		return p.examine(j, view.IgnoringPaths(), excluded, now)
+	}
+	return set
+}
+
+// examine does what findCandidates does, and appends the instances that are out to
+// `excluded`, unless that is nil.
+func (p *Proxy) examine(j *job, view *roster.View, excluded *[]exclusion, now time.Time) candidateSet {
+	set := candidateSet{excluded: excluded}
 	if j.service.Engine != nil {
 		p.addGroups(&set, j, view, now)
 	} else {
@@ -92,9 +138,15 @@
 		}
 	}
 	for _, group := range view.Groups {
-		if group.Service == j.service.Name && group.ModelID == j.model && view.Serving(group, size, now) {
-			p.addCandidate(set, j, view, destination{instance: group.Head().Instance, group: group}, now)
+		if group.Service != j.service.Name || group.ModelID != j.model {
+			continue
+		}
+		dest := destination{instance: group.Head().Instance, group: group}
+		if !view.Serving(group, size, now) {
+			set.exclude(dest, explain.ReasonNotServing, time.Time{})
+			continue
 		}
+		p.addCandidate(set, j, view, dest, now)
 	}
 	set.limitRetried()
 }
@@ -112,45 +164,66 @@
 
 func (p *Proxy) addInstances(set *candidateSet, j *job, view *roster.View, now time.Time) {
 	for _, entry := range view.ByService[j.service.Name] {
-		if !entry.Leaving && !view.Lost(entry.Instance, now) {
-			p.addCandidate(set, j, view, destination{instance: entry.Instance}, now)
+		dest := destination{instance: entry.Instance}
+		switch {
+		case entry.Leaving:
+			set.exclude(dest, explain.ReasonLeaving, time.Time{})
+		case view.Lost(entry.Instance, now):
+			set.exclude(dest, explain.ReasonLost, time.Time{})
+		default:
+			p.addCandidate(set, j, view, dest, now)
 		}
 	}
 }
 
-// addCandidate adds an instance unless it failed the job before, its data centre
-// is evacuated, this host does not reach it, it asked for no requests, or this host has used up its part of the
-// request rate of the instance, which the instance stated or which holds while it is
-// cold.
-func (p *Proxy) addCandidate(set *candidateSet, j *job, view *roster.View, dest destination, now time.Time) {
+// exclusionReason returns why an instance does not get the job: its data centre is
+// evacuated, this host does not reach it, it failed the job before, it asked for no
+// requests, or this host has used up its part of the request rate of the instance, which
+// the instance stated or which holds while it is cold. It also returns until when, if that
+// is known.
+func (p *Proxy) exclusionReason(j *job, view *roster.View, dest destination, now time.Time) (explain.Reason, time.Time) {
 	instance := dest.instance
 	if p.catalogue.Evacuated(instance.DataCentre) {
-		return
+		return explain.ReasonEvacuated, time.Time{}
 	}
 	if view.Unreachable(instance, now) {
-		set.unreachable++
-		return
+		return explain.ReasonUnreachable, time.Time{}
 	}
 	if j.failed(dest) || (j.repeatAt != "" && instance.ID != j.repeatAt && j.exhausted()) {
-		return
+		return explain.ReasonTried, time.Time{}
 	}
 	if until, held := p.holds.Until(instance.ID, instance.StartedAt, now); held {
-		set.addHeld(until)
-		return
+		return explain.ReasonHeld, until
 	}
 	if until, full := p.allowances.FullUntil(instance, now); full {
-		set.addHeld(until)
-		return
+		return explain.ReasonRateUsed, until
 	}
 	if !p.cold.HasRoom(instance, j.service.ColdRate, now) {
-		set.coldLimited = true
+		return explain.ReasonColdRateUsed, time.Time{}
+	}
+	return explain.ReasonNone, time.Time{}
+}
+
+// believedSpeed returns the speed of a group, and whether it was slow until lately.
+func (p *Proxy) believedSpeed(j *job, instanceID string) (speed float64, retried bool) {
+	if j.explained {
+		return p.monitor.Peek(instanceID)
+	}
+	return p.monitor.Believed(instanceID)
+}
+
+// addCandidate adds an instance unless there is a reason to exclude it.
+func (p *Proxy) addCandidate(set *candidateSet, j *job, view *roster.View, dest destination, now time.Time) {
+	instance := dest.instance
+	if reason, until := p.exclusionReason(j, view, dest, now); reason != explain.ReasonNone {
+		set.exclude(dest, reason, until)
 		return
 	}
 	capacity := instance.Slots
 	if dest.group != nil {
 		capacity = j.capacity(instance.Slots)
 	}
-	speed, retried := p.monitor.Believed(instance.ID)
+	speed, retried := p.believedSpeed(j, instance.ID)
 	if retried {
 		set.retried = append(set.retried, len(set.candidates))
 	}
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -59,6 +59,7 @@
 	priority        int                       // 0 to 9, 0 is the most urgent
 	authorization   string                    // credentials of the caller
 	brokenPeers     []string                  // of failedPeers, those that broke off after some events
+	explained       bool                      // described by an operator: decisions about it change no state
 	version         int64                     // of the configuration that the route is from
 	forwardedBy     string                    // host that the caller sent the request to; empty if it is this one
 
@@ -197,7 +198,7 @@
 		id: request.Header.Get(p.headers.RequestID), route: route, receivedAt: received,
 		method: request.Method, uri: request.RequestURI, host: request.Host, header: header, body: body,
 		model: request.Header.Get(p.headers.Model), lastEventID: request.Header.Get(p.headers.LastEventID),
-		priority: route.Priority, failedInstances: make(map[string]bool), queuedBehind: -1, authorization: request.Header.Get("Authorization"),
+		priority: priorityOf(route, workspace), failedInstances: make(map[string]bool), queuedBehind: -1, authorization: request.Header.Get("Authorization"),
 		version: index.Version, forwardedBy: from.host, sends: from.sends, counted: from.counted, responseStarted: from.streamBegun, retryGranted: !from.ungranted,
 	}
 	if j.forwardedBy != "" {
@@ -207,9 +208,6 @@
 	if workspace != nil {
 		j.workspace = workspace.Name
 		header.Set(p.headers.Workspace, workspace.Name)
-		if workspace.HasPriority {
-			j.priority = workspace.Priority
-		}
 	}
 	j.service = index.Services[chosenService(route, from.service, p.random())]
 	j.promptTokens, j.maxOutputTokens = parseTokens(request.Header.Get(p.headers.Tokens))
@@ -226,6 +224,15 @@
 	return j
 }
 
+// priorityOf returns the priority of a request. That of the workspace, which may be nil,
+// takes precedence.
+func priorityOf(route *flamingodoor.Route, workspace *flamingodoor.Workspace) int {
+	if workspace != nil && workspace.HasPriority {
+		return workspace.Priority
+	}
+	return route.Priority
+}
+
 // fingerprint hashes the parts of a job that identify repetitions of the same
 // request.
 func fingerprint(j *job) flamingodoor.Fingerprint {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,13 +5,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -414,36 +412,6 @@
 	return defaultBodyBytes
 }
 
-// authorise returns the route and the workspace of a request, or the status and
-// reason of its rejection. The workspace is nil on public routes and if none is
-// configured.
-func (p *Proxy) authorise(index *catalogue.Index, request *http.Request) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
-	stale := p.uptime().Sub(p.catalogue.Confirmed()) >= cmp.Or(p.limits.Load().ApplyWithin, defaultApplyWithin)
-	path, _, _ := strings.Cut(request.RequestURI, "?")
-	route, ok := index.Route(request.Host, path)
-	if !ok {
-		if stale {
-			return nil, nil, http.StatusServiceUnavailable, "configuration_stale"
-		}
-		return nil, nil, http.StatusNotFound, "no_route"
-	}
-	if route.Public || len(index.Workspaces) == 0 {
-		return route, nil, 0, ""
-	}
-	if !p.keysConfirmed() {
-		return nil, nil, http.StatusServiceUnavailable, "keys_unconfirmed"
-	}
-	key, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
-	workspace, ok := index.Workspace(key)
-	if found && ok {
-		return route, workspace, 0, ""
-	}
-	if stale {
-		return nil, nil, http.StatusServiceUnavailable, "configuration_stale"
-	}
-	return nil, nil, http.StatusUnauthorized, "unknown_key"
-}
-
 // rejectBody responds to a request whose body cannot be read, or for which there is no room.
 func (p *Proxy) rejectBody(writer http.ResponseWriter, request *http.Request, err error) {
 	var large *http.MaxBytesError
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -76,6 +76,14 @@
 	return q
 }
 
+// existingQueue returns the queue of a job, or false if none has been needed yet.
+func (p *Proxy) existingQueue(j *job) (*queue, bool) {
+	p.queues.mu.Lock()
+	defer p.queues.mu.Unlock()
+	q, ok := p.queues.byKey[j.queueKey()]
+	return q, ok
+}
+
 // queueKey returns the service and model whose instances can take the job. Callers choose
 // the model that they name: one that the service does not have gets no queue of its own.
 func (j *job) queueKey() DemandKey {
@@ -173,7 +181,10 @@
 		return time.Time{}, false
 	}
 	request := p.queueRequest(j, j.waitUntil)
-	q := p.queueOf(j)
+	q, ok := p.existingQueue(j)
+	if !ok {
+		return time.Time{}, false
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.line.TurnAt(request, now)
@@ -243,9 +254,7 @@
 // enter adds a job to the line, or returns nil if it may not wait.
 func (q *queue) enter(j *job, until time.Time, lastErr error, now time.Time) *admission.Waiting[*waitingJob] {
 	request := q.proxy.queueRequest(j, until)
-	// Only a job that was sent nowhere can be refused without loss, and only the slots of
-	// engines end at a rate that tells when there is one.
-	refusable := j.service.Engine != nil && j.sends == 0 && !j.responseStarted && !q.proxy.paths.Stranded()
+	refusable := q.proxy.refusable(j)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if j.queuedBehind < 0 {
@@ -267,6 +276,13 @@
 	return w
 }
 
+// refusable reports whether a job may be refused because its turn comes too late. Only a job
+// that was sent nowhere can be refused without loss, and only the slots of engines end at a
+// rate that tells when there is one.
+func (p *Proxy) refusable(j *job) bool {
+	return j.service.Engine != nil && j.sends == 0 && !j.responseStarted && !p.paths.Stranded()
+}
+
 // notify makes the goroutine try the next job.
 func (q *queue) notify() {
 	select {
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -15,18 +15,41 @@
 	return j.service.Engine != nil && int(p.hostCount.Load()) > j.service.Engine.Slots
 }
 
+// slotDivision is how the slots of a model are divided among the hosts.
+type slotDivision struct {
+	limited bool // this host is limited to its part
+	use     admission.SlotUse
+	own     int // requests in flight of this host
+	parts   int // of this host, at all candidates
+}
+
 // divideSlots limits this host's requests at each candidate to its part of the slots while
-// they are scarce, and reports whether the job may have one of them. A stream that resumes
-// is not limited, because its caller has a part of the answer.
+// they are scarce, and reports whether the job may have one of them.
 func (p *Proxy) divideSlots(j *job, set *candidateSet, now time.Time) bool {
-	if j.responseStarted || !p.sharesSlots(j) {
+	division := p.limitToPart(j, set, now)
+	if !division.limited {
 		return true
 	}
+	use := &division.use
+	p.slotReports.Do(func() {
+		_ = level.Info(p.logger).Log("event", "slots_divided", "model", j.model, "own", division.own, "part", division.parts, "in_flight", use.InFlight, "slots", use.Slots,
+			"own_demand", use.OwnDemand, "total_demand", use.TotalDemand)
+	})
+	return !j.yields || division.parts-division.own > p.keptSlots(j, now)
+}
+
+// limitToPart limits this host's requests at each candidate to its part of the slots while
+// they are scarce. A stream that resumes is not limited, because its caller has a part of
+// the answer.
+func (p *Proxy) limitToPart(j *job, set *candidateSet, now time.Time) slotDivision {
+	if j.responseStarted || !p.sharesSlots(j) {
+		return slotDivision{}
+	}
 	own, all, slots := p.tracker.Use(set.candidates)
 	use := p.slotUse(j, all, slots, now)
 	scale, limited := use.Scale()
 	if !limited {
-		return true
+		return slotDivision{}
 	}
 	parts := 0
 	for i := range set.candidates {
@@ -42,11 +65,7 @@
 			set.candidates[i].OwnLimit = 1
 		}
 	}
-	p.slotReports.Do(func() {
-		_ = level.Info(p.logger).Log("event", "slots_divided", "model", j.model, "own", own, "part", parts, "in_flight", all, "slots", slots,
-			"own_demand", use.OwnDemand, "total_demand", use.TotalDemand)
-	})
-	return !j.yields || parts-own > p.keptSlots(j, now)
+	return slotDivision{limited: true, use: use, own: own, parts: parts}
 }
 
 // keptFraction is the part of the time that a request holds a slot for which a free slot
--- a/internal/stall/speeds.go
+++ b/internal/stall/speeds.go
@@ -131,12 +131,27 @@
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	speed, retried = m.believed(head, now)
+	m.recordBelieved(head, speed, now)
+	return speed, retried
+}
+
+// Peek returns what Believed would, without recording that the group is believed to be
+// slow.
+func (m *Monitor) Peek(head string) (speed float64, retried bool) {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.believed(head, now)
+}
+
+// believed returns the speed of a head's group and whether it is to be retried. The caller
+// holds the mutex.
+func (m *Monitor) believed(head string, now time.Time) (speed float64, retried bool) {
 	if own, ok := m.ownReading(head, now); ok {
-		m.recordBelieved(head, own.Speed, now)
 		return own.Speed, false
 	}
 	speed = m.peerSpeeds.Speed(head, now)
-	m.recordBelieved(head, speed, now)
 	slowAt, wasSlow := m.slowAt[head]
 	return speed, speed >= retriedBelow && wasSlow && now.Sub(slowAt) < retryTime
 }
