Return a finite scale at hosts without arrivals

Cause: with no arrivals and more requests than slots, the scale was 0/0. This is so at a host that gets only requests which other hosts have counted. Change: without unreported requests the part is not raised. Result: TestScaleIsFiniteWithoutArrivals fails before (NaN) and passes.

--- a/internal/admission/slots.go
+++ b/internal/admission/slots.go
@@ -42,6 +42,9 @@
 		return 0, false
 	}
 	scale = targetUse * part * float64(max(1, u.Hosts))
+	if unreported <= 0 {
+		return scale, true
+	}
 	// While some slots are free, hosts may exceed their parts by what these allow.
 	return scale * (1 + max(0, free)/unreported), true
 }
--- a/internal/admission/slots_test.go
+++ b/internal/admission/slots_test.go
@@ -65,3 +65,21 @@
 	alone, _ := use.Scale()
 	assert.Equal(t, alone, scale)
 }
+
+// Guards against a scale that is not a number at a host whose requests were all counted at
+// other hosts: it has no arrivals, and more requests are in flight than there are slots.
+func TestScaleIsFiniteWithoutArrivals(t *testing.T) {
+	use := admission.SlotUse{Slots: 40, InFlight: 45, OwnDemand: 0, TotalDemand: 10, Hosts: 390}
+	scale, limited := use.Scale()
+	assert.Assert(t, limited)
+	assert.Assert(t, scale > 0 && scale < 1, "scale %v", scale)
+}
+
+// Guards against a division by zero where no host or no slot is known.
+func TestScaleWithoutHostsOrSlots(t *testing.T) {
+	scale, limited := admission.SlotUse{Slots: 20, InFlight: 20, Arrivals: 1}.Scale()
+	assert.Assert(t, limited)
+	assert.Assert(t, scale > 0.8 && scale < 0.9, "scale %v", scale)
+	_, limited = admission.SlotUse{Hosts: 390, Arrivals: 1}.Scale()
+	assert.Assert(t, !limited)
+}
