Place second tries at hosts without a part, and none at new groups

Cause: a host without a part may place one request, but that one counted as no free slot for second tries, which then waited until their callers gave up. The limit of one also replaced the limit of none at a group that has just opened. Change: the single request counts as this host's part, and a lower limit stays.

--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"flamingodoor.example/flamingodoor/internal/admission"
+	"flamingodoor.example/flamingodoor/internal/balance"
 )
 
 // sharesSlots reports whether hosts divide the slots of the job's model while they are
@@ -51,19 +53,23 @@
 	if !limited {
 		return slotDivision{}
 	}
+	partOf := func(candidate balance.Candidate) int {
+		return p.divider.Share(candidate.ID, int(scale*float64(candidate.Capacity)+p.slotPhase))
+	}
+	// If there are fewer slots than hosts, a host without a part may place one request, so
+	// that its callers are not refused all of the time.
+	single := own == 0 && !slices.ContainsFunc(set.candidates, func(c balance.Candidate) bool { return partOf(c) > 0 })
 	parts := 0
 	for i := range set.candidates {
-		candidate := &set.candidates[i]
-		part := p.divider.Share(candidate.ID, int(scale*float64(candidate.Capacity)+p.slotPhase))
-		candidate.OwnLimit = min(candidate.OwnLimit, part)
+		part := 1
+		if !single {
+			part = partOf(set.candidates[i])
+		}
+		set.candidates[i].OwnLimit = min(set.candidates[i].OwnLimit, part)
 		parts += part
 	}
-	if parts == 0 && own == 0 {
-		// There are fewer slots than hosts. A host without a part may place one request,
-		// so that its callers are not refused all of the time.
-		for i := range set.candidates {
-			set.candidates[i].OwnLimit = 1
-		}
+	if single {
+		parts = 1
 	}
 	return slotDivision{limited: true, use: use, own: own, parts: parts}
 }
