Give a slot that a second try yields to less urgent requests in time

Cause: a late request that left the last free slot ended the pass of its queue, so a less urgent request that could be in time was not tried, and no grant by slack came. Change: requests that yield are passed over together, until the next grant or change.

--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// SkipYielding skips all requests that yield at the given time.
+func (l *Line[T]) SkipYielding(now time.Time) {
+	for i := range l.places {
+		if l.Yields(l.places[i].waiting, now) {
+			l.places[i].skipped = true
+		}
+	}
+}
+
 // Retry makes Next return skipped requests again.
 func (l *Line[T]) Retry() {
 	for i := range l.places {
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -339,6 +339,7 @@
 // when an instance that takes no requests now takes one again, or zero.
 func (q *queue) grant(now time.Time) (roomAt time.Time) {
 	q.line.Retry()
+	yielded := false
 	for {
 		w := q.line.Next(now)
 		if w == nil {
@@ -355,6 +356,10 @@
 			}
 			q.line.Grant(w, now)
 			q.finish(w, dest, nil)
+			if yielded {
+				q.line.Retry() // the next grant may go by slack
+				yielded = false
+			}
 			continue
 		case mustNotWait(err, j.holdLimit(w.Request.ServeUntil, now)):
 			q.refusals++
@@ -367,6 +372,12 @@
 		if !room.IsZero() && (roomAt.IsZero() || room.Before(roomAt)) {
 			roomAt = room
 		}
+		if j.yields {
+			// It may have left a slot to requests in time, also to less urgent ones.
+			q.line.SkipYielding(now)
+			yielded = true
+			continue
+		}
 		if j.tryableAnywhere() {
 			return roomAt // there is no slot for any other
 		}
--- a/internal/proxy/slots_test.go
+++ b/internal/proxy/slots_test.go
@@ -60,6 +60,8 @@
 
 func secondTry(request *http.Request) { request.Header.Set(headers.DeadlineMS, "1000") }
 
+func urgent(request *http.Request) { request.Header.Set("Authorization", "Bearer "+urgentKey) }
+
 // holding returns an endpoint whose requests end when the channel is closed or sent to.
 func holding(t *testing.T) (e *endpoint, finish chan struct{}) {
 	t.Helper()
@@ -157,3 +159,33 @@
 	assert.Equal(t, s.send("/stream/x").status, http.StatusServiceUnavailable)
 	assert.Equal(t, e.runs.Load(), int64(0))
 }
+
+// Guards against a second try of an urgent workspace that leaves its slot to requests in time
+// and keeps a less urgent one of these from it.
+func TestYieldedSlotGoesToALessUrgentRequestInTime(t *testing.T) {
+	s := newSetup(t)
+	s.prioritise()
+	e := newEndpoint(t, events(1, 0))
+	free, other := instanceOfRank(e, true), instanceOfRank(e, false)
+	s.register(free, other)
+	assert.Equal(t, s.send("/stream/x").status, http.StatusOK) // shows the time that first tries have
+	s.fill(free.ID)
+	s.fill(other.ID) // beyond this host's part
+	s.shareSlots(sharingDelay)
+	q, first := queued{statuses: make(chan int, 1)}, queued{statuses: make(chan int, 1)}
+	s.enqueue(&q, "r1", secondTry, urgent)
+	s.awaitWaiting(1)
+	s.enqueue(&first, "r2")
+	s.awaitWaiting(2)
+	for range 2 {
+		s.tracker.Release(free.ID)
+	}
+	s.awaitWaiting(1)
+	first.wait.Wait()
+	assert.Equal(t, <-first.statuses, http.StatusOK)
+	for range 2 {
+		s.tracker.Release(other.ID)
+	}
+	q.wait.Wait()
+	assert.Equal(t, <-q.statuses, http.StatusOK)
+}
