Keep the order of second tries at services without an engine

Cause: second tries counted as late everywhere, also at services without an engine, whose requests wait as before and were not refused for being late. Change: second tries are marked in the queue only for services with an engine. Result: TestSecondTryKeepsItsPlaceWithoutAnEngine fails before and passes.

--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -165,10 +165,10 @@
 // queueRequest describes a job that waits until the given time.
 func (p *Proxy) queueRequest(j *job, until time.Time) admission.Request {
 	request := admission.Request{
-		Workspace: j.workspace, Priority: j.priority, Resumed: j.responseStarted, LastTry: j.callerRetry, ArrivedAt: j.receivedAt,
+		Workspace: j.workspace, Priority: j.priority, Resumed: j.responseStarted, LastTry: j.callerRetry && j.service.Engine != nil, ArrivedAt: j.receivedAt,
 		InTimeUntil: j.receivedAt.Add(j.route.LatencyObjective - p.predictedFirstEvent(j)), ServeUntil: until,
 	}
-	if j.callerRetry {
+	if request.LastTry {
 		request.InTimeUntil = j.receivedAt.Add(-j.route.LatencyObjective) // the first try was refused after it
 	}
 	return request
--- a/internal/proxy/slots_test.go
+++ b/internal/proxy/slots_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/proxy"
 	"flamingodoor.example/flamingodoor/internal/share"
 )
 
@@ -189,3 +191,40 @@
 	q.wait.Wait()
 	assert.Equal(t, <-q.statuses, http.StatusOK)
 }
+
+// Guards against second tries that come after first ones at a service without an engine,
+// where none is known to be late: the request that came first gets the slot.
+func TestSecondTryKeepsItsPlaceWithoutAnEngine(t *testing.T) {
+	s := newSetup(t)
+	s.allowLongRequests(2*time.Second, 4*time.Second)
+	var order []string
+	e := newEndpoint(t, func(writer http.ResponseWriter, request *http.Request) {
+		order = append(order, request.Header.Get(headers.RequestID)) // one request at a time
+		signed("done")(writer, request)
+	})
+	instance := e.instance("i-1", "plain")
+	instance.Slots = 1
+	s.register(instance)
+	named := func(id string) func(*http.Request) {
+		return func(request *http.Request) { request.Header.Set(headers.RequestID, id) }
+	}
+	assert.Equal(t, s.send("/read/x", named("r0")).status, http.StatusOK)
+	s.fill("i-1")
+	s.tracker.Release("i-1")
+	var q queued
+	awaitPlain := func(requests int64) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if s.proxy.WaitingRequests()[proxy.DemandKey{Service: "plain"}] != requests {
+				return poll.Continue("not %d requests wait", requests)
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+	}
+	q.wait.Go(func() { s.send("/read/x", named("r1"), secondTry) })
+	awaitPlain(1)
+	q.wait.Go(func() { s.send("/read/x", named("r2")) })
+	awaitPlain(2)
+	s.tracker.Release("i-1")
+	q.wait.Wait()
+	assert.Assert(t, slices.Equal(order, []string{"r0", "r1", "r2"}), "%v", order)
+}
