Bring the notes and a test of explain up to the present waiting rule

Cause: the limit by prompt saturation is gone, and requests wait for longer only where slots are divided. Change: notes, and three hosts in the test.

--- a/internal/proxy/explain_test.go
+++ b/internal/proxy/explain_test.go
@@ -79,6 +79,7 @@
 	s := newSetup(t, proxy.WithClock(now))
 	e := newEndpoint(t, events(1, 0))
 	s.register(e.instance("i-1", "llm"))
+	s.proxy.SetHosts([]string{"host-1", "host-2", "host-3"}, 0) // more than the slots of a group
 	s.allowLongRequests(30*time.Second, 300*time.Millisecond)
 	s.fill("i-1")
 	answer := s.proxy.Explain(described)
