Estimate the turn of a second try by the order of grants by slack

Cause: grants by slack go to second tries first, but the estimate of a request's turn counted first tries with less slack before them. A second try could be refused although its turn was near, with a Retry-After that was too late. Change: the estimate counts second tries before first ones, and first ones not before second ones. Result: TestSecondTryIsNotRefusedForTheSlackOfFirstTries fails before and passes.

--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -259,7 +259,8 @@
 type aheadOf struct {
 	inOrder int // before it in the usual order
 	bySlack int // of the same priority, before it by slack
-	levels  int // different priorities, with its own
+	last    int // last tries, which come before any other by slack; 0 if it is one itself
+	levels  int // different priorities that compete by slack, with its own
 }
 
 func (l *Line[T]) ahead(request Request, now time.Time) aheadOf {
@@ -271,14 +272,19 @@
 	count, seen := aheadOf{}, uint64(1)<<min(arriving.level+1, priorities)
 	for i := range l.places {
 		other := &l.places[i]
-		seen |= 1 << min(other.level+1, priorities)
+		if other.lastTry && !arriving.lastTry {
+			count.last++
+		}
+		if other.lastTry == arriving.lastTry {
+			seen |= 1 << min(other.level+1, priorities)
+		}
 		if other.level > arriving.level {
 			continue
 		}
 		if other.level < arriving.level || !precedes(&arriving, other, at, false) {
 			count.inOrder++
 		}
-		if other.level == arriving.level && other.serveUntil <= arriving.serveUntil {
+		if other.level == arriving.level && other.lastTry == arriving.lastTry && other.serveUntil <= arriving.serveUntil {
 			count.bySlack++
 		}
 	}
--- a/internal/admission/line_test.go
+++ b/internal/admission/line_test.go
@@ -268,3 +268,21 @@
 		})
 	}
 }
+
+// Guards against the refusal of a second try whose turn comes soon, because first tries
+// with less slack were taken to be before it among the grants by slack.
+func TestSecondTryIsNotRefusedForTheSlackOfFirstTries(t *testing.T) {
+	now := lineStart.Add(10 * time.Second)
+	line := admission.NewLine[string](lineStart)
+	for i := range 100 { // slots end at 10 per second
+		line.CountRelease(lineStart.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	first := admission.Request{ArrivedAt: now, InTimeUntil: now.Add(70 * time.Millisecond), ServeUntil: now.Add(70 * time.Millisecond)}
+	for i := range 20 {
+		line.Add(first, fmt.Sprint("r", i))
+	}
+	second := admission.Request{LastTry: true, ArrivedAt: now, InTimeUntil: now.Add(-time.Second), ServeUntil: now.Add(1500 * time.Millisecond)}
+	assert.Assert(t, line.MayWait(second, now))
+	second.LastTry = false
+	assert.Assert(t, !line.MayWait(second, now))
+}
--- a/internal/admission/turn.go
+++ b/internal/admission/turn.go
@@ -82,7 +82,7 @@
 	// Grants by slack are divided among the priorities that wait: otherwise one that is not
 	// refused, because it also gets slots in the usual order, would keep the others out.
 	untilSlackGrant := slackGrantInterval - 1 - l.grants%slackGrantInterval
-	bySlack := untilSlackGrant + 1 + slackGrantInterval*ahead.levels*ahead.bySlack
+	bySlack := untilSlackGrant + 1 + slackGrantInterval*(ahead.last+ahead.levels*ahead.bySlack)
 	wait = min(wait, float64(bySlack)/rate, maxTurn.Seconds())
 	return now.Add(time.Duration(wait * float64(time.Second))), true
 }
