Count arrivals by the models that a service has

Cause: the rates of arrivals were kept by the model that a caller names, so that invented names grew them without bound. Change: they are kept by the queue's service and model. Result: internal/proxy passes; no other rate is kept by callers' names but the demand, which is as before.

--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -266,7 +266,7 @@
 // host's rate. On average a report is half the report delay old.
 func (p *Proxy) unreportedRequests(j *job, now time.Time) float64 {
 	age := time.Duration(p.reportDelay.Load()) / 2
-	return p.arrivalRates.perSecond(j.key(), now) * float64(max(1, p.hostCount.Load())) * age.Seconds()
+	return p.arrivalRates.perSecond(j.queueKey(), now) * float64(max(1, p.hostCount.Load())) * age.Seconds()
 }
 
 // ObserveConnection records how long the opening of a connection to an instance took.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -199,7 +199,7 @@
 	}
 	j.counted = true
 	p.retryBudget(j.service.Name).CountRequest(j.receivedAt)
-	p.arrivalRates.add(j.key(), j.receivedAt)
+	p.arrivalRates.add(j.queueKey(), j.receivedAt)
 	if j.route.Kind == flamingodoor.RouteKindStreaming && !j.callerRetry {
 		// A caller's retry repeats demand that was counted before.
 		p.demand.Add(j.service, j.model, j.promptTokens, j.maxOutputTokens, j.receivedAt)
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -81,7 +81,7 @@
 // keptSlots returns how many of this host's free slots are kept for requests that can still
 // be in time: one, if the next request is expected soon.
 func (p *Proxy) keptSlots(j *job, now time.Time) int {
-	if p.arrivalRates.perSecond(j.key(), now)*keptFraction*p.answerTimes.mean(j).Seconds() < 1 {
+	if p.arrivalRates.perSecond(j.queueKey(), now)*keptFraction*p.answerTimes.mean(j).Seconds() < 1 {
 		return 0
 	}
 	return 1
@@ -92,7 +92,7 @@
 	delay := time.Duration(p.reportDelay.Load())
 	use := admission.SlotUse{
 		Slots: slots, InFlight: inFlight, Hosts: int(p.hostCount.Load()),
-		Arrivals: p.arrivalRates.perSecond(j.key(), now) * delay.Seconds(), EndedPart: p.answerTimes.endedPart(j, delay),
+		Arrivals: p.arrivalRates.perSecond(j.queueKey(), now) * delay.Seconds(), EndedPart: p.answerTimes.endedPart(j, delay),
 	}
 	if total := p.fleetDemand.Load(); total != nil {
 		use.OwnDemand, use.TotalDemand = p.demand.Rate(j.key(), now), (*total)[j.key()]
