--- a/internal/planner/summary_test.go
+++ b/internal/planner/summary_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,24 @@
 	return counts
 }
 
+// lockedBuffer is written by the planner and its background tasks.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(data)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.String()
+}
+
 // Guards against listed instances that serve nothing for no reason in the log, and
 // against instances that are counted twice or not at all.
 func TestFleetLineShowsWhatEachListedInstanceIsDoing(t *testing.T) {
@@ -37,7 +56,7 @@
 	h.demand = map[string]float64{large: 4, small: 0}
 	h.add("d0", 10, large)
 	h.add("", 3, large)
-	var lines bytes.Buffer
+	var lines lockedBuffer
 	parts := h.parts()
 	parts.Logger = log.NewLogfmtLogger(&lines)
 	p := h.lead(parts)
