Read explanations within bounds, and test connections from outside the package

Cause: a limited reader cannot tell its limit from the end, and a test file of the package itself exported a function. Change: intake reads the explanation; the function is exported.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -12,6 +12,7 @@
 
 	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/explain"
+	"flamingodoor.example/flamingodoor/internal/intake"
 )
 
 // maxExplanationBytes and maxExplanationErrorBytes bound what is read from a host. An
@@ -98,11 +99,15 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, maxExplanationErrorBytes)) // the status is reported in any case
+		text, _, _ := intake.ReadPrefix(response.Body, maxExplanationErrorBytes) // the status is reported in any case
 		return nil, flamingodoor.Errorf(flamingodoor.CodeInvalidRequest, "%s: %s %s", address, response.Status, strings.TrimSpace(string(text)))
 	}
+	body, err := intake.ReadAll(response.Body, maxExplanationBytes)
+	if err != nil {
+		return nil, flamingodoor.NewError(flamingodoor.CodeProtocol, flamingodoor.RunStateNotRun, err)
+	}
 	var answer explain.Answer
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxExplanationBytes)).Decode(&answer); err != nil {
+	if err := json.Unmarshal(body, &answer); err != nil {
 		return nil, flamingodoor.NewError(flamingodoor.CodeProtocol, flamingodoor.RunStateNotRun, err)
 	}
 	return &answer, nil
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -40,7 +40,7 @@
 
 // add returns a connection of a caller as the server is to use it.
 func (c *connections) add(connection net.Conn) *callerConn {
-	caller := &callerConn{Conn: newSlowConn(connection, c.budget, c.logger), waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
+	caller := &callerConn{Conn: NewSlowConn(connection, c.budget, c.logger), waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
--- a/internal/gateway/export_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package gateway
-
-// NewSlowConn is newSlowConn for tests.
-var NewSlowConn = newSlowConn
--- a/internal/gateway/slow_callers.go
+++ b/internal/gateway/slow_callers.go
@@ -63,10 +63,10 @@
 	deadline atomic.Int64
 }
 
-// newSlowConn wraps a TCP connection. It returns any other as it is, any whose progress
+// NewSlowConn wraps a TCP connection. It returns any other as it is, any whose progress
 // cannot be measured, and all if there is no budget: other entry hosts hold bytes for
 // their callers themselves.
-func newSlowConn(connection net.Conn, budget *readahead.Budget, logger log.Logger) net.Conn {
+func NewSlowConn(connection net.Conn, budget *readahead.Budget, logger log.Logger) net.Conn {
 	socket, ok := connection.(*net.TCPConn)
 	if !ok || budget == nil {
 		return connection
