--- a/review/_standin2/bed.go
+++ b/review/_standin2/bed.go
@@ -182,6 +182,7 @@
 
 // result is what a client saw.
 type result struct {
+	id     string
 	sentAt time.Time
 	status int
 	body   string
@@ -200,7 +201,7 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
-	r := result{sentAt: time.Now()}
+	r := result{id: id, sentAt: time.Now()}
 	b.mu.Lock()
 	b.sentAt[id] = r.sentAt
 	b.mu.Unlock()
--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -69,6 +69,9 @@
 	stop := b.steady(100*time.Millisecond, func(h *host, id string) result {
 		return b.send(h, id, "GET", "/read/account/"+id, map[string]string{"Flamingodoor-Deadline-Ms": "1500"}, "")
 	})
+	stopPayments := b.steady(25*time.Millisecond, func(h *host, id string) result {
+		return b.send(h, id, "POST", "/post/payment", map[string]string{"Flamingodoor-Deadline-Ms": "1500"}, "payment "+id)
+	})
 	for range 5 {
 		time.Sleep(5 * time.Second)
 		for i := range 6 {
@@ -77,9 +80,32 @@
 	}
 	time.Sleep(3 * time.Second)
 	stop()
+	b.noteLost("payments", stopPayments(), 3)
 	return b.judgeCrashes(3, 3, func(a arrival) bool { return a.path == path })
 }
 
+// noteLost records how many sound requests of those that a worker had begun to run had no
+// whole answer, and were sent later than stable_window_ms after the given crash.
+func (b *bed) noteLost(kind string, results []result, crash int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.crashAt) < crash {
+		return
+	}
+	begun := map[string]bool{}
+	for _, a := range b.arrivals {
+		begun[a.requestID] = true
+	}
+	from, lost := b.crashAt[crash-1].Add(stableWindow), 0
+	for _, r := range results {
+		if begun[r.id] && r.sentAt.After(from) && (r.err != nil || r.status != 200) {
+			lost++
+			b.noteLocked("lost: %s, sent at %.3f s, had begun to run: status %d, error %v", r.id, r.sentAt.Sub(b.started).Seconds(), r.status, r.err)
+		}
+	}
+	b.noteLocked("%d %s that had begun to run were lost, sent later than 3 s after crash %d", lost, kind, crash)
+}
+
 // judgeCrashes: BUDGET. More than `allowed` arrivals of the requests come later than
 // stable_window_ms after the given crash.
 func (b *bed) judgeCrashes(crash, allowed int, poison func(a arrival) bool) int {
@@ -128,7 +154,7 @@
 	})
 	time.Sleep(30 * time.Second)
 	stopPoison()
-	stop()
+	b.noteLost("sound streams", stop(), 5)
 	return b.judgeCrashes(5, 3, func(a arrival) bool {
 		mu.Lock()
 		defer mu.Unlock()
@@ -139,12 +165,13 @@
 // clockSetBack: a worker that has just started crashes and starts again under its id,
 // after the clock of its machine was set back by two seconds. Later it leaves.
 func clockSetBack(b *bed) int {
+	b.plainSlots = 12
 	deploy(b, 2, 9)
 	time.Sleep(3 * time.Second)
 	stop := b.steady(50*time.Millisecond, func(h *host, id string) result {
 		return b.send(h, id, "GET", "/read/account/"+id, map[string]string{"Flamingodoor-Deadline-Ms": "1500"}, "")
 	})
-	w := &worker{bed: b, service: "ledger", zone: zones[2], slots: 6}
+	w := &worker{bed: b, service: "ledger", zone: zones[2], slots: b.plainSlots}
 	id := b.newID("i")
 	w.start(id, 0)
 	time.Sleep(900 * time.Millisecond)
@@ -156,19 +183,37 @@
 		b.note("the clock of the worker's machine is set back by 2 s")
 	}
 	w.start(id, clock)
-	time.Sleep(8 * time.Second)
+	time.Sleep(6 * time.Second)
+	stopPayments := b.steady(10*time.Millisecond, func(h *host, id string) result {
+		return b.send(h, id, "POST", "/post/payment", map[string]string{"Flamingodoor-Deadline-Ms": "1500"}, "payment "+id)
+	})
+	time.Sleep(2 * time.Second)
 	accepted := w.drain()
 	b.note("the store has accepted that worker %s is draining", id)
 	time.Sleep(8 * time.Second)
+	w.crash()
+	b.store.put("keyed.servers", id, nil)
+	b.note("worker %s has left: its process ends and its entry is removed", id)
+	time.Sleep(time.Second)
+	payments := stopPayments()
 	stop()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	late := 0
+	late, lateAt := 0, map[string]bool{}
 	for _, a := range b.arrivals {
 		if a.worker == w && a.at.Sub(accepted) > 2*time.Second {
 			late++
+			lateAt[a.requestID] = true
+		}
+	}
+	lost := 0
+	for _, r := range payments {
+		if lateAt[r.id] && (r.err != nil || r.status != 200) {
+			lost++
+			b.noteLocked("lost: payment %s ran at the worker: status %d, error %v", r.id, r.status, r.err)
 		}
 	}
+	b.noteLocked("%d payments that ran there were lost when the worker ended", lost)
 	b.noteLocked("%d requests reached worker %s later than 2 s after the store had accepted that it is draining", late, id)
 	if late > 0 {
 		return broken
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -240,7 +240,7 @@
 	w.bed.arrived(w, id, requestID, in)
 	out.Header().Set("Flamingodoor-Response-Signature", "stand-in."+requestID)
 	if w.domain == "" {
-		if !sleep(stop, 30*time.Millisecond) {
+		if !sleep(stop, 60*time.Millisecond) {
 			return
 		}
 		if w.bed.crashes(in) {
