--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -197,26 +197,20 @@
 	time.Sleep(time.Second)
 	payments := stopPayments()
 	stop()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	late, lateAt := 0, map[string]bool{}
-	for _, a := range b.arrivals {
-		if a.worker == w && a.at.Sub(accepted) > 2*time.Second {
-			late++
-			lateAt[a.requestID] = true
-		}
-	}
-	lost := 0
-	for _, r := range payments {
-		if lateAt[r.id] && (r.err != nil || r.status != 200) {
-			lost++
-			b.noteLocked("lost: payment %s ran at the worker: status %d, error %v", r.id, r.status, r.err)
-		}
-	}
-	b.noteLocked("%d payments that ran there were lost when the worker ended", lost)
-	b.noteLocked("%d requests reached worker %s later than 2 s after the store had accepted that it is draining", late, id)
-	if late > 0 {
-		return broken
+	return b.judgeLeaving(w, accepted, payments)
+}
+
+// changingQuery: a read that crashes each worker that runs it comes again each two seconds,
+// with the same path, caller and body. Its query names the time.
+func changingQuery(b *bed) int {
+	const path = "/read/report/2026-12"
+	b.poison = func(in *http.Request) bool { return in.URL.Path == path }
+	deploy(b, 3, 18)
+	time.Sleep(3 * time.Second)
+	for i := range 12 {
+		go b.send(b.hosts[i%len(b.hosts)], b.newID("p"), "GET", fmt.Sprintf("%s?at=%d", path, i), map[string]string{"Flamingodoor-Deadline-Ms": "1500"}, "")
+		time.Sleep(2 * time.Second)
 	}
-	return held
+	time.Sleep(2 * time.Second)
+	return b.judgeCrashes(3, 3, func(a arrival) bool { return a.path == path })
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -15,6 +15,7 @@
 	"limits":    raisedLimit,
 	"partial":   partialEntry,
 	"cold":      coldAgain,
+	"query":     changingQuery,
 }
 
 // The processes that a case starts end with the thread that started them.
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -36,8 +36,9 @@
 	coldTill time.Time
 	listener net.Listener
 	conns    map[net.Conn]struct{}
-	stop     chan struct{}
-	flow     int // requests in progress
+	stop     chan struct{} // closed when the process ends
+	quiet    chan struct{} // closed when its heartbeats end
+	flow     int           // requests in progress
 
 	orders    int64
 	group     string
@@ -74,7 +75,7 @@
 	}
 	w.id, w.born, w.state, w.running, w.writes = id, time.Now().Add(clock).UnixMilli(), "ready", true, 0
 	w.orders, w.group, w.epoch, w.rank, w.groupIs, w.model, w.lastModel = 0, "", 0, 0, "", "", ""
-	w.conns, w.stop, w.flow = map[net.Conn]struct{}{}, make(chan struct{}), 0
+	w.conns, w.stop, w.quiet, w.flow = map[net.Conn]struct{}{}, make(chan struct{}), make(chan struct{}), 0
 	server := &http.Server{Handler: http.HandlerFunc(w.serve), ConnState: func(conn net.Conn, state http.ConnState) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -85,11 +86,11 @@
 		}
 	}}
 	go func(listener net.Listener) { _ = server.Serve(listener) }(w.listener)
-	go w.beat(w.stop)
+	go w.beat(w.stop, w.quiet)
 	w.bed.note("worker %s of %s starts at %s, born %d", id, w.service, w.address, w.born)
 }
 
-func (w *worker) beat(stop chan struct{}) {
+func (w *worker) beat(stop, quiet chan struct{}) {
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
@@ -97,6 +98,8 @@
 		select {
 		case <-stop:
 			return
+		case <-quiet:
+			return
 		case <-ticker.C:
 		}
 	}
