--- a/review/_standin2/bed.go
+++ b/review/_standin2/bed.go
@@ -117,6 +117,23 @@
 	time.AfterFunc(3*time.Second, func() { w.start(b.newID("i"), 0) })
 }
 
+// coldCrash crashes a cold worker that got too many requests. It is back after three
+// seconds under a new id, and cold again.
+func (b *bed) coldCrash(w *worker) {
+	id := w.crash()
+	if id == "" {
+		return
+	}
+	b.note("worker %s was cold and got more than %d requests in a second", id, w.coldMost)
+	w.expire(id)
+	time.AfterFunc(3*time.Second, func() {
+		w.mu.Lock()
+		w.coldTill = time.Now().Add(coldTime)
+		w.mu.Unlock()
+		w.start(b.newID("i"), 0)
+	})
+}
+
 func (b *bed) newID(prefix string) string { return fmt.Sprintf("%s-%06x", prefix, b.nextID.Add(1)) }
 
 // loopback returns a loopback address of a machine of this run, so that its ports are free.
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -38,6 +38,8 @@
 	writes   int64
 	running  bool
 	coldTill time.Time
+	coldMost int         // requests in a second that it bears while it is cold; 0 for any number
+	coldRuns []time.Time // when requests began to run while it is cold
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	stop     chan struct{} // closed when the process ends
@@ -78,7 +80,7 @@
 	}
 	w.id, w.born, w.state, w.leaving, w.running, w.writes = id, time.Now().Add(clock).UnixMilli(), "ready", false, true, 0
 	w.orders, w.group, w.epoch, w.rank, w.groupIs, w.model, w.lastModel = 0, "", 0, 0, "", "", ""
-	w.conns, w.stop, w.flow = map[net.Conn]struct{}{}, make(chan struct{}), 0
+	w.conns, w.stop, w.flow, w.coldRuns = map[net.Conn]struct{}{}, make(chan struct{}), 0, nil
 	server := &http.Server{Handler: http.HandlerFunc(w.serve), ConnState: func(conn net.Conn, state http.ConnState) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -183,6 +185,21 @@
 	w.bed.note("worker %s is cold for %d ms", w.id, length.Milliseconds())
 }
 
+// overrun counts a request that begins to run, and reports whether these are more in a
+// second than the worker bears while it is cold.
+func (w *worker) overrun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.coldMost == 0 || now.After(w.coldTill) {
+		w.coldRuns = nil
+		return false
+	}
+	w.coldRuns = append(w.coldRuns, now)
+	w.coldRuns = slices.DeleteFunc(w.coldRuns, func(at time.Time) bool { return now.Sub(at) > time.Second })
+	return len(w.coldRuns) > w.coldMost
+}
+
 // drain reports that the worker leaves, and returns when the store has accepted that.
 func (w *worker) drain() time.Time {
 	w.mu.Lock()
@@ -253,6 +270,10 @@
 		w.mu.Unlock()
 	}()
 	w.bed.arrived(w, id, requestID, in)
+	if w.overrun() {
+		w.bed.coldCrash(w)
+		return
+	}
 	out.Header().Set("Flamingodoor-Response-Signature", "stand-in."+requestID)
 	if w.domain == "" {
 		if !sleep(stop, 60*time.Millisecond) {
