--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -36,9 +36,11 @@
 	mux.HandleFunc("/log-newest", s.newest)
 	mux.HandleFunc("/log-join", s.join)
 	mux.HandleFunc("/log-leave", s.leave)
-	mux.HandleFunc("/log-commit", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, map[string]any{}) })
-	mux.HandleFunc("/log-trim", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, map[string]any{}) })
-	go func() { _ = http.Serve(listener, mux) }()
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "1")
+		mux.ServeHTTP(w, r)
+	}
+	go func() { _ = http.Serve(listener, http.HandlerFunc(answer)) }()
 	return s
 }
 
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -323,7 +323,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	body := map[string]any{
-		"id": w.id, "born": w.born, "busy": false, "sequence": w.orders, "queued": max(0, w.flow-w.slots), "running": min(w.flow, w.slots),
+		"id": w.id, "born": w.born, "busy": w.groupIs == "joining", "sequence": w.orders, "queued": max(0, w.flow-w.slots), "running": min(w.flow, w.slots),
 		"kv_used": 0, "kv_total": 1590000, "handles": 0, "pace": 1.0, "state": w.state,
 	}
 	w.describe(body)
