engine: fail calls on an invalid response status

What callers of flamingodoord saw: an endpoint in trouble responds with status 000, 099, +20, 101 or 600. internal/entry refused such an answer, but with the run state "ran", which nothing shows, and an idempotent call was not repeated at another endpoint.

Cause: the clients of internal/engine used http.Transport, which accepts each status that strconv.Atoi accepts. The check that the entry host makes for its instances, its peers and the store (intake.StatusTransport) was missing here, so that dispatch took the response for a complete answer. Orders, cancellations, reports and streams compare the status with the expected ones, and failed already.

Change: both clients of the package use intake.StatusTransport.

A call now fails with the state "may have run".

--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"flamingodoor.example/flamingodoor"
+	"flamingodoor.example/flamingodoor/internal/intake"
 )
 
 // ErrNoProgress is the cause of a failure if no chunk arrived within the progress
@@ -104,7 +105,7 @@
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.source, 0))
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: intake.NewStatusTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				guard, ok := ctx.Value(guardKey{}).(*sendGuard)
 				if !ok {
@@ -119,7 +120,7 @@
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -129,7 +130,7 @@
 func newReadClient(s settings) *http.Client {
 	dialer := &net.Dialer{Timeout: s.dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: intake.NewStatusTransport(&http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    1,
@@ -137,7 +138,7 @@
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			ReadBufferSize:         readBufferBytes,
 			WriteBufferSize:        writeBufferBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
