intake: fail reads after a reset that a write got

What callers saw: an instance answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written.

Cause: Linux reports a reset, or a timeout, to one call on the socket alone. The upload is written by a goroutine of its own. If its write gets ECONNRESET, the read that follows returns 0, as after the end of the data, and a body that ends with its connection looks complete. http.Transport has the same fault between the failed write and the close that follows it.

Ruled out: bodies with a length or chunks (net/http fails on an early end); requests of up to 32 KiB, which are written before the response is read; a reset after the whole upload was written, which the read gets.

Change: intake.Conn keeps the error of a failed write. A read that reaches the end of the data waits for a write in progress, which it ends by a deadline, and fails with its error. EPIPE is no such error: Linux returns it if the peer had ended its data before the reset, and the body is complete then. All connections of the upstream pool (instances and peers) and of intake.Transport, formerly StatusTransport (store, reports and orders, messages between hosts, engines and services of flamingodoord), are Conns. The connections of flamingodoord to its platform and its peers are HTTP/2, whose streams have an end of their own.

Now the caller gets 502, or a stream that breaks off.

--- a/internal/engine/broken_test.go
+++ b/internal/engine/broken_test.go
@@ -79,3 +79,19 @@
 		})
 	}
 }
+
+// Guards against an answer without a length that looks complete although its connection
+// was reset while the call was still being written.
+func TestResetDuringACallIsNoAnswer(t *testing.T) {
+	endpoint := serveBytes(t, func(connection *net.TCPConn) {
+		_, _ = fmt.Fprint(connection, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(10 * time.Millisecond)
+		_ = connection.SetLinger(0)
+	})
+	// The kernel reports the reset either to the read or to the write.
+	for range 20 {
+		answer, err := engine.NewServiceClient().Call(t.Context(), endpoint, flamingodoor.ServiceCall{Method: http.MethodPost, Path: "/post", Body: make([]byte, 16<<20)})
+		assert.Assert(t, err != nil, "%q looks complete", answer.Body)
+		assert.Equal(t, flamingodoor.RunStateOf(err), flamingodoor.RunStateMayHaveRun)
+	}
+}
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -105,7 +105,7 @@
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(s.source, 0))
 	}
 	return &http.Client{
-		Transport: intake.NewStatusTransport(&http.Transport{
+		Transport: intake.NewTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				guard, ok := ctx.Value(guardKey{}).(*sendGuard)
 				if !ok {
@@ -130,7 +130,7 @@
 func newReadClient(s settings) *http.Client {
 	dialer := &net.Dialer{Timeout: s.dialTimeout}
 	return &http.Client{
-		Transport: intake.NewStatusTransport(&http.Transport{
+		Transport: intake.NewTransport(&http.Transport{
 			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    1,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -227,7 +227,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	e := &Exchanger{
 		self: self, feedValidity: defaultFeedValidity, directory: directory, feeds: feeds, source: source, sink: sink,
-		client: &http.Client{Transport: intake.NewStatusTransport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes})},
+		client: &http.Client{Transport: intake.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes})},
 		logger: logger, now: time.Now, uptime: uptime.Now, wake: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), peers: make(map[string]*peerState),
 		peersByHash: make(map[uint32]*peerState), summaries: make(map[string]receivedSummary), onStranded: func() {}, onSharers: func() {},
 	}
--- a/internal/intake/status.go
+++ b/internal/intake/transport.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -24,25 +25,37 @@
 	return nil
 }
 
-// StatusTransport is an http.RoundTripper that fails with the error of CheckStatus and
-// closes the connection, where http.Transport returns a response with any status that
-// strconv.Atoi accepts.
-type StatusTransport struct {
+// Transport is an http.RoundTripper that fails with the error of CheckStatus and closes
+// the connection, where http.Transport returns a response with any status that
+// strconv.Atoi accepts. Its connections are Conns.
+type Transport struct {
 	transport *http.Transport
 }
 
-// NewStatusTransport returns a transport that checks what the given one receives.
-func NewStatusTransport(transport *http.Transport) *StatusTransport {
-	return &StatusTransport{transport: transport}
+// NewTransport returns a transport that checks what the given one receives. It changes
+// how the given one opens connections, which must not be used otherwise.
+func NewTransport(transport *http.Transport) *Transport {
+	dial := transport.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return &Transport{transport: transport}
 }
 
 // RoundTrip sends a request and checks the status of its response.
-func (s *StatusTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var connection net.Conn
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
 	})
-	response, err := s.transport.RoundTrip(request.WithContext(ctx))
+	response, err := t.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -57,6 +70,6 @@
 }
 
 // CloseIdleConnections closes the idle connections of the transport.
-func (s *StatusTransport) CloseIdleConnections() {
-	s.transport.CloseIdleConnections()
+func (t *Transport) CloseIdleConnections() {
+	t.transport.CloseIdleConnections()
 }
--- a/internal/intake/status_test.go
+++ b/internal/intake/transport_test.go
@@ -27,7 +27,7 @@
 			defer func() { _ = listener.Close() }()
 			var connections atomic.Int64
 			go acceptAll(listener, &connections, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
-			client := http.Client{Transport: intake.NewStatusTransport(&http.Transport{})}
+			client := http.Client{Transport: intake.NewTransport(&http.Transport{})}
 			defer client.CloseIdleConnections()
 			for range 2 {
 				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,7 +69,7 @@
 }
 
 type connection struct {
-	net.Conn
+	*intake.Conn
 	pool     *Pool
 	target   Target
 	opened   time.Time
@@ -149,7 +149,7 @@
 		if conn == nil {
 			break
 		}
-		if p.now().Before(conn.deadline) && openAndIdle(conn.Conn) {
+		if p.now().Before(conn.deadline) && openAndIdle(conn.NetConn()) {
 			conn.reused = true
 			return conn, nil
 		}
@@ -161,7 +161,7 @@
 		return nil, err
 	}
 	p.onOpened(target, p.now().Sub(begun))
-	conn := &connection{Conn: socket, pool: p, target: target, opened: p.now()}
+	conn := &connection{Conn: intake.NewConn(socket), pool: p, target: target, opened: p.now()}
 	conn.head = intake.NewHeadReader(conn)
 	conn.reader = bufio.NewReaderSize(conn.head, readBufferBytes)
 	p.remember(conn)
