planner: count the questions of a test atomically

Cause: ReachedElsewhere of TestLeaderWithUnsoundPathsFindsNothingLost added to a counter without a lock, and Planner.dissolve calls it from several tasks. Nothing of the planner is at fault.

Change: the counter is an atomic.Int64; the check is the same.

--- a/internal/planner/stranded_test.go
+++ b/internal/planner/stranded_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -233,10 +234,11 @@
 		h := newHarness(t)
 		h.demand = map[string]float64{large: 3, small: 2}
 		h.add("d0", 9, large)
-		parts, questions := h.parts(), 0
+		parts := h.parts()
+		var questions atomic.Int64 // the planner asks from several tasks
 		parts.PathsSound = func(context.Context, flamingodoor.Instance) bool { return sound }
 		parts.ReachedElsewhere = func(context.Context, flamingodoor.Instance) (reached, known bool) {
-			questions++
+			questions.Add(1)
 			return false, true
 		}
 		leader := h.newPlanner(parts)
@@ -255,7 +257,7 @@
 			}
 		}
 		assert.Equal(t, lost > 0, sound, "%d lost", lost)
-		assert.Equal(t, questions > 0, sound)
+		assert.Equal(t, questions.Load() > 0, sound)
 	}
 }
 
