--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -25,6 +25,7 @@
 	store   *store
 	hosts   []*host
 	done    chan struct{}
+	routes  int // further routes in the configuration
 }
 
 func main() {
@@ -32,7 +33,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, "usage: standin3 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*scene) (int, error){"cold": runCold, "settings": runSettings, "entry": runEntry}
+	cases := map[string]func(*scene) (int, error){"cold": runCold, "settings": runSettings, "entry": runEntry, "confirm": runConfirm}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		_, _ = fmt.Fprintln(os.Stderr, "no such case")
@@ -88,12 +89,16 @@
 			"target_latency_ms": 300, "max_attempts": attempts, "priority": 2,
 		}
 	}
+	routes := []any{route("read", "idempotent", 2), route("post", "non_idempotent", 1)}
+	for i := range s.routes {
+		routes = append(routes, route(fmt.Sprintf("added-%d", i), "idempotent", 2))
+	}
 	tenants := make([]map[string]any, 0, len(keys))
 	for _, key := range keys {
 		tenants = append(tenants, map[string]any{"name": "tenant-" + key, "api_keys": []string{key}})
 	}
 	value, _ := json.Marshal(map[string]any{
-		"version": version, "routes": []any{route("read", "idempotent", 2), route("post", "non_idempotent", 1)},
+		"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": ledgerService, "health_path": healthPath, "max_connections": 100, "cold_per_s": coldRate}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
 		"tenants":  tenants,
--- a/review/_standin3/path.go
+++ b/review/_standin3/path.go
@@ -6,14 +6,16 @@
 	"time"
 )
 
-// path is a path to an address that can fall silent: it then accepts connections, and passes
-// nothing on until it is sound again.
+// path is a path to an address that can fall silent, and then passes nothing on until it is
+// sound again, or can reset all connections.
 type path struct {
 	listener net.Listener
 	target   string
 
 	mu     sync.Mutex
 	silent chan struct{} // closed when the path is sound again; nil while it is
+	resets bool
+	open   map[net.Conn]bool
 }
 
 func newPath(target string) (*path, error) {
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &path{listener: listener, target: target}
+	p := &path{listener: listener, target: target, open: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -41,6 +43,44 @@
 	}
 }
 
+// setResets makes the path reset all connections, or pass them on again.
+func (p *path) setResets(resets bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets = resets
+	if !resets {
+		return
+	}
+	for conn := range p.open {
+		reset(conn)
+	}
+}
+
+func reset(conn net.Conn) {
+	if socket, ok := conn.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// add records a connection, and reports whether it may be passed on.
+func (p *path) add(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resets {
+		reset(conn)
+		return false
+	}
+	p.open[conn] = true
+	return true
+}
+
+func (p *path) remove(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, conn)
+}
+
 // await waits until the path is sound.
 func (p *path) await() {
 	p.mu.Lock()
@@ -62,6 +102,10 @@
 }
 
 func (p *path) connect(from net.Conn) {
+	if !p.add(from) {
+		return
+	}
+	defer p.remove(from)
 	p.await()
 	to, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
