--- a/review/_standin3/confirm.go
+++ b/review/_standin3/confirm.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	revokeBound = 5 * time.Second // revoke_ms
+	revokeBound = 5 * time.Second         // revoke_ms
 	partedTime  = 5500 * time.Millisecond // of the host from the store
-	pressRate   = 280             // requests a second with the key that is taken away
+	pressRate   = 280                     // requests a second with the key that is taken away
 	addedRoutes = 350
 	partings    = 10
 )
