--- a/review/_standin3/entry.go
+++ b/review/_standin3/entry.go
@@ -68,4 +68,6 @@
 	value, _ := json.Marshal(fields)
 	s.store.put(serversTopic, "x-"+id, value)
 	s.notes.note("another writer adds entry x-%s: %s", id, value)
+	// The store removes an entry after three heartbeats of silence.
+	time.AfterFunc(registrationTTL, func() { s.store.put(serversTopic, "x-"+id, nil) })
 }
--- a/review/_standin3/model.go
+++ b/review/_standin3/model.go
@@ -21,6 +21,7 @@
 	warmTime     = 1100 * time.Millisecond
 	rejoinTime   = 200 * time.Millisecond
 	formTime     = 300 * time.Millisecond
+	stallTime    = 5 * time.Second // stall_ms
 	streamEvents = 25
 	eventPause   = 14 * time.Millisecond
 )
@@ -38,6 +39,7 @@
 
 // membership is the group of a worker.
 type membership struct {
+	stoodStill         time.Time // since when a member is missing; of the head
 	name, state, model string
 	epoch              int64
 	rank               int
@@ -95,6 +97,7 @@
 		f.mu.Lock()
 		for _, w := range f.workers {
 			w.advance(time.Now())
+			w.breakStalled(time.Now())
 			w.register(time.Now())
 		}
 		f.mu.Unlock()
@@ -117,6 +120,23 @@
 	}
 }
 
+// breakStalled makes an open head broken once its group has stood still for stallTime.
+func (w *modelWorker) breakStalled(now time.Time) {
+	g := w.group
+	if g == nil || g.rank != 0 || g.state != "open" {
+		return
+	}
+	switch {
+	case w.fleet.isWhole(g):
+		g.stoodStill = time.Time{}
+	case g.stoodStill.IsZero():
+		g.stoodStill = now
+	case now.Sub(g.stoodStill) >= stallTime:
+		g.state, g.next = "broken", ""
+		w.fleet.notes.note("worker %s is broken in %s, epoch %d", w.id, g.name, g.epoch)
+	}
+}
+
 // fields are what registrations and reports have in common.
 func (w *modelWorker) fields() map[string]any {
 	fields := map[string]any{
@@ -310,18 +330,18 @@
 	f.traffic = true
 	g := w.group
 	serves := g != nil && g.rank == 0 && g.state == "open" && g.model == request.Header.Get("Flamingodoor-Model")
-	full := w.running >= modelSlots
+	full := w.running >= modelSlots || (g != nil && g.state == "broken")
 	if serves && !full {
 		w.running++
 	}
 	f.mu.Unlock()
 	switch {
-	case !serves:
-		notExecuted(writer, http.StatusMisdirectedRequest)
-		return
 	case full:
 		notExecuted(writer, http.StatusServiceUnavailable)
 		return
+	case !serves:
+		notExecuted(writer, http.StatusMisdirectedRequest)
+		return
 	}
 	defer func() {
 		f.mu.Lock()
@@ -334,7 +354,7 @@
 	writer.Header().Set("Flamingodoor-Response-Signature", w.id+"."+id)
 	for event := from + 1; event <= streamEvents; event++ {
 		for stalled := time.Now(); !f.whole(g); time.Sleep(10 * time.Millisecond) {
-			if request.Context().Err() != nil || time.Since(stalled) > 5*time.Second {
+			if request.Context().Err() != nil || time.Since(stalled) > stallTime {
 				f.notes.note("worker %s breaks off %s: its group stands still", w.id, id)
 				panic(http.ErrAbortHandler)
 			}
@@ -351,6 +371,11 @@
 func (f *fleet) whole(g *membership) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.isWhole(g)
+}
+
+// isWhole is whole for callers that hold the lock.
+func (f *fleet) isWhole(g *membership) bool {
 	for _, id := range g.members {
 		w := f.workers[id]
 		if w == nil || w.group == nil || w.group.name != g.name || w.group.epoch != g.epoch {
