proxy: look requests up in the configuration that is confirmed

What callers saw: a host is cut off from the platform's store while a key is revoked. A request with a key or route that was added meanwhile gets 401 or 404 for good.

Cause: Proxy.serve took the index of the configuration first and checked its confirmation after that. The check waits for the lock of the configuration's follower, which holds it while it puts a newer configuration into use and confirms it. The request then passed by the new confirmation and was looked up in the old index.

Ruled out: a confirmation that is too young (the follower confirms after it has applied the records, under one lock) and revokeMargin (the late payments were sent 5.98 s and 6.06 s after the acknowledgement).

Change: Proxy.configuration returns a confirmation and an index that reflects it: the index is taken last. Authorisation, denials, readiness, forwarded requests and explain use this pair.

--- a/internal/proxy/explain.go
+++ b/internal/proxy/explain.go
@@ -21,13 +21,14 @@
 		Host: p.hostID, Model: request.Model, Workspace: request.Workspace, PromptTokens: request.PromptTokens, MaxOutputTokens: request.MaxOutputTokens,
 		Candidates: []explain.Candidate{},
 	}
-	index := p.catalogue.Index()
+	current := p.configuration()
+	index := current.Index
 	if index == nil || !p.partTracker.Loaded() {
 		answer.Refusal = refusalOf(http.StatusServiceUnavailable, "no_configuration", shortRetryAfter, shortRetryAfter)
 		return answer
 	}
 	answer.ConfigVersion = index.Version
-	route, workspace, status, reason := p.described(index, request)
+	route, workspace, status, reason := p.described(current, request)
 	if status != 0 {
 		answer.Refusal = refusalOf(status, reason, shortRetryAfter, shortRetryAfter)
 		return answer
@@ -46,27 +47,27 @@
 
 // described returns the route and the workspace of a described request, or the status and
 // reason of its rejection.
-func (p *Proxy) described(index *catalogue.Index, request explain.Request) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
-	route, ok := index.Route(request.Host, request.Path)
+func (p *Proxy) described(current configuration, request explain.Request) (*flamingodoor.Route, *flamingodoor.Workspace, int, string) {
+	route, ok := current.Route(request.Host, request.Path)
 	if request.Route != "" {
-		route, ok = named(index.Routes, func(route *flamingodoor.Route) bool { return route.Name == request.Route })
+		route, ok = named(current.Routes, func(route *flamingodoor.Route) bool { return route.Name == request.Route })
 	}
 	if !ok || (request.Service != "" && !leadsTo(route, request.Service)) {
-		status, reason := p.denial(http.StatusNotFound, "no_route")
+		status, reason := p.denial(current, http.StatusNotFound, "no_route")
 		return nil, nil, status, reason
 	}
-	if route.Public || len(index.Workspaces) == 0 {
+	if route.Public || len(current.Workspaces) == 0 {
 		return route, nil, 0, ""
 	}
-	if !p.keysConfirmed() {
+	if !p.keysConfirmed(current) {
 		return nil, nil, http.StatusServiceUnavailable, "keys_unconfirmed"
 	}
 	if request.Workspace == "" {
 		return route, nil, 0, ""
 	}
-	workspace, ok := named(index.Workspaces, func(workspace *flamingodoor.Workspace) bool { return workspace.Name == request.Workspace })
+	workspace, ok := named(current.Workspaces, func(workspace *flamingodoor.Workspace) bool { return workspace.Name == request.Workspace })
 	if !ok {
-		status, reason := p.denial(http.StatusUnauthorized, "unknown_workspace")
+		status, reason := p.denial(current, http.StatusUnauthorized, "unknown_workspace")
 		return nil, nil, status, reason
 	}
 	return route, workspace, 0, ""
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -327,14 +327,8 @@
 // Ready reports whether this host has loaded the configuration, the blocked
 // parts and the registrations, may still accept keys, and is not stopping.
 func (p *Proxy) Ready() bool {
-	return p.catalogue.Index() != nil && p.partTracker.Loaded() && p.roster.Loaded() && p.keysConfirmed() && !p.stopping.Load()
-}
-
-// keysConfirmed reports whether the configuration is recent enough to accept
-// keys: a key that was revoked since is rejected within Limits.RevokeWithin, and no
-// peer is known to have a newer one.
-func (p *Proxy) keysConfirmed() bool {
-	return p.configurationConfirmed() && p.uptime().Before(p.catalogue.Confirmed().Add(p.limits.Load().RevokeWithin-revokeMargin))
+	current := p.configuration()
+	return current.Index != nil && p.partTracker.Loaded() && p.roster.Loaded() && p.keysConfirmed(current) && !p.stopping.Load()
 }
 
 // ServeHTTP authorises a request and proxies it to an instance, or to a peer if
@@ -354,7 +348,8 @@
 	if p.stopping.Load() {
 		announceClose(writer)
 	}
-	index := p.catalogue.Index()
+	current := p.configuration()
+	index := current.Index
 	if index == nil || !p.partTracker.Loaded() {
 		p.reject(writer, request, http.StatusServiceUnavailable, "no_configuration", shortRetryAfter)
 		return
@@ -363,7 +358,7 @@
 		p.reject(writer, request, http.StatusBadRequest, "no_request_id", 0)
 		return
 	}
-	route, workspace, status, reason := p.authorise(index, request)
+	route, workspace, status, reason := p.authorise(current, request)
 	if index.Version < from.version && (status != 0 || !leadsTo(route, from.service)) {
 		// The host that forwards the request has accepted it by a newer configuration.
 		p.writeDecline(writer, request.Header.Get(p.headers.RequestID))
--- a/internal/proxy/takeover.go
+++ b/internal/proxy/takeover.go
@@ -134,19 +134,19 @@
 // declineReason returns why this host serves no requests of peers now, or "" if it
 // does.
 func (p *Proxy) declineReason(request *http.Request, bytes int64) string {
-	index := p.catalogue.Index()
+	current := p.configuration()
 	switch {
 	case request.Header.Get(forwardedToHeader) != p.hostID:
 		return "other_host"
 	case p.stopping.Load() && request.Header.Get(lastChoiceHeader) == "":
 		return "stopping"
-	case index == nil || !p.partTracker.Loaded() || !p.keysConfirmed():
+	case current.Index == nil || !p.partTracker.Loaded() || !p.keysConfirmed(current):
 		return "not_ready"
 	case p.paths.Stranded():
 		return "stranded"
 	case p.paths.Suspected():
 		return "suspects_its_paths"
-	case request.ContentLength < 0 || bytes > bodyLimit(index):
+	case request.ContentLength < 0 || bytes > bodyLimit(current.Index):
 		return "body"
 	default:
 		return ""
