exchange: state the age of a feed before its changes are taken

Cause: a leader or relay took the changes of the registrations for a peer, and the time of its latest read after that. A read that ended in between made the peer's list count as newer than the changes that it got. The peer then did not read the list itself for that much longer, and a new leader took it for one that shows the orders of the leader before.

Change: the time is taken first.

--- a/internal/exchange/feed.go
+++ b/internal/exchange/feed.go
@@ -176,17 +176,19 @@
 // registrationsSince returns the registrations for a peer that needs them from a
 // position on. A peer that needs more than this host keeps reads them itself.
 func (e *Exchanger) registrationsSince(from int64, batches *encodedBatches, maxBytes int) *exchangev1.RecordBatch {
+	// The batch is taken last: it may lack the changes of a read that ends in between.
+	asOf := e.feeds.Registrations.AsOf()
 	batch, ok := e.feeds.Registrations.ChangesSince(from)
 	if !ok {
 		return &exchangev1.RecordBatch{From: from, Next: e.feeds.Registrations.NextOffset(), Omitted: true}
 	}
-	return e.encodeRegistrations(batches, batch, maxBytes)
+	return e.encodeRegistrations(batches, batch, asOf, maxBytes)
 }
 
-// encodeRegistrations encodes a batch. A batch of more than maxBytes, or one
-// that cannot be encoded, is sent without its records, and the receiver reads
-// them from the store.
-func (e *Exchanger) encodeRegistrations(batches *encodedBatches, batch flamingodoor.RecordBatch, maxBytes int) *exchangev1.RecordBatch {
+// encodeRegistrations encodes a batch that holds all changes up to the given time. A
+// batch of more than maxBytes, or one that cannot be encoded, is sent without its
+// records, and the receiver reads them from the store.
+func (e *Exchanger) encodeRegistrations(batches *encodedBatches, batch flamingodoor.RecordBatch, asOf time.Time, maxBytes int) *exchangev1.RecordBatch {
 	omitted := &exchangev1.RecordBatch{From: batch.From, Next: batch.Next, Omitted: true}
 	if batchSize(batch) > maxBytes {
 		return omitted
@@ -198,7 +200,7 @@
 	}
 	return &exchangev1.RecordBatch{
 		From: encoded.GetFrom(), Next: encoded.GetNext(), Records: encoded.GetRecords(), Packed: encoded.GetPacked(),
-		AgeMs: max(0, e.now().Sub(e.feeds.Registrations.AsOf()).Milliseconds()),
+		AgeMs: max(0, e.now().Sub(asOf).Milliseconds()),
 	}
 }
 
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -167,6 +167,33 @@
 	assert.Assert(t, validity.until.Before(time.Now()), "reads are suspended for %s", time.Until(validity.until))
 }
 
+// Guards against a list that counts as newer than the changes in it: the leader's read
+// ends after it has taken the changes for a message, and before it has stated their age.
+func TestFeedStatesNoLaterReadThanItsChanges(t *testing.T) {
+	before := time.Now().Add(-time.Second)
+	var readEnded atomic.Bool
+	stated := make(chan time.Time, 100)
+	startDeployment(t, loopback{}, 2, func(int) *registrations {
+		return &registrations{
+			onCatchUp: func(int64) {}, onChanges: func() { readEnded.Store(true) },
+			onAsOf: func() time.Time {
+				if readEnded.Load() {
+					return time.Now()
+				}
+				return before
+			},
+			onValidity: func(asOf, _ time.Time) {
+				select {
+				case stated <- asOf:
+				default:
+				}
+			},
+		}
+	})
+	first := <-stated
+	assert.Assert(t, first.Sub(before) < 500*time.Millisecond, "as of %s after the read", first.Sub(before))
+}
+
 // Guards against large batches of registrations on the links between hosts.
 // When all groups of a large deployment form at once, every instance's entry
 // changes several times; passed on to 74 hosts over a link of 20 Mbit/s, the
--- a/internal/exchange/host_test.go
+++ b/internal/exchange/host_test.go
@@ -222,12 +222,17 @@
 	onApply    func(batch flamingodoor.RecordBatch)
 	onValidity func(asOf, until time.Time)
 	onObserve  func(next int64)
-	asOf       time.Time // time of the read that is passed on; now if it is zero
+	asOf       time.Time        // time of the read that is passed on; now if it is zero
+	onChanges  func()           // is called after the changes were taken; may be nil
+	onAsOf     func() time.Time // replaces asOf; may be nil
 }
 
 func (r registrations) NextOffset() int64 { return 1 }
 
 func (r registrations) ChangesSince(from int64) (flamingodoor.RecordBatch, bool) {
+	if r.onChanges != nil {
+		defer r.onChanges()
+	}
 	return flamingodoor.RecordBatch{From: from, Next: from + int64(len(r.batch)), Records: r.batch}, true
 }
 
@@ -238,6 +243,9 @@
 }
 
 func (r registrations) AsOf() time.Time {
+	if r.onAsOf != nil {
+		return r.onAsOf()
+	}
 	if r.asOf.IsZero() {
 		return time.Now()
 	}
