planner: form groups only from a view that is recent enough

Cause: a step took its view of the registrations first and asked for the age of the latest read before it formed groups, after calls to instances that may take a second.

Change: the age is taken once for each step, before the view.

Result: TestGroupsFormFromRegistrationsOfALaterRead fails before: instances joined a group although the list had not been read again.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -184,6 +184,7 @@
 	rebalancedAt   time.Time
 	knownInstances int       // number of instances in the previous step
 	countChangedAt time.Time // when the number of instances last changed
+	listAsOf       time.Time // of the registrations that the current step sees
 	leaderSince    time.Time // when this host last gained or lost the leadership
 	formAfter      time.Time // no groups are formed before this time
 }
@@ -316,7 +317,9 @@
 	if p.handOver(ctx) {
 		return
 	}
-	if p.Refresher.AsOf().Before(p.leaderSince) {
+	// The view is taken after this: it shows what this read has found.
+	p.listAsOf = p.Refresher.AsOf()
+	if p.listAsOf.Before(p.leaderSince) {
 		// Registrations received from the previous leader may lack the last
 		// groups that it formed.
 		p.Refresher.Refresh()
@@ -369,7 +372,7 @@
 	if now.Before(p.formAfter) {
 		return false
 	}
-	if p.Refresher.AsOf().Before(p.formAfter) {
+	if p.listAsOf.Before(p.formAfter) {
 		p.Refresher.Refresh()
 		return false
 	}
