planner: do not offer a member whose rank another entry names

What callers saw: another writer adds copies of members' entries, with a service that is not configured.

Cause: the planner took an instance for free if it was a member of no group in the view of the roster. Where a second entry names the same rank, the view shows one of the two, and the other was offered for a new group although its own entry names an open one.

Ruled out: a list that is too old.

Change: each instance whose entry names a group is busy until it has been released from that group.

--- a/internal/planner/form.go
+++ b/internal/planner/form.go
@@ -257,7 +257,8 @@
 }
 
 // busyMembers returns the members of groups that serve, are forming or are not
-// fully dissolved, by instance ID.
+// fully dissolved, by instance ID. These include an instance whose rank another entry
+// names as well: a join would take it out of its group.
 func (p *Planner) busyMembers(view *roster.View) map[string]bool {
 	busy := make(map[string]bool)
 	for _, group := range p.pending {
@@ -265,12 +266,13 @@
 			busy[member.ID] = true
 		}
 	}
-	for _, group := range view.Groups {
-		ending := p.dissolving[group.Key()]
-		for _, member := range group.Members {
-			if ending == nil || !ending.released(member.Instance) {
-				busy[member.ID] = true
-			}
+	for _, entry := range view.Entries {
+		if entry.Membership.Group == "" {
+			continue
+		}
+		ending := p.dissolving[entry.GroupKey()]
+		if ending == nil || !ending.released(entry.Instance) {
+			busy[entry.ID] = true
 		}
 	}
 	return busy
--- a/internal/planner/harness_test.go
+++ b/internal/planner/harness_test.go
@@ -50,6 +50,9 @@
 	retired          []roster.GroupKey
 	readAt           time.Time // start of the latest read of the registrations
 	readsStopped     bool      // the registrations are not read again after readAt
+	// copies returns the entry that another writer adds for an instance, and whether it
+	// adds one; nil if it adds none.
+	copies func(listed flamingodoor.Instance) (flamingodoor.Instance, bool)
 }
 
 func newHarness(t *testing.T) *harness {
@@ -155,7 +158,16 @@
 		h.roster.Publish(now)
 		return
 	}
-	h.roster.Replace(h.fleet.Listed(), now)
+	listed := h.fleet.Listed()
+	for _, instance := range listed {
+		if h.copies == nil {
+			break
+		}
+		if copied, ok := h.copies(instance); ok {
+			listed = append(listed, copied)
+		}
+	}
+	h.roster.Replace(listed, now)
 	h.roster.Publish(now)
 	h.readAt = now
 }
