roster: leave out instances of services that are not configured

Cause: an entry of another writer, whose service no configuration names, was shown as an instance.

Change: AddServices tells the roster the services that a configuration names. Once there are some, the view leaves out the instances of others; services that are removed later are kept, so that nothing changes for instances that still serve. Of two listed entries, the one with the lower identifier holds a rank in every view, and the first member of a group states its service, domain and data centre.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -298,6 +298,8 @@
 	_ = level.Info(g.logger).Log("event", "configured", "version", configuration.Version,
 		"routes", len(configuration.Routes), "workspaces", len(configuration.Workspaces))
 	g.front.SetLimits(configuration.Limits)
+	g.roster.AddServices(configuration.Services)
+	g.roster.Publish(time.Now())
 	g.tracker.Wake()
 }
 
--- a/internal/roster/leaving.go
+++ b/internal/roster/leaving.go
@@ -51,10 +51,13 @@
 	maps.DeleteFunc(r.leaving, func(_ string, mark leavingMark) bool { return now.After(mark.deadline) })
 }
 
-// viewEntries returns the entries as the view shows them: those with a mark are
-// leaving.
+// viewEntries returns the entries as the view shows them: those of known services, and
+// those with a mark are leaving.
 func (r *Roster) viewEntries() map[string]*Entry {
 	entries := maps.Clone(r.entries)
+	if len(r.services) > 0 {
+		maps.DeleteFunc(entries, func(_ string, entry *Entry) bool { return !r.services[entry.Service] })
+	}
 	for id, mark := range r.leaving {
 		entry, ok := entries[id]
 		if !ok || entry.Leaving || !entry.StartedAt.Equal(mark.startedAt) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -156,9 +156,10 @@
 	retiring      map[GroupKey]time.Time // when the mark expires
 	leaving       map[string]leavingMark // by instance ID
 	openSince     map[GroupKey]time.Time
-	unlisted      int  // entries that are not listed
-	dirty         bool // entries changed since the latest view
-	marksDirty    bool // marks changed since the latest view
+	services      map[string]bool // named by a configuration so far
+	unlisted      int             // entries that are not listed
+	dirty         bool            // entries changed since the latest view
+	marksDirty    bool            // marks changed since the latest view
 	view          atomic.Pointer[View]
 	loaded        atomic.Bool
 }
@@ -168,6 +169,7 @@
 	r := &Roster{
 		entries: make(map[string]*Entry), lostInstances: make(map[string]lossMark), unreachable: make(map[string]lossMark), answers: make(map[string]lastAnswer), stalledGroups: make(map[GroupKey]time.Time),
 		retiring: make(map[GroupKey]time.Time), leaving: make(map[string]leavingMark), openSince: make(map[GroupKey]time.Time),
+		services: make(map[string]bool),
 	}
 	r.view.Store(&View{})
 	return r
@@ -208,6 +210,19 @@
 	return r.upsert(instance)
 }
 
+// AddServices adds services that a configuration names. Once there are some, the view
+// shows the instances of these alone: the entry of another service comes from another
+// writer, and names no instance to use.
+func (r *Roster) AddServices(services map[string]flamingodoor.ServiceSpec) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range services {
+		if !r.services[name] {
+			r.services[name], r.dirty = true, true
+		}
+	}
+}
+
 func (r *Roster) upsert(instance flamingodoor.Instance) bool {
 	known, ok := r.entries[instance.ID]
 	if ok && instance.StartedAt.Before(known.StartedAt) {
@@ -406,15 +421,16 @@
 			view.ByService[entry.Service] = append(view.ByService[entry.Service], entry)
 		}
 		if entry.inGroup() {
-			sizes[entry.groupKey()] = max(sizes[entry.groupKey()], entry.Membership.Rank+1)
+			sizes[entry.GroupKey()] = max(sizes[entry.GroupKey()], entry.Membership.Rank+1)
 		}
 	}
 	for _, entry := range view.Entries {
 		if entry.inGroup() {
-			addMember(groups, entry, sizes[entry.groupKey()])
+			addMember(groups, entry, sizes[entry.GroupKey()])
 		}
 	}
 	for _, group := range groups {
+		group.describe()
 		view.Groups = append(view.Groups, group)
 	}
 	r.recordOpenSince(groups, now)
@@ -449,27 +465,43 @@
 	return e.Membership.Group != "" && e.Membership.Rank >= 0 && e.Membership.Rank < maxMembers
 }
 
-func (e *Entry) groupKey() GroupKey {
+// GroupKey returns the key of the group that the entry names, which is empty if it names
+// none.
+func (e *Entry) GroupKey() GroupKey {
 	return GroupKey{Name: e.Membership.Group, Epoch: e.Membership.Epoch}
 }
 
 // addMember adds an entry to its group, which has the size.
 func addMember(groups map[GroupKey]*Group, entry *Entry, size int) {
-	key := entry.groupKey()
+	key := entry.GroupKey()
 	group, ok := groups[key]
 	if !ok {
-		group = &Group{
-			Name: key.Name, Epoch: key.Epoch, Service: entry.Service, ModelID: entry.Membership.ModelID,
-			FabricDomain: entry.FabricDomain, DataCentre: entry.DataCentre, Members: make([]Entry, size),
-		}
+		group = &Group{Name: key.Name, Epoch: key.Epoch, Members: make([]Entry, size)}
 		groups[key] = group
 	}
-	if group.ModelID == "" {
-		group.ModelID = entry.Membership.ModelID
+	if holder := &group.Members[entry.Membership.Rank]; holder.ID == "" || entry.precedes(holder) {
+		*holder = *entry
 	}
-	// If several instances report the same rank, a listed one takes precedence.
-	rank := entry.Membership.Rank
-	if group.Members[rank].ID == "" || entry.Listed {
-		group.Members[rank] = *entry
+}
+
+// precedes reports which of two entries that name the same rank holds it: a listed one,
+// and otherwise the same one in each view.
+func (e *Entry) precedes(holder *Entry) bool {
+	if e.Listed != holder.Listed {
+		return e.Listed
+	}
+	return e.ID < holder.ID
+}
+
+// describe sets what the members state of the group, the first of them before the others.
+func (g *Group) describe() {
+	for _, member := range slices.Backward(g.Members) {
+		if member.ID == "" {
+			continue
+		}
+		g.Service, g.FabricDomain, g.DataCentre = member.Service, member.FabricDomain, member.DataCentre
+		if member.Membership.ModelID != "" {
+			g.ModelID = member.Membership.ModelID
+		}
 	}
 }
