gateway: apply changed limits to open connections

Cause: http.Server has its limits for its whole life. SetLimits created another server for later connections; open ones kept theirs.

Ruled out: closing open connections on a change (all callers connect again, and a request may cross the close); passing a connection on to another server (it lacks the bytes that the first one has read); one server with a high limit and a check in the handler (it reads heads of that size into memory).

Change: each connection has an http.Server of its own. The goroutine that serves it sets its limits between two requests, and once more when the wait for a request ends. A shorter idle time applies to new connections alone, as before. The listener and the background task of each change of the limits are gone.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"flamingodoor.example/flamingodoor"
 	"flamingodoor.example/flamingodoor/internal/readahead"
 )
 
@@ -38,9 +40,10 @@
 	open map[*callerConn]struct{}
 }
 
-// add returns a connection of a caller as the server is to use it.
-func (c *connections) add(connection net.Conn) *callerConn {
-	caller := &callerConn{Conn: NewSlowConn(connection, c.budget, c.logger), waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
+// add returns a connection of a caller, whose limits may change, as the server is to use
+// it.
+func (c *connections) add(connection net.Conn, limits *atomic.Pointer[flamingodoor.CallerLimits]) *callerConn {
+	caller := &callerConn{Conn: NewSlowConn(connection, c.budget, c.logger), limits: limits, waiting: true, waitUntil: time.Now().Add(firstRequestTime)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -91,17 +94,19 @@
 	}
 }
 
-// awaitClosed waits until no connection is open, or until the context ends.
-func (c *connections) awaitClosed(ctx context.Context) {
+// awaitClosed waits until no connection is open, or until the context ends, whose error it
+// then returns.
+func (c *connections) awaitClosed(ctx context.Context) error {
 	ticker := time.NewTicker(closedPollInterval)
 	defer ticker.Stop()
 	for c.anyOpen() {
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
+	return nil
 }
 
 func (c *connections) anyOpen() bool {
@@ -119,6 +124,9 @@
 type callerConn struct {
 	net.Conn
 
+	limits *atomic.Pointer[flamingodoor.CallerLimits]
+	server *http.Server // of this connection alone; only the goroutine that serves it uses the limits there
+
 	mu        sync.Mutex
 	waiting   bool      // for the first byte of a request
 	waitUntil time.Time // while waiting, once closing
@@ -210,6 +218,19 @@
 	c.waitUntil = time.Now()
 	c.idle = idleBegun
 	c.answered = c.closing
+	c.applyLimits()
+}
+
+// applyLimits makes the server use the present limits. The goroutine that serves the
+// connection calls it between two requests.
+func (c *callerConn) applyLimits() {
+	limits := c.limits.Load()
+	c.server.MaxHeaderBytes, c.server.ReadHeaderTimeout = limits.HeaderBytes, limits.HeaderTimeout
+	// A caller may count on the idle time that the connection had: a shorter one applies to
+	// new connections. 0 stands for no limit.
+	if known := c.server.IdleTimeout; known > 0 && (limits.IdleTimeout <= 0 || limits.IdleTimeout > known) {
+		c.server.IdleTimeout = limits.IdleTimeout
+	}
 }
 
 // received notes that bytes of a request have arrived, which the server may have read
@@ -217,6 +238,9 @@
 func (c *callerConn) received(readAhead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idle == idleWaiting {
+		c.applyLimits() // they may have changed during the wait
+	}
 	if !c.waiting {
 		c.readAhead = readAhead
 		return
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -20,15 +21,19 @@
 	HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
-// FrontServer serves callers. A change of their limits applies to connections
-// that are opened after it; open connections keep the limits that they had.
+// noProtocols keeps http.Server from preparing HTTP/2 for each connection. It is used
+// over TLS only.
+var noProtocols = map[string]func(*http.Server, *tls.Conn, http.Handler){} //nolint:gochecknoglobals // a constant structure
+
+// FrontServer serves callers. A change of their limits applies to the requests that begin
+// after it, also on open connections. Exceptions are a shorter idle time, which applies to
+// new connections alone, and the first request of a connection, which has the limits with
+// which the connection was accepted.
 type FrontServer struct {
 	handler http.Handler
+	limits  atomic.Pointer[flamingodoor.CallerLimits]
 
 	mu       sync.Mutex
-	limits   flamingodoor.CallerLimits
-	current  *connListener
-	servers  []*http.Server
 	listener net.Listener
 
 	stopping    atomic.Bool
@@ -69,25 +74,26 @@
 	return f
 }
 
-// SetLimits sets the limits for new connections.
+// SetLimits sets the limits of callers, but for that of the body, which the proxy applies
+// to each request.
 func (f *FrontServer) SetLimits(limits flamingodoor.CallerLimits) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	limits.BodyBytes = 0 // the proxy applies this limit to each request
-	if limits == f.limits {
-		return
-	}
-	f.limits = limits
-	server := &http.Server{
+	f.limits.Store(&limits)
+}
+
+// serveConnection serves a connection in the background. Each has a server of its own,
+// because http.Server has no other way to change the limits of an open connection.
+func (f *FrontServer) serveConnection(caller *callerConn) {
+	limits := f.limits.Load()
+	caller.server = &http.Server{
 		Handler: http.HandlerFunc(f.serveRequest), ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: limits.HeaderBytes,
 		// An OPTIONS request is routed like any other.
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    f.connections.setState,
+		TLSNextProto:                 noProtocols,
 	}
-	f.current = newConnListener()
-	f.servers = append(f.servers, server)
-	go serveConnections(server, f.current)
+	// Serve returns because there is no second connection, which is no failure.
+	_ = caller.server.Serve(&singleListener{connection: caller})
 }
 
 // serveRequest passes a request to the handler. A server that stops closes each
@@ -99,11 +105,6 @@
 	f.handler.ServeHTTP(writer, request)
 }
 
-func serveConnections(server *http.Server, connections *connListener) {
-	// Serve returns only because the server was shut down, which is no failure.
-	_ = server.Serve(connections)
-}
-
 // Serve accepts connections until Shutdown.
 func (f *FrontServer) Serve(listener net.Listener) error {
 	f.accepting.Add(1)
@@ -121,13 +122,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		f.mu.Lock()
-		current := f.current
-		f.mu.Unlock()
-		caller := f.connections.add(connection)
-		if !current.deliver(caller) {
-			f.connections.remove(caller)
-		}
+		f.serveConnection(f.connections.add(connection, &f.limits))
 	}
 }
 
@@ -143,7 +138,7 @@
 // arrived, and any other after its answer.
 func (f *FrontServer) Shutdown(ctx context.Context) error {
 	f.mu.Lock()
-	servers, listener := f.servers, f.listener
+	listener := f.listener
 	f.stopping.Store(true)
 	f.mu.Unlock()
 	if listener != nil {
@@ -152,14 +147,7 @@
 		_ = listener.Close() // no more connections are accepted either way
 	}
 	f.connections.closeIdle()
-	f.connections.awaitClosed(ctx)
-	// An HTTP server that shuts down closes a connection on which it has just
-	// read a request. It does so only once no connection is open.
-	var failure error
-	for _, server := range servers {
-		failure = errors.Join(failure, server.Shutdown(ctx))
-	}
-	return failure
+	return f.connections.awaitClosed(ctx)
 }
 
 // stopAccepting makes Accept fail once no connection is waiting.
@@ -173,47 +161,28 @@
 	_ = listener.Close() // no more connections are accepted either way
 }
 
-// connListener is a net.Listener for connections that were accepted elsewhere.
-// Each change of the limits creates one, with an HTTP server of its own.
-type connListener struct {
-	connections chan net.Conn
-	closed      chan struct{}
-	once        sync.Once
-}
-
-func newConnListener() *connListener {
-	return &connListener{connections: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-// deliver passes a connection to Accept. If the listener is closed, it closes the
-// connection and returns false.
-func (l *connListener) deliver(connection net.Conn) bool {
-	select {
-	case l.connections <- connection:
-		return true
-	case <-l.closed:
-		_ = connection.Close()
-		return false
-	}
+// singleListener is a net.Listener that accepts one connection, which was accepted
+// elsewhere.
+type singleListener struct {
+	connection net.Conn // nil once it was accepted
 }
 
-// Accept waits for the next connection.
-func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case connection := <-l.connections:
-		return connection, nil
-	case <-l.closed:
+// Accept returns the connection, and net.ErrClosed after that.
+func (l *singleListener) Accept() (net.Conn, error) {
+	connection := l.connection
+	if connection == nil {
 		return nil, net.ErrClosed
 	}
+	l.connection = nil
+	return connection, nil
 }
 
-// Close makes Accept return net.ErrClosed.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+// Close does nothing: the connection is served on.
+func (*singleListener) Close() error {
 	return nil
 }
 
 // Addr returns an empty address: the listener has none.
-func (l *connListener) Addr() net.Addr {
+func (*singleListener) Addr() net.Addr {
 	return &net.TCPAddr{}
 }
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -30,7 +30,7 @@
 	return response.Body.Close()
 }
 
-// New limits apply to new connections. Open connections must keep theirs, so
+// New limits apply to new connections. Open connections must keep a longer idle time, so
 // that a change cuts off no caller.
 func TestLimitsOfCallersChange(t *testing.T) {
 	front := gateway.NewFrontServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
